Decisions of a shard's owner, and the platform's services behind interfaces

Cause: nothing existed. The decisions must be testable without I/O. Change: a library of decisions (document, ledger, placement, membership, interference) with typed events in and effects out; the platform's table, objects, list and workers as interfaces, in memory and over HTTP. Conclusion: base for the daemon.

--- /dev/null
+++ b/decisions/src/document.cpp
@@ -0,0 +1,338 @@
+#include "document.h"
+
+#include <algorithm>
+#include <set>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::int64_t kMaxCpuMillis = 1024 * 1000;
+constexpr std::int64_t kMaxMemoryMb = std::int64_t{ 16 } << 20U;
+constexpr std::int64_t kMaxAccelerators = 64;
+constexpr int kMaxReplicas = 10000;
+constexpr Millis kMaxRunTime{ 7 * 24 * 3600 * 1000LL };
+constexpr Millis kMaxDeadline{ 600000 };
+constexpr Millis kMaxOutageAllowance{ 3600000 };
+
+template<class Spec, class Key>
+auto
+FindById(const std::vector<Spec>& aSpecs, const Key& aId) -> const Spec*
+{
+  const auto found =
+    std::find_if(aSpecs.begin(), aSpecs.end(), [&](const Spec& aSpec) {
+      return aSpec.id == aId;
+    });
+  return found == aSpecs.end() ? nullptr : &*found;
+}
+
+auto
+ReadResources(YamlMap& aMap) -> Resources
+{
+  auto size = Resources{};
+  size.cpuMillis = aMap.Integer("cpu_millis", 0, 0, kMaxCpuMillis);
+  size.memoryMb = aMap.Integer("memory_mb", 0, 0, kMaxMemoryMb);
+  size.accelerators = aMap.Integer("accelerators", 0, 0, kMaxAccelerators);
+  return size;
+}
+
+// Collects the parts of all sections and checks the names across them.
+class Builder
+{
+public:
+  Builder(Document& aDocument, std::vector<YamlError>& aErrors)
+    : document(aDocument)
+    , errors(aErrors)
+  {
+  }
+
+  auto AddDomains(const std::string& aSection, YamlMap& aMap) -> void
+  {
+    for (auto& entry : aMap.Maps("domains")) {
+      auto spec = DomainSpec{ DomainId{ entry.Name("name") }, false };
+      const auto state = entry.String("state", "in");
+      if (state != "in" && state != "out") {
+        entry.Report("state", "must be in or out");
+      }
+      spec.out = state == "out";
+      entry.Finish();
+      this->AddUnique(entry, this->document.domains, spec);
+    }
+    if (aSection != kSiteSection && aMap.Has("domains")) {
+      aMap.Report("domains",
+                  "only the section 'site' declares failure domains");
+    }
+  }
+
+  auto AddServices(const TeamId& aTeam, YamlMap& aMap) -> void
+  {
+    for (auto& entry : aMap.Maps("services")) {
+      auto spec = ServiceSpec{};
+      spec.id.text = entry.Name("name");
+      spec.team = aTeam;
+      spec.domains = this->ReadDomains(entry);
+      spec.deadline = entry.Duration(
+        "deadline", spec.deadline, Millis{ 1 }, kMaxDeadline);
+      spec.slots = static_cast<int>(entry.Integer("slots", 8, 1, 1024));
+      spec.connections =
+        static_cast<int>(entry.Integer("connections", 60, 1, 10000));
+      spec.maxQueue =
+        static_cast<int>(entry.Integer("max_queue", 256, 0, 100000));
+      spec.claims = entry.Boolean("claims", false);
+      spec.retries = entry.Boolean("retries", true);
+      spec.notRepeatable = entry.Strings("not_repeatable");
+      this->ReadCallers(entry, spec);
+      this->ReadPromise(entry, spec);
+      entry.Finish();
+      this->AddUnique(entry, this->document.services, spec);
+    }
+  }
+
+  auto AddClasses(const TeamId& aTeam,
+                  const char* aKey,
+                  TaskKind aKind,
+                  YamlMap& aMap) -> void
+  {
+    for (auto& entry : aMap.Maps(aKey)) {
+      auto spec = ClassSpec{};
+      spec.id.text = entry.Name("name");
+      spec.team = aTeam;
+      spec.kind = aKind;
+      spec.size = ReadResources(entry);
+      if (spec.size == Resources{}) {
+        entry.Report("cpu_millis", "a task needs some resource");
+      }
+      spec.priority = static_cast<int>(entry.Integer("priority", 0, 0, 100));
+      spec.urgent = entry.Boolean("urgent", false);
+      spec.checkpoints = entry.Boolean("checkpoints", false);
+      spec.domains = this->ReadDomains(entry);
+      if (aKind == TaskKind::Batch) {
+        spec.runTime =
+          entry.Duration("run_time", spec.runTime, Millis{ 1 }, kMaxRunTime);
+      } else {
+        spec.replicas =
+          static_cast<int>(entry.Integer("replicas", 1, 0, kMaxReplicas));
+      }
+      entry.Finish();
+      this->AddUnique(entry, this->document.classes, spec);
+    }
+  }
+
+  // Names of failure domains can be checked only when all sections are read.
+  auto CheckDomainNames() -> void
+  {
+    for (const auto& use : this->uses) {
+      if (this->document.FindDomain(use.domain) == nullptr) {
+        this->errors.push_back({ use.source,
+                                 use.line,
+                                 "domains",
+                                 use.domain.text,
+                                 "is not a failure domain of section 'site'" });
+      }
+    }
+  }
+
+  std::string source;
+
+private:
+  struct DomainUse
+  {
+    std::string source;
+    int line;
+    DomainId domain;
+  };
+
+  template<class Spec>
+  auto AddUnique(YamlMap& aEntry, std::vector<Spec>& aSpecs, const Spec& aSpec)
+    -> void
+  {
+    if (aSpec.id.Empty()) {
+      return;
+    }
+    if (FindById(aSpecs, aSpec.id) != nullptr) {
+      aEntry.Report("name", "is declared twice");
+      return;
+    }
+    aSpecs.push_back(aSpec);
+  }
+
+  auto ReadDomains(YamlMap& aEntry) -> std::vector<DomainId>
+  {
+    auto domains = std::vector<DomainId>{};
+    for (const auto& name : aEntry.Strings("domains")) {
+      domains.push_back(DomainId{ name });
+      this->uses.push_back({ this->source, aEntry.Line(), domains.back() });
+    }
+    return domains;
+  }
+
+  static auto ReadCallers(YamlMap& aEntry, ServiceSpec& aSpec) -> void
+  {
+    for (auto& caller : aEntry.Maps("callers")) {
+      auto spec = CallerClass{};
+      spec.name = caller.Name("name");
+      spec.rank = static_cast<int>(caller.Integer("rank", 0, 0, 9));
+      caller.Finish();
+      aSpec.callers.push_back(spec);
+    }
+  }
+
+  static auto ReadPromise(YamlMap& aEntry, ServiceSpec& aSpec) -> void
+  {
+    auto promise = aEntry.Map("promise");
+    if (!promise) {
+      return;
+    }
+    aSpec.promisedAnswer = promise->Duration(
+      "answer_within", Millis{ 0 }, Millis{ 1 }, kMaxDeadline);
+    aSpec.promisedQuantile = promise->Number("quantile", 0.99, 0.5, 0.9999);
+    promise->Finish();
+  }
+
+  Document& document;
+  std::vector<YamlError>& errors;
+  std::vector<DomainUse> uses;
+};
+
+auto
+ReadSection(Builder& aBuilder,
+            Document& aDocument,
+            const std::string& aName,
+            YamlMap& aMap) -> void
+{
+  auto team = TeamSpec{ TeamId{ aName }, std::nullopt };
+  if (auto quota = aMap.Map("quota")) {
+    team.quota = ReadResources(*quota);
+    quota->Finish();
+  }
+  aDocument.teams.push_back(team);
+  if (aName == kSiteSection) {
+    aDocument.outageAllowance = aMap.Duration("outage_allowance",
+                                              aDocument.outageAllowance,
+                                              Millis{ 0 },
+                                              kMaxOutageAllowance);
+  }
+  aBuilder.AddDomains(aName, aMap);
+  aBuilder.AddServices(team.id, aMap);
+  aBuilder.AddClasses(team.id, "batch", TaskKind::Batch, aMap);
+  aBuilder.AddClasses(team.id, "watchers", TaskKind::Watcher, aMap);
+  aBuilder.AddClasses(team.id, "replicas", TaskKind::Service, aMap);
+  aMap.Finish();
+}
+
+// Changes one domain's state in the text itself, so that comments and layout
+// of the operators survive.
+auto
+ReplaceState(const std::string& aText,
+             const YAML::Node& aDomain,
+             const std::string& aState) -> std::string
+{
+  auto text = aText;
+  const auto state = aDomain["state"];
+  if (state.IsDefined()) {
+    const auto at = static_cast<std::size_t>(state.Mark().pos);
+    const auto quoted = text[at] == '"' || text[at] == '\'';
+    return text.replace(
+      at, state.Scalar().size() + (quoted ? 2 : 0), aState);
+  }
+  const auto name = aDomain["name"];
+  const auto at = static_cast<std::size_t>(name.Mark().pos);
+  const auto quoted = text[at] == '"' || text[at] == '\'';
+  const auto end = at + name.Scalar().size() + (quoted ? 2 : 0);
+  if (aDomain.Style() == YAML::EmitterStyle::Flow) {
+    return text.insert(end, ", state: " + aState);
+  }
+  const auto indent = std::string(
+    static_cast<std::size_t>(aDomain.begin()->first.Mark().column), ' ');
+  return text.insert(end, "\n" + indent + "state: " + aState);
+}
+
+} // namespace
+
+auto
+ClassSpec::Allows(const DomainId& aDomain) const -> bool
+{
+  return this->domains.empty() ||
+         std::find(this->domains.begin(), this->domains.end(), aDomain) !=
+           this->domains.end();
+}
+
+auto
+Document::FindDomain(const DomainId& aId) const -> const DomainSpec*
+{
+  return FindById(this->domains, aId);
+}
+
+auto
+Document::FindService(const ServiceId& aId) const -> const ServiceSpec*
+{
+  return FindById(this->services, aId);
+}
+
+auto
+Document::FindClass(const ClassId& aId) const -> const ClassSpec*
+{
+  return FindById(this->classes, aId);
+}
+
+auto
+Document::FindTeam(const TeamId& aId) const -> const TeamSpec*
+{
+  return FindById(this->teams, aId);
+}
+
+auto
+Document::IsOpen(const DomainId& aId) const -> bool
+{
+  const auto* domain = this->FindDomain(aId);
+  return domain != nullptr && !domain->out;
+}
+
+auto
+BuildDocument(std::uint64_t aNumber,
+              const Sections& aSections,
+              std::vector<YamlError>& aErrors) -> std::optional<Document>
+{
+  auto document = Document{};
+  document.number = aNumber;
+  auto builder = Builder{ document, aErrors };
+  for (const auto& [name, section] : aSections) {
+    const auto source = "section '" + name + "'";
+    const auto node = ParseYaml(source, section.text, {}, aErrors);
+    if (!node) {
+      continue;
+    }
+    builder.source = source;
+    auto map = YamlMap{ source, *node, aErrors };
+    ReadSection(builder, document, name, map);
+  }
+  builder.CheckDomainNames();
+  if (!aErrors.empty()) {
+    return std::nullopt;
+  }
+  return document;
+}
+
+auto
+WithDomainState(const std::string& aSiteText,
+                const DomainId& aDomain,
+                bool aOut,
+                std::string& aReason) -> std::optional<std::string>
+{
+  auto errors = std::vector<YamlError>{};
+  auto node = ParseYaml("section 'site'", aSiteText, {}, errors);
+  if (!node) {
+    aReason = errors.empty() ? "no site section" : errors.front().Text();
+    return std::nullopt;
+  }
+  for (const auto& domain : (*node)["domains"]) {
+    if (domain.IsMap() && domain["name"].IsScalar() &&
+        domain["name"].Scalar() == aDomain.text) {
+      return ReplaceState(aSiteText, domain, aOut ? "out" : "in");
+    }
+  }
+  aReason = "failure domain '" + aDomain.text + "' is not declared";
+  return std::nullopt;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/decisions/src/interference.h
@@ -0,0 +1,63 @@
+#ifndef GOOSEBERRY_INTERFERENCE_H
+#define GOOSEBERRY_INTERFERENCE_H
+
+// Learns from lagging reports which batch classes slow which services, and how
+// strongly to answer on a worker whose services suffer.
+
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "types.h"
+
+namespace gooseberry {
+
+// Services slower than this times their answer time alone are suffering.
+inline constexpr double kSlowdownLimit = 1.5;
+
+class Interference
+{
+public:
+  // One report of a service that ran beside these batch classes.
+  auto Observe(const ClassId& aService,
+               const std::vector<ClassId>& aNeighbours,
+               double aSlowdown) -> void;
+
+  // Expected extra slowdown of the pair; 0 while nothing is known.
+  auto Harm(const ClassId& aService, const ClassId& aBatch) const -> double;
+
+private:
+  struct Estimate
+  {
+    double mean = 0.0;
+    double weight = 0.0;
+  };
+
+  std::map<std::pair<ClassId, ClassId>, Estimate> pairs;
+};
+
+enum class Relief
+{
+  None,
+  Throttle,
+  Evict,
+  Restore
+};
+
+// Answers one worker's suffering in steps, with hysteresis: first throttle,
+// evict only if the throttle did not help, restore only after a calm time.
+class ReliefLadder
+{
+public:
+  auto Next(Time aNow, double aWorstSlowdown) -> Relief;
+
+private:
+  int suffering = 0;
+  int calm = 0;
+  bool throttled = false;
+  Time lastEviction{};
+};
+
+} // namespace gooseberry
+
+#endif
--- /dev/null
+++ b/decisions/src/membership.cpp
@@ -0,0 +1,110 @@
+#include "membership.h"
+
+#include <algorithm>
+#include <set>
+
+#include "tunables.h"
+
+namespace gooseberry {
+
+auto
+Membership::OnRows(Time aNow, const std::vector<MemberRow>& aRows) -> void
+{
+  this->known = true;
+  auto present = std::set<InstanceId>{};
+  for (const auto& row : aRows) {
+    present.insert(row.id);
+    auto [item, fresh] = this->members.try_emplace(row.id, Seen{ row, aNow });
+    if (!fresh && item->second.row.counter != row.counter) {
+      item->second = Seen{ row, aNow };
+    }
+  }
+  std::erase_if(this->members, [&](const auto& aItem) {
+    return !present.contains(aItem.first);
+  });
+}
+
+auto
+Membership::Live(Time aNow) const -> std::vector<MemberRow>
+{
+  auto live = std::vector<MemberRow>{};
+  for (const auto& [id, seen] : this->members) {
+    if (!this->Lapsed(id, aNow)) {
+      live.push_back(seen.row);
+    }
+  }
+  return live;
+}
+
+auto
+Membership::Lapsed(const InstanceId& aId, Time aNow) const -> bool
+{
+  const auto found = this->members.find(aId);
+  if (found == this->members.end()) {
+    return this->known;
+  }
+  return aNow - found->second.changedAt > WithDrift(kMemberLease);
+}
+
+auto
+Membership::Known() const -> bool
+{
+  return this->known;
+}
+
+auto
+OwnLease::OnRenewed(Time aSentAt) -> void
+{
+  this->end = std::max(this->end, aSentAt + kMemberLease);
+}
+
+auto
+OwnLease::OnLost() -> void
+{
+  this->end = {};
+}
+
+auto
+OwnLease::End() const -> Time
+{
+  return this->end;
+}
+
+auto
+OwnLease::Holds(Time aNow) const -> bool
+{
+  return aNow < this->end;
+}
+
+auto
+AssignShards(ShardNumber aShardCount, const std::vector<MemberRow>& aMembers)
+  -> std::vector<InstanceId>
+{
+  auto owners = std::vector<InstanceId>(aShardCount);
+  auto candidates = std::vector<InstanceId>{};
+  for (const auto& member : aMembers) {
+    if (!member.leaving) {
+      candidates.push_back(member.id);
+    }
+  }
+  if (candidates.empty()) {
+    return owners;
+  }
+  const auto most = (aShardCount + candidates.size() - 1) / candidates.size();
+  auto load = std::map<InstanceId, std::size_t>{};
+  for (auto shard = ShardNumber{ 0 }; shard < aShardCount; ++shard) {
+    auto bestWeight = std::uint64_t{ 0 };
+    for (const auto& id : candidates) {
+      const auto weight = StableHash(id.text, shard);
+      const auto room = load[id] < most;
+      if (room && (owners[shard].Empty() || weight > bestWeight)) {
+        owners[shard] = id;
+        bestWeight = weight;
+      }
+    }
+    ++load[owners[shard]];
+  }
+  return owners;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/decisions/src/placement.cpp
@@ -0,0 +1,193 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <array>
+
+#include "tunables.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr double kHarmWeight = 4.0;
+constexpr double kSpreadWeight = 2.0;
+
+constexpr std::array<const char*, static_cast<int>(NoPlace::NoPlace_NB)>
+  kNoPlaceTexts{ "no worker of this shard answers in an allowed failure domain",
+                 "the allowed failure domains are out of service",
+                 "no worker has room",
+                 "the workers with room fail what they start",
+                 "the failure domain is being refilled" };
+
+auto
+Share(std::int64_t aPart, std::int64_t aWhole) -> double
+{
+  if (aWhole <= 0) {
+    return 0.0;
+  }
+  return static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+// Largest used share over the three dimensions.
+auto
+Fullness(const Resources& aUsed, const Resources& aCapacity) -> double
+{
+  return std::max({ Share(aUsed.cpuMillis, aCapacity.cpuMillis),
+                    Share(aUsed.memoryMb, aCapacity.memoryMb),
+                    Share(aUsed.accelerators, aCapacity.accelerators) });
+}
+
+auto
+Harm(const WorkerView& aWorker,
+     const Task& aTask,
+     const Interference& aInterference) -> double
+{
+  auto harm = 0.0;
+  if (aTask.kind == TaskKind::Service) {
+    for (const auto& batch : aWorker.batches) {
+      harm += aInterference.Harm(aTask.classId, batch);
+    }
+    return harm;
+  }
+  for (const auto& service : aWorker.services) {
+    harm += aInterference.Harm(service, aTask.classId);
+  }
+  return harm;
+}
+
+// The first rule that keeps the task off this worker.
+auto
+Obstacle(const WorkerView& aWorker,
+         const Task& aTask,
+         const PlacementContext& aContext) -> std::optional<NoPlace>
+{
+  const auto allowed =
+    aTask.domains.empty() ||
+    std::find(aTask.domains.begin(), aTask.domains.end(), aWorker.info.domain) !=
+      aTask.domains.end();
+  const auto answers =
+    aWorker.listed && !aWorker.info.leaving && aWorker.reconciled &&
+    aContext.now - aWorker.lastReport < kWorkerLease / 2;
+  if (!allowed || !answers) {
+    return NoPlace::NoWorker;
+  }
+  if (!aContext.document->IsOpen(aWorker.info.domain)) {
+    return NoPlace::DomainClosed;
+  }
+  if (aWorker.Quarantined(aContext.now)) {
+    return NoPlace::Quarantined;
+  }
+  if (!aTask.size.FitsIn(aWorker.Room())) {
+    return NoPlace::NoRoom;
+  }
+  const auto limit = aContext.refill->find(aWorker.info.domain);
+  if (limit != aContext.refill->end() &&
+      Fullness(aWorker.reserved, aWorker.info.capacity) > limit->second) {
+    return NoPlace::Refilling;
+  }
+  return std::nullopt;
+}
+
+// Lower is better. Batch packs tightly, to keep whole workers free for large
+// tasks; services and watchers spread over failure domains first.
+auto
+Cost(const WorkerView& aWorker,
+     const Task& aTask,
+     const PlacementContext& aContext) -> double
+{
+  auto after = aWorker.reserved;
+  after += aTask.size;
+  const auto fullness = Fullness(after, aWorker.info.capacity);
+  auto cost = kHarmWeight * Harm(aWorker, aTask, *aContext.interference);
+  if (aTask.kind == TaskKind::Batch) {
+    return cost + 1.0 - fullness;
+  }
+  const auto others =
+    aContext.spread->find({ aTask.classId, aWorker.info.domain });
+  if (others != aContext.spread->end()) {
+    cost += kSpreadWeight * others->second;
+  }
+  return cost + fullness;
+}
+
+} // namespace
+
+auto
+WorkerView::Room() const -> Resources
+{
+  auto room = this->info.capacity;
+  room -= Larger(this->reserved, this->used);
+  return room;
+}
+
+auto
+WorkerView::Quarantined(Time aNow) const -> bool
+{
+  return aNow < this->quarantinedUntil;
+}
+
+auto
+ToText(NoPlace aReason) -> const char*
+{
+  return kNoPlaceTexts[static_cast<std::size_t>(aReason)];
+}
+
+auto
+PickWorker(const std::vector<const WorkerView*>& aWorkers,
+           const Task& aTask,
+           const PlacementContext& aContext,
+           NoPlace& aReason) -> std::optional<std::size_t>
+{
+  auto best = std::optional<std::size_t>{};
+  auto bestCost = 0.0;
+  aReason = NoPlace::NoWorker;
+  for (auto index = std::size_t{ 0 }; index < aWorkers.size(); ++index) {
+    const auto& worker = *aWorkers[index];
+    const auto obstacle = Obstacle(worker, aTask, aContext);
+    if (obstacle) {
+      aReason = std::max(aReason, *obstacle);
+      continue;
+    }
+    const auto cost = Cost(worker, aTask, aContext);
+    if (!best || cost < bestCost) {
+      best = index;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+auto
+WhyNever(const Task& aTask, const FleetShape& aFleet)
+  -> std::optional<std::string>
+{
+  auto largest = Resources{};
+  for (const auto& [domain, capacities] : aFleet) {
+    const auto allowed =
+      aTask.domains.empty() ||
+      std::find(aTask.domains.begin(), aTask.domains.end(), domain) !=
+        aTask.domains.end();
+    if (!allowed) {
+      continue;
+    }
+    for (const auto& capacity : capacities) {
+      if (aTask.size.FitsIn(capacity)) {
+        return std::nullopt;
+      }
+      largest = Larger(largest, capacity);
+    }
+  }
+  if (largest == Resources{}) {
+    return std::nullopt;
+  }
+  const auto text = [](const Resources& aSize) {
+    return "cpu_millis " + std::to_string(aSize.cpuMillis) + ", memory_mb " +
+           std::to_string(aSize.memoryMb) + ", accelerators " +
+           std::to_string(aSize.accelerators);
+  };
+  return "needs " + text(aTask.size) +
+         "; no worker in its failure domains is that large (largest of each: " +
+         text(largest) + ")";
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/decisions/src/shardreport.cpp
@@ -0,0 +1,270 @@
+// Part of Shard that reads a worker's report against the records.
+
+#include <algorithm>
+
+#include "shard.h"
+
+namespace gooseberry {
+
+namespace {
+
+// A throttled task keeps this share of its processors.
+constexpr int kThrottlePercent = 40;
+
+auto
+Backoff(int aFailures) -> Millis
+{
+  const auto doubled = kRetryBackoffMin * (1LL << std::min(aFailures, 20));
+  return std::min<Millis>(doubled, kRetryBackoffMax);
+}
+
+auto
+Lists(const WorkerReport& aReport, const Task& aTask) -> bool
+{
+  return std::any_of(aReport.attempts.begin(),
+                     aReport.attempts.end(),
+                     [&](const AttemptReport& aAttempt) {
+                       return aAttempt.task == aTask.id &&
+                              aAttempt.attempt == aTask.attempt;
+                     });
+}
+
+auto
+Erase(std::vector<AttemptRef>& aRefs, const WorkerReport& aReport) -> void
+{
+  std::erase_if(aRefs, [&](const AttemptRef& aRef) {
+    return std::none_of(aReport.attempts.begin(),
+                        aReport.attempts.end(),
+                        [&](const AttemptReport& aAttempt) {
+                          return aAttempt.task == aRef.task &&
+                                 aAttempt.attempt == aRef.attempt;
+                        });
+  });
+}
+
+} // namespace
+
+auto
+Shard::OnReport(const Authority& aAuthority,
+                const WorkerId& aWorker,
+                const WorkerReport& aReport) -> void
+{
+  const auto found = this->workers.find(aWorker);
+  if (found == this->workers.end() || this->ledger.Fenced()) {
+    return;
+  }
+  auto& view = found->second;
+  if (!aReport.accepted || aReport.epoch != this->ledger.Epoch()) {
+    this->Count(ShardEvent::StaleReport);
+    return;
+  }
+  view.reconciled = true;
+  view.stamp = aReport.stamp;
+  view.lastReport = aAuthority.now;
+  view.info.capacity = aReport.capacity;
+  Erase(this->acknowledged[aWorker], aReport);
+  Erase(this->orphans[aWorker], aReport);
+  view.used = {};
+  for (const auto& attempt : aReport.attempts) {
+    view.used += attempt.used;
+    this->OnAttempt(aAuthority, view, attempt);
+  }
+  this->OnUnlisted(aAuthority.now, aWorker, aReport);
+  this->LearnInterference(aAuthority.now, view, aReport);
+}
+
+auto
+Shard::OnAttempt(const Authority& aAuthority,
+                 WorkerView& aView,
+                 const AttemptReport& aAttempt) -> void
+{
+  const auto* task = this->ledger.Find(aAttempt.task);
+  const auto current = task != nullptr && HoldsRoom(task->phase) &&
+                       task->worker == aView.info.id &&
+                       task->attempt == aAttempt.attempt;
+  const auto running = aAttempt.state == AttemptState::Running;
+  if (!current) {
+    const auto ref = AttemptRef{ aAttempt.task, aAttempt.attempt };
+    auto& list = running ? this->orphans[aView.info.id]
+                         : this->acknowledged[aView.info.id];
+    if (std::find(list.begin(), list.end(), ref) == list.end()) {
+      list.push_back(ref);
+      this->Count(running ? ShardEvent::OrphanStop : ShardEvent::StaleReport);
+    }
+    return;
+  }
+  if (this->ledger.Busy(aAttempt.task)) {
+    return;
+  }
+  if (!running) {
+    this->OnEnded(aAuthority, aView, *task, aAttempt);
+    return;
+  }
+  auto known = *task;
+  if (known.phase == TaskPhase::Starting) {
+    known.phase = TaskPhase::Running;
+    aView.failureStreak = 0;
+    aView.failedClasses.clear();
+  }
+  known.checkpoint = std::max(known.checkpoint, aAttempt.checkpoint);
+  this->ledger.Note(known);
+}
+
+auto
+Shard::OnEnded(const Authority& aAuthority,
+               WorkerView& aView,
+               const Task& aTask,
+               const AttemptReport& aAttempt) -> void
+{
+  auto task = aTask;
+  task.checkpoint = std::max(task.checkpoint, aAttempt.checkpoint);
+  switch (aAttempt.state) {
+    case AttemptState::Finished:
+      this->Count(ShardEvent::Finish);
+      aView.failureStreak = 0;
+      aView.failedClasses.clear();
+      if (task.kind != TaskKind::Batch) {
+        this->Requeue(aAuthority.now, task, "ended by itself");
+        return;
+      }
+      task.phase = TaskPhase::Finished;
+      task.reason = "finished on " + aView.info.id.text;
+      this->Stage(aAuthority.now, task, Haste::Now);
+      return;
+    case AttemptState::Failed:
+      this->Count(ShardEvent::Failure);
+      this->OnFailure(aAuthority.now, aView, task);
+      return;
+    case AttemptState::Stopped:
+      task.evictions += task.cancelAsked ? 0 : 1;
+      this->Requeue(aAuthority.now, task, "stopped: " + task.reason);
+      return;
+    case AttemptState::Refused:
+      this->Count(ShardEvent::Refusal);
+      this->notBefore[task.id] = aAuthority.now + kRetryBackoffMin;
+      this->Requeue(
+        aAuthority.now,
+        task,
+        aView.info.id.text + " refused the start: " + aAttempt.reason);
+      return;
+    case AttemptState::Running:
+    case AttemptState::AttemptState_NB:
+      return;
+  }
+}
+
+// One class that fails everywhere is the task's fault; several classes that
+// fail in a row on one worker are the worker's.
+auto
+Shard::OnFailure(Time aNow, WorkerView& aView, Task aTask) -> void
+{
+  aView.failureStreak += 1;
+  aView.failedClasses.insert(aTask.classId);
+  const auto workersFault = aView.failureStreak >= kQuarantineFailures &&
+                            (aView.failedClasses.size() > 1 ||
+                             aView.failureStreak >= 2 * kQuarantineFailures);
+  if (workersFault) {
+    this->Count(ShardEvent::Quarantine);
+    aView.quarantinedUntil = aNow + kQuarantineProbe;
+  }
+  if (!workersFault) {
+    aTask.failures += 1;
+  }
+  this->notBefore[aTask.id] = aNow + Backoff(aTask.failures);
+  if (aTask.failures < kMaxTaskFailures || aTask.kind != TaskKind::Batch) {
+    this->Requeue(aNow, aTask, "failed on " + aView.info.id.text);
+    return;
+  }
+  this->Count(ShardEvent::Park);
+  aTask.phase =
+    aTask.cancelAsked ? TaskPhase::Cancelled : TaskPhase::Parked;
+  aTask.worker = {};
+  aTask.reason = "failed " + std::to_string(aTask.failures) +
+                 " times, last on " + aView.info.id.text;
+  this->Stage(aNow, aTask, Haste::Now);
+}
+
+// The reply to an exchange proves that no older request can take effect any
+// more, so an attempt that it does not list is not running and never will.
+auto
+Shard::OnUnlisted(Time aNow,
+                  const WorkerId& aWorker,
+                  const WorkerReport& aReport) -> void
+{
+  for (const auto& [id, task] : this->ledger.Tasks()) {
+    if (task.worker != aWorker || !HoldsRoom(task.phase) ||
+        this->ledger.Busy(id) || Lists(aReport, task)) {
+      continue;
+    }
+    if (task.phase == TaskPhase::Starting) {
+      continue;
+    }
+    this->Count(ShardEvent::LostAttempt);
+    this->Requeue(aNow, task, aWorker.text + " no longer runs it");
+  }
+}
+
+auto
+Shard::LearnInterference(Time aNow,
+                         WorkerView& aView,
+                         const WorkerReport& aReport) -> void
+{
+  aView.services.clear();
+  aView.batches.clear();
+  auto running = std::vector<Task>{};
+  for (const auto& attempt : aReport.attempts) {
+    const auto* task = this->ledger.Find(attempt.task);
+    if (task == nullptr || attempt.state != AttemptState::Running) {
+      continue;
+    }
+    const auto service = task->kind == TaskKind::Service;
+    (service ? aView.services : aView.batches).push_back(task->classId);
+    if (task->kind == TaskKind::Batch && task->phase == TaskPhase::Running) {
+      running.push_back(*task);
+    }
+  }
+  auto worst = 1.0;
+  auto suffering = ClassId{};
+  for (const auto& attempt : aReport.attempts) {
+    const auto* task = this->ledger.Find(attempt.task);
+    if (task == nullptr || task->kind != TaskKind::Service) {
+      continue;
+    }
+    this->interference.Observe(task->classId, aView.batches, attempt.slowdown);
+    if (attempt.slowdown > worst) {
+      worst = attempt.slowdown;
+      suffering = task->classId;
+    }
+  }
+  const auto relief = aView.relief.Next(aNow, worst);
+  if (relief == Relief::Restore) {
+    for (auto& [id, percent] : aView.throttles) {
+      percent = 100;
+    }
+    return;
+  }
+  const auto harm = [&](const Task& aTask) {
+    return this->interference.Harm(suffering, aTask.classId) +
+           (aTask.checkpoints ? 0.01 : 0.0);
+  };
+  const auto culprit = std::max_element(
+    running.begin(), running.end(), [&](const Task& aLeft, const Task& aRight) {
+      return harm(aLeft) < harm(aRight);
+    });
+  if (culprit == running.end() || relief == Relief::None) {
+    return;
+  }
+  if (relief == Relief::Throttle) {
+    this->Count(ShardEvent::Throttle);
+    aView.throttles[culprit->id] = kThrottlePercent;
+    return;
+  }
+  if (!this->ledger.Busy(culprit->id)) {
+    this->Count(ShardEvent::InterferenceEviction);
+    aView.throttles.erase(culprit->id);
+    this->Evict(
+      aNow, *culprit, "it slowed service class " + suffering.text + " down");
+  }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/decisions/src/tunables.h
@@ -0,0 +1,69 @@
+#ifndef GOOSEBERRY_TUNABLES_H
+#define GOOSEBERRY_TUNABLES_H
+
+// Every time bound and limit of the decisions, in one place. A settings file
+// may override those that Settings names; the rest are fixed.
+
+#include <cstddef>
+
+#include "types.h"
+
+namespace gooseberry {
+
+// Lease of an instance on its membership row, and of a worker with its owner.
+inline constexpr Millis kMemberLease{ 6000 };
+inline constexpr Millis kMemberRenewInterval{ 2000 };
+inline constexpr Millis kWorkerLease{ 6000 };
+
+// Largest difference in rate between two monotonic clocks, in parts of 1,000.
+inline constexpr std::int64_t kClockDriftPerMille = 10;
+
+// A worker refuses a start whose stamp is older than this.
+inline constexpr Millis kStartWindow{ 2000 };
+
+// Starts need a document that was read from the store at most this long ago.
+inline constexpr Millis kDocumentFreshness{ 2000 };
+inline constexpr Millis kDocumentPollInterval{ 500 };
+
+inline constexpr Millis kSyncInterval{ 500 };
+inline constexpr Millis kInboxInterval{ 500 };
+
+// Starts wait this long for company in one transaction; urgent ones do not.
+inline constexpr Millis kGroupCommitDelay{ 200 };
+inline constexpr std::size_t kMaxChangesPerCommit = 200;
+
+// Journal rows between two snapshots of a shard.
+inline constexpr std::uint64_t kSnapshotEvery = 256;
+
+// A waiting task is offered to another shard after this long without room.
+inline constexpr Millis kTransferAfter{ 3000 };
+
+// Back-off of a task that failed, doubled with each failure up to the maximum.
+inline constexpr Millis kRetryBackoffMin{ 500 };
+inline constexpr Millis kRetryBackoffMax{ 60000 };
+inline constexpr int kMaxTaskFailures = 8;
+
+// A worker that fails this many starts in a row, of at least two classes,
+// takes no work but one probe per interval.
+inline constexpr int kQuarantineFailures = 4;
+inline constexpr Millis kQuarantineProbe{ 10000 };
+
+// Evictions of one shard per second while a failure domain is emptied.
+inline constexpr std::size_t kMaxEvictionsPerTick = 16;
+// Seconds over which a failure domain that came back is refilled.
+inline constexpr Millis kRefillRamp{ 10000 };
+
+// How much longer a task keeps its finish record, so that a late report or a
+// repeated submission is recognized.
+inline constexpr Millis kFinishedRetention{ 600000 };
+
+// Stretches a duration on another clock to one that surely covers it on ours.
+constexpr auto
+WithDrift(Millis aDuration) -> Millis
+{
+  return aDuration + aDuration * kClockDriftPerMille / 1000 + Millis{ 1 };
+}
+
+} // namespace gooseberry
+
+#endif
--- /dev/null
+++ b/decisions/src/types.h
@@ -0,0 +1,127 @@
+#ifndef GOOSEBERRY_TYPES_H
+#define GOOSEBERRY_TYPES_H
+
+// Value types shared by every package: identifiers, time and resources.
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <nlohmann/json.hpp>
+
+namespace gooseberry {
+
+using Millis = std::chrono::milliseconds;
+
+// A point on a process's own monotonic clock, in milliseconds. Never compared
+// between processes.
+using Time = std::chrono::time_point<std::chrono::steady_clock, Millis>;
+
+// Source of monotonic time; injected so that tests can drive it.
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+  virtual auto Now() const -> Time = 0;
+};
+
+// A name of one kind of object; names of different kinds do not mix.
+template<class Tag>
+struct Id
+{
+  std::string text;
+
+  auto operator<=>(const Id&) const = default;
+  auto Empty() const -> bool { return this->text.empty(); }
+};
+
+using ClassId = Id<struct ClassTag>;
+using DomainId = Id<struct DomainTag>;
+using InstanceId = Id<struct InstanceTag>;
+using RackId = Id<struct RackTag>;
+using ServiceId = Id<struct ServiceTag>;
+using TaskId = Id<struct TaskTag>;
+using TeamId = Id<struct TeamTag>;
+using WorkerId = Id<struct WorkerTag>;
+
+template<class Tag>
+auto
+to_json(nlohmann::json& aJson, const Id<Tag>& aId) -> void
+{
+  aJson = aId.text;
+}
+
+template<class Tag>
+auto
+from_json(const nlohmann::json& aJson, Id<Tag>& aId) -> void
+{
+  aId.text = aJson.get<std::string>();
+}
+
+// Number of one shard: a fixed part of the workers and of the tasks that wait.
+using ShardNumber = std::uint32_t;
+
+// Amounts of the three dimensions that a worker has and a task needs.
+struct Resources
+{
+  std::int64_t cpuMillis = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+
+  auto operator==(const Resources&) const -> bool = default;
+
+  auto operator+=(const Resources& aOther) -> Resources&
+  {
+    this->cpuMillis += aOther.cpuMillis;
+    this->memoryMb += aOther.memoryMb;
+    this->accelerators += aOther.accelerators;
+    return *this;
+  }
+
+  auto operator-=(const Resources& aOther) -> Resources&
+  {
+    this->cpuMillis -= aOther.cpuMillis;
+    this->memoryMb -= aOther.memoryMb;
+    this->accelerators -= aOther.accelerators;
+    return *this;
+  }
+
+  auto FitsIn(const Resources& aRoom) const -> bool
+  {
+    return this->cpuMillis <= aRoom.cpuMillis &&
+           this->memoryMb <= aRoom.memoryMb &&
+           this->accelerators <= aRoom.accelerators;
+  }
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources,
+                                   cpuMillis,
+                                   memoryMb,
+                                   accelerators)
+
+// Per-dimension maximum.
+auto
+Larger(const Resources& aLeft, const Resources& aRight) -> Resources;
+
+// 64-bit hash of a text, the same in every process and version (xxHash).
+auto
+StableHash(const std::string& aText, std::uint64_t aSeed = 0) -> std::uint64_t;
+
+// The shard to which a worker or task belongs, from its name alone.
+auto
+ShardOf(const std::string& aName, ShardNumber aShardCount) -> ShardNumber;
+
+} // namespace gooseberry
+
+template<class Tag>
+struct std::hash<gooseberry::Id<Tag>>
+{
+  auto operator()(const gooseberry::Id<Tag>& aId) const noexcept -> std::size_t
+  {
+    return std::hash<std::string>{}(aId.text);
+  }
+};
+
+#endif
