--- /dev/null
+++ b/decisions/src/routing.cpp
@@ -0,0 +1,259 @@
+#include "routing.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kFailuresToEject = 5;
+constexpr std::int64_t kEjectionMs = 2000;
+constexpr int kMaxEjectionDoublings = 5;
+constexpr std::int64_t kLeavingNoticeMs = 10000;
+constexpr std::int64_t kWarmUpMs = 5000;
+constexpr double kLeastWarmth = 0.1;
+// Ejection stops when fewer than this share of the servers would be left.
+constexpr double kLeastShareLeft = 0.5;
+// Places over the even share of the slots, so that a backend server that has
+// just become free finds the next request waiting.
+constexpr double kSlotOvercommit = 1.25;
+constexpr std::int64_t kLatencyWeight = 8;
+
+using Candidates = std::vector<std::shared_ptr<Backend>>;
+
+auto
+Millis64(Time aTime) -> std::int64_t
+{
+  return aTime.time_since_epoch().count();
+}
+
+// Expected wait and service of one more request there, in microseconds.
+auto
+Cost(const Backend& aBackend, const RoutingContext& aContext) -> double
+{
+  const auto latency =
+    static_cast<double>(std::max<std::int64_t>(aBackend.LatencyMicros(), 100));
+  const auto load = (aBackend.InFlight() + 1) / aBackend.Warmth(aContext.now);
+  const auto hop = aBackend.domain == aContext.ownDomain ? 0 : aContext.hopMicros;
+  return latency * load + 2.0 * static_cast<double>(hop);
+}
+
+// Orders the candidates so that those to be tried first stand first.
+using Order = void (*)(Candidates&, const RoutingContext&);
+
+auto
+OrderByCost(Candidates& aCandidates, const RoutingContext& aContext) -> void
+{
+  std::shuffle(aCandidates.begin(), aCandidates.end(), *aContext.random);
+  auto costs = std::vector<std::pair<double, std::shared_ptr<Backend>>>{};
+  costs.reserve(aCandidates.size());
+  for (auto& backend : aCandidates) {
+    const auto cost = Cost(*backend, aContext);
+    costs.emplace_back(cost, std::move(backend));
+  }
+  std::stable_sort(
+    costs.begin(), costs.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  for (auto index = std::size_t{ 0 }; index < costs.size(); ++index) {
+    aCandidates[index] = std::move(costs[index].second);
+  }
+}
+
+auto
+OrderByTwoChoices(Candidates& aCandidates, const RoutingContext& aContext)
+  -> void
+{
+  std::shuffle(aCandidates.begin(), aCandidates.end(), *aContext.random);
+  if (aCandidates.size() > 1 &&
+      Cost(*aCandidates[1], aContext) < Cost(*aCandidates[0], aContext)) {
+    std::swap(aCandidates[0], aCandidates[1]);
+  }
+}
+
+auto
+OrderByTurn(Candidates& aCandidates, const RoutingContext& aContext) -> void
+{
+  const auto turn = aContext.turn->fetch_add(1) % aCandidates.size();
+  std::rotate(aCandidates.begin(),
+              aCandidates.begin() + static_cast<std::ptrdiff_t>(turn),
+              aCandidates.end());
+}
+
+auto
+OrderAtRandom(Candidates& aCandidates, const RoutingContext& aContext) -> void
+{
+  std::shuffle(aCandidates.begin(), aCandidates.end(), *aContext.random);
+}
+
+struct PolicyEntry
+{
+  const char* name;
+  Order order;
+};
+
+constexpr std::array<PolicyEntry,
+                     static_cast<int>(RoutingPolicy::RoutingPolicy_NB)>
+  kPolicies{ { { "least_cost", OrderByCost },
+               { "two_choices", OrderByTwoChoices },
+               { "round_robin", OrderByTurn },
+               { "random", OrderAtRandom } } };
+
+// Healthy backend servers; ejected ones return when too few would be left.
+auto
+Eligible(const Route& aRoute,
+         Time aNow,
+         const std::vector<const Backend*>& aTried) -> Candidates
+{
+  auto open = Candidates{};
+  auto healthy = Candidates{};
+  for (const auto& backend : aRoute.backends) {
+    const auto tried =
+      std::find(aTried.begin(), aTried.end(), backend.get()) != aTried.end();
+    if (tried || backend->Leaving(aNow)) {
+      continue;
+    }
+    open.push_back(backend);
+    if (!backend->Ejected(aNow)) {
+      healthy.push_back(backend);
+    }
+  }
+  const auto least = kLeastShareLeft * static_cast<double>(open.size());
+  return static_cast<double>(healthy.size()) >= least ? healthy : open;
+}
+
+} // namespace
+
+Backend::Backend(std::string aId,
+                 std::string aAddress,
+                 DomainId aDomain,
+                 Time aSeen)
+  : id(std::move(aId))
+  , address(std::move(aAddress))
+  , domain(std::move(aDomain))
+  , seen(aSeen)
+{
+}
+
+auto
+Backend::InFlight() const -> int
+{
+  return this->inFlight.load(std::memory_order_relaxed);
+}
+
+auto
+Backend::LatencyMicros() const -> std::int64_t
+{
+  return this->latencyMicros.load(std::memory_order_relaxed);
+}
+
+auto
+Backend::Leaving(Time aNow) const -> bool
+{
+  return this->listedLeaving || Millis64(aNow) < this->leavingUntilMs;
+}
+
+auto
+Backend::Ejected(Time aNow) const -> bool
+{
+  return Millis64(aNow) < this->ejectedUntilMs;
+}
+
+auto
+Backend::Warmth(Time aNow) const -> double
+{
+  const auto age = static_cast<double>((aNow - this->seen).count());
+  return std::clamp(age / kWarmUpMs, kLeastWarmth, 1.0);
+}
+
+auto
+Backend::Enter(int aMost) -> bool
+{
+  auto current = this->inFlight.load();
+  while (current < aMost) {
+    if (this->inFlight.compare_exchange_weak(current, current + 1)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+auto
+Backend::Leave() -> void
+{
+  --this->inFlight;
+}
+
+auto
+Backend::OnAnswer(Time /*aNow*/, std::int64_t aLatencyMicros) -> void
+{
+  this->failureStreak = 0;
+  this->ejections = 0;
+  const auto old = this->latencyMicros.load();
+  const auto next =
+    old == 0 ? aLatencyMicros : old + (aLatencyMicros - old) / kLatencyWeight;
+  this->latencyMicros = next;
+}
+
+auto
+Backend::OnFailure(Time aNow) -> void
+{
+  if (++this->failureStreak < kFailuresToEject) {
+    return;
+  }
+  this->failureStreak = 0;
+  const auto doublings =
+    std::min(this->ejections.fetch_add(1), kMaxEjectionDoublings);
+  this->ejectedUntilMs = Millis64(aNow) + (kEjectionMs << doublings);
+}
+
+auto
+Backend::OnLeavingNotice(Time aNow) -> void
+{
+  this->leavingUntilMs = Millis64(aNow) + kLeavingNoticeMs;
+}
+
+auto
+Backend::SetListedLeaving(bool aLeaving) -> void
+{
+  this->listedLeaving = aLeaving;
+}
+
+auto
+PlacesPerBackend(const PlaceShare& aShare) -> int
+{
+  const auto entries = std::max(1, aShare.entries);
+  const auto budget = std::max(1, aShare.connections / (entries + 1));
+  const auto even = std::ceil(kSlotOvercommit * aShare.slots / entries);
+  return std::clamp(static_cast<int>(even), 1, budget);
+}
+
+auto
+ToText(RoutingPolicy aPolicy) -> const char*
+{
+  return kPolicies[static_cast<std::size_t>(aPolicy)].name;
+}
+
+auto
+PickBackend(const Route& aRoute,
+            RoutingPolicy aPolicy,
+            const RoutingContext& aContext,
+            const std::vector<const Backend*>& aTried)
+  -> std::shared_ptr<Backend>
+{
+  auto candidates = Eligible(aRoute, aContext.now, aTried);
+  if (candidates.empty()) {
+    return nullptr;
+  }
+  kPolicies[static_cast<std::size_t>(aPolicy)].order(candidates, aContext);
+  for (const auto& backend : candidates) {
+    if (backend->Enter(aRoute.placesPerBackend)) {
+      return backend;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace gooseberry
