--- /dev/null
+++ b/daemon/src/backendpool.cpp
@@ -0,0 +1,113 @@
+#include "backendpool.h"
+
+#include <algorithm>
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr Millis kMaxIdle{ 10000 };
+constexpr Millis kMaxAge{ 300000 };
+constexpr Millis kConnectTimeout{ 1000 };
+
+// Lets the kernel find a dead peer also while nothing is sent.
+auto
+SetSocketOptions(int aSocket) -> void
+{
+  constexpr int kOn = 1;
+  constexpr int kIdleSeconds = 2;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 3;
+  constexpr unsigned kUserTimeoutMs = 5000;
+  ::setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &kOn, sizeof kOn);
+  ::setsockopt(
+    aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof kIdleSeconds);
+  ::setsockopt(aSocket,
+               IPPROTO_TCP,
+               TCP_KEEPINTVL,
+               &kIntervalSeconds,
+               sizeof kIntervalSeconds);
+  ::setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof kProbes);
+  ::setsockopt(aSocket,
+               IPPROTO_TCP,
+               TCP_USER_TIMEOUT,
+               &kUserTimeoutMs,
+               sizeof kUserTimeoutMs);
+}
+
+} // namespace
+
+BackendPool::BackendPool(HostPort aAddress, const Clock& aClock)
+  : address(std::move(aAddress))
+  , clock(aClock)
+{
+}
+
+auto
+BackendPool::Borrow(Millis aMaxIdle) -> std::unique_ptr<BackendConnection>
+{
+  const auto now = this->clock.Now();
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    while (!this->idle.empty()) {
+      auto connection = std::move(this->idle.back());
+      this->idle.pop_back();
+      const auto usable = now - *connection->provedAt <=
+                            std::min(aMaxIdle, kMaxIdle) &&
+                          now - connection->openedAt <= kMaxAge;
+      if (usable) {
+        return connection;
+      }
+    }
+  }
+  auto fresh = std::make_unique<BackendConnection>();
+  fresh->client =
+    std::make_unique<httplib::Client>(this->address.host, this->address.port);
+  fresh->client->set_keep_alive(true);
+  fresh->client->set_tcp_nodelay(true);
+  fresh->client->set_decompress(false);
+  fresh->client->set_connection_timeout(kConnectTimeout);
+  fresh->client->set_socket_options(SetSocketOptions);
+  fresh->openedAt = now;
+  return fresh;
+}
+
+auto
+BackendPool::Return(std::unique_ptr<BackendConnection> aConnection) -> void
+{
+  aConnection->provedAt = this->clock.Now();
+  const auto lock = std::lock_guard{ this->mutex };
+  this->idle.push_back(std::move(aConnection));
+}
+
+auto
+BackendPool::Suspect(Time aProvedAt) -> void
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  std::erase_if(this->idle, [&](const auto& aConnection) {
+    return *aConnection->provedAt <= aProvedAt;
+  });
+}
+
+auto
+BackendPool::CloseIdle() -> void
+{
+  const auto now = this->clock.Now();
+  const auto lock = std::lock_guard{ this->mutex };
+  std::erase_if(this->idle, [&](const auto& aConnection) {
+    return now - *aConnection->provedAt > kMaxIdle;
+  });
+}
+
+auto
+BackendPool::IdleCount() -> std::size_t
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  return this->idle.size();
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/callerport.cpp
@@ -0,0 +1,507 @@
+#include "callerport.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+
+#include "headers.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr int kMillisPerSecond = 1000;
+constexpr std::size_t kMaxKeepAliveRequests = 1000000;
+constexpr std::size_t kMaxClaimKeyBytes = 200;
+constexpr std::size_t kMaxExchangeThreads = 8192;
+// Bodies up to this size are kept until the answer, so that they can be sent
+// again; longer ones pass through.
+constexpr std::size_t kKeptBodyBytes = 65536;
+constexpr std::size_t kUploadBufferBytes = 262144;
+constexpr std::chrono::seconds kSweepInterval{ 1 };
+
+auto
+IsRepeatableMethod(const std::string& aMethod) -> bool
+{
+  return aMethod == "GET" || aMethod == "HEAD" || aMethod == "OPTIONS" ||
+         aMethod == "PUT" || aMethod == "DELETE";
+}
+
+// The document's word goes before the caller's, and that before the method's.
+auto
+IsRepeatable(const httplib::Request& aRequest, const ServiceSpec& aSpec) -> bool
+{
+  for (const auto& prefix : aSpec.notRepeatable) {
+    if (aRequest.path.starts_with(prefix)) {
+      return false;
+    }
+  }
+  const auto word = aRequest.get_header_value(kRepeatableHeader);
+  if (word == "yes" || word == "no") {
+    return word == "yes";
+  }
+  return IsRepeatableMethod(aRequest.method);
+}
+
+auto
+RankOf(const httplib::Request& aRequest, const ServiceSpec& aSpec) -> int
+{
+  const auto name = aRequest.get_header_value(kCallerClassHeader);
+  auto last = 0;
+  for (const auto& caller : aSpec.callers) {
+    if (caller.name == name) {
+      return caller.rank;
+    }
+    last = std::max(last, caller.rank);
+  }
+  return last;
+}
+
+auto
+StatusFor(Verdict aVerdict, Refusal aRefusal) -> int
+{
+  if (aVerdict == Verdict::NotRun) {
+    return kUnavailable;
+  }
+  return aRefusal == Refusal::BackendTimeout ? kGatewayTimeout : kBadGateway;
+}
+
+// Makes the server announce and close the connection after this answer; an
+// unread body would else be taken for the next request.
+auto
+CloseAfter(httplib::Request& aRequest) -> void
+{
+  aRequest.headers.erase("Connection");
+  aRequest.headers.emplace("Connection", "close");
+}
+
+} // namespace
+
+CallerPort::CallerPort(const Settings& aSettings,
+                       const Clock& aClock,
+                       Control& aControl,
+                       TableService& aTable,
+                       Metrics& aMetrics)
+  : settings(aSettings)
+  , clock(aClock)
+  , control(aControl)
+  , claims(aTable)
+  , metrics(aMetrics)
+  , unknownService(aMetrics.ForService(ServiceId{ "" }))
+  , pools(aClock)
+  , exchangeThreads(kMaxExchangeThreads)
+{
+}
+
+CallerPort::~CallerPort()
+{
+  this->Stop();
+}
+
+auto
+CallerPort::Start(std::string& aReason) -> bool
+{
+  const auto most = static_cast<std::size_t>(this->settings.maxConnections);
+  this->server.new_task_queue = [most] { return new ConnectionThreads(most); };
+  this->server.set_tcp_nodelay(true);
+  this->server.set_keep_alive_max_count(kMaxKeepAliveRequests);
+  this->server.set_keep_alive_timeout(this->settings.callerIdle.count() /
+                                      kMillisPerSecond);
+  this->server.set_read_timeout(this->settings.callerTimeout);
+  this->server.set_write_timeout(this->settings.callerTimeout);
+  this->server.set_payload_max_length(
+    static_cast<std::size_t>(this->settings.maxBodyBytes));
+  const auto plain = [this](const httplib::Request& aRequest,
+                            httplib::Response& aResponse) {
+    this->Handle(aRequest, aResponse, nullptr);
+  };
+  const auto withBody = [this](const httplib::Request& aRequest,
+                               httplib::Response& aResponse,
+                               const httplib::ContentReader& aReader) {
+    this->Handle(aRequest, aResponse, &aReader);
+  };
+  this->server.Get("/.*", plain);
+  this->server.Options("/.*", plain);
+  this->server.Post("/.*", withBody);
+  this->server.Put("/.*", withBody);
+  this->server.Patch("/.*", withBody);
+  this->server.Delete("/.*", withBody);
+  const auto address = ParseHostPort(this->settings.callers.address);
+  if (!address || !this->server.bind_to_port(address->host, address->port)) {
+    aReason = "cannot bind " + this->settings.callers.address;
+    return false;
+  }
+  this->listener = std::thread([this] { this->server.listen_after_bind(); });
+  this->sweeper = std::thread([this] {
+    while (!this->stopped) {
+      auto addresses = std::set<std::string>{};
+      const auto routes = this->control.Routes();
+      for (const auto& [id, route] : routes->routes) {
+        for (const auto& backend : route->backends) {
+          addresses.insert(backend->address);
+        }
+      }
+      this->pools.Keep(addresses);
+      std::this_thread::sleep_for(kSweepInterval);
+    }
+  });
+  return true;
+}
+
+auto
+CallerPort::BeginDrain() -> void
+{
+  this->draining = true;
+}
+
+auto
+CallerPort::Stop() -> void
+{
+  if (this->stopped.exchange(true)) {
+    return;
+  }
+  this->server.stop();
+  if (this->listener.joinable()) {
+    this->listener.join();
+  }
+  if (this->sweeper.joinable()) {
+    this->sweeper.join();
+  }
+}
+
+auto
+CallerPort::Draining() const -> bool
+{
+  return this->draining;
+}
+
+auto
+CallerPort::Handle(const httplib::Request& aRequest,
+                   httplib::Response& aResponse,
+                   const httplib::ContentReader* aReader) -> void
+{
+  // The library would compress or slice the answer by these; that is the
+  // backend server's to do.
+  auto& adjusted = const_cast<httplib::Request&>(aRequest);
+  auto plan = RequestPlan{};
+  auto failure = Failure{};
+  const auto arrived = this->clock.Now();
+  const auto prepared = this->Prepare(aRequest, plan, failure);
+  const auto headers = aRequest.headers;
+  adjusted.ranges.clear();
+  adjusted.headers.erase("Accept-Encoding");
+  if (this->draining) {
+    CloseAfter(adjusted);
+  }
+  if (!prepared) {
+    (plan.gate ? plan.gate->Counters() : this->unknownService)
+      .Count(failure.refusal);
+    CloseAfter(adjusted);
+    Fail(aResponse, failure);
+    return;
+  }
+  const auto& counters = plan.gate->Counters();
+  counters.requests->Increment();
+  const auto identity = this->control.Self().text + "/" +
+                        std::to_string(this->nextIdentity.fetch_add(1));
+  const auto key = aRequest.get_header_value(kClaimHeader);
+  const auto claims = plan.route->spec.claims && !plan.repeatable;
+  if (claims && !this->TakeClaim(aRequest, plan, identity, failure)) {
+    counters.Count(failure.refusal);
+    CloseAfter(adjusted);
+    Fail(aResponse, failure);
+    return;
+  }
+  auto original = aRequest;
+  original.headers = headers;
+  const auto outcome = this->Carry(original, plan, aReader);
+  if (plan.bodyUnread) {
+    CloseAfter(adjusted);
+  }
+  if (outcome.winner) {
+    plan.gate->Retries().OnSuccess();
+    this->PassOn(aRequest, aResponse, plan, outcome.winner);
+  } else {
+    counters.Count(outcome.refusal);
+    if (claims && outcome.verdict == Verdict::NotRun) {
+      this->claims.GiveBack(plan.route->spec.id, key, identity);
+    }
+    Fail(aResponse,
+         { StatusFor(outcome.verdict, outcome.refusal),
+           outcome.verdict,
+           outcome.refusal,
+           outcome.retryAfter,
+           ToText(outcome.refusal) });
+  }
+  const auto seconds =
+    std::chrono::duration<double>(this->clock.Now() - arrived);
+  counters.seconds->Observe(seconds.count());
+}
+
+auto
+CallerPort::Prepare(const httplib::Request& aRequest,
+                    RequestPlan& aPlan,
+                    Failure& aFailure) -> bool
+{
+  const auto table = this->control.Routes();
+  if (!this->control.Ready()) {
+    aFailure = { kUnavailable, Verdict::NotRun, Refusal::NotReady, Millis{ 1000 },
+                 "no document is in force yet" };
+    return false;
+  }
+  aPlan.route = this->FindRoute(aRequest, *table);
+  if (!aPlan.route) {
+    aFailure = { kNotFound, Verdict::NotRun, Refusal::UnknownService, Millis{ 0 },
+                 "no service of that name in the document" };
+    return false;
+  }
+  const auto& spec = aPlan.route->spec;
+  aPlan.gate = this->GateOf(spec);
+  auto budget = spec.deadline;
+  if (aRequest.has_header(kDeadlineHeader)) {
+    const auto text = aRequest.get_header_value(kDeadlineHeader);
+    char* end = nullptr;
+    const auto wanted = std::strtoll(text.c_str(), &end, 10);
+    if (text.empty() || *end != '\0' || wanted <= 0) {
+      aFailure = { kBadRequest, Verdict::NotRun, Refusal::BadRequest, Millis{ 0 },
+                   std::string{ kDeadlineHeader } +
+                     " must be a positive number of milliseconds" };
+      return false;
+    }
+    budget = std::min(budget, Millis{ wanted });
+  }
+  aPlan.deadline = this->clock.Now() + budget;
+  aPlan.repeatable = IsRepeatable(aRequest, spec);
+  aPlan.rank = RankOf(aRequest, spec);
+  aPlan.caller = aRequest.has_header(kCallerHeader)
+                   ? aRequest.get_header_value(kCallerHeader)
+                   : aRequest.remote_addr;
+  return true;
+}
+
+auto
+CallerPort::TakeClaim(const httplib::Request& aRequest,
+                      const RequestPlan& aPlan,
+                      const std::string& aIdentity,
+                      Failure& aFailure) -> bool
+{
+  const auto key = aRequest.get_header_value(kClaimHeader);
+  if (key.empty() || key.size() > kMaxClaimKeyBytes) {
+    aFailure = { kBadRequest, Verdict::NotRun, Refusal::ClaimMissing, Millis{ 0 },
+                 std::string{ kClaimHeader } +
+                   " of 1 to 200 bytes is required for this service" };
+    return false;
+  }
+  const auto status =
+    this->claims.Take(aPlan.route->spec.id, key, aIdentity);
+  this->metrics.CountStoreCall(StoreCall::Claim,
+                               status != ClaimStatus::Unavailable);
+  if (status == ClaimStatus::Held) {
+    aFailure = { kConflict, Verdict::MayHaveRun, Refusal::ClaimTaken,
+                 Millis{ 0 }, "a request with this key may have run" };
+  }
+  if (status == ClaimStatus::Unavailable) {
+    aFailure = { kUnavailable, Verdict::NotRun, Refusal::ClaimUnavailable,
+                 Millis{ 1000 }, "the key can't be claimed now" };
+  }
+  return status == ClaimStatus::Taken;
+}
+
+auto
+CallerPort::Carry(const httplib::Request& aRequest,
+                  RequestPlan& aPlan,
+                  const httplib::ContentReader* aReader) -> RequestOutcome
+{
+  auto outgoing = OutgoingRequest{};
+  outgoing.method = aRequest.method;
+  outgoing.target = aRequest.target.empty() ? aRequest.path : aRequest.target;
+  outgoing.headers = ForwardRequestHeaders(aRequest);
+  if (aReader == nullptr) {
+    aPlan.outgoing = std::make_shared<OutgoingRequest>(std::move(outgoing));
+    return this->RunSession(aPlan);
+  }
+  if (aRequest.has_header("Content-Length")) {
+    outgoing.uploadLength =
+      aRequest.get_header_value<std::uint64_t>("Content-Length");
+  }
+  return this->CarryUpload(aPlan, std::move(outgoing), *aReader);
+}
+
+// Reads the body. A short one is kept and sent when it is whole; a long one is
+// sent while it arrives, by a session on another thread.
+auto
+CallerPort::CarryUpload(RequestPlan& aPlan,
+                        OutgoingRequest aOutgoing,
+                        const httplib::ContentReader& aReader) -> RequestOutcome
+{
+  auto kept = std::string{};
+  auto upload = std::shared_ptr<Pipe>{};
+  auto outcome = RequestOutcome{};
+  auto session = std::thread{};
+  const auto whole = aReader([&](const char* aData, std::size_t aSize) {
+    if (upload) {
+      return upload->Write(aData, aSize);
+    }
+    kept.append(aData, aSize);
+    if (kept.size() > kKeptBodyBytes) {
+      upload = std::make_shared<Pipe>(kUploadBufferBytes);
+      upload->Write(kept.data(), kept.size());
+      aOutgoing.upload = upload;
+      aPlan.outgoing = std::make_shared<OutgoingRequest>(aOutgoing);
+      session =
+        std::thread([&] {
+          outcome = this->RunSession(aPlan);
+          if (!outcome.winner) {
+            upload->Close(PipeEnd::Cut);
+          }
+        });
+    }
+    return true;
+  });
+  aPlan.bodyUnread = !whole;
+  if (upload) {
+    upload->Close(whole ? PipeEnd::Whole : PipeEnd::Cut);
+    session.join();
+    return outcome;
+  }
+  if (!whole) {
+    return { nullptr, Verdict::NotRun, Refusal::CallerGone, Millis{ 0 } };
+  }
+  aOutgoing.uploadLength.reset();
+  aOutgoing.body = std::move(kept);
+  aPlan.outgoing = std::make_shared<OutgoingRequest>(std::move(aOutgoing));
+  return this->RunSession(aPlan);
+}
+
+auto
+CallerPort::RunSession(const RequestPlan& aPlan) -> RequestOutcome
+{
+  return RequestSession{
+    aPlan, this->pools, this->exchangeThreads, this->clock
+  }
+    .Run();
+}
+
+auto
+CallerPort::PassOn(const httplib::Request& aRequest,
+                   httplib::Response& aResponse,
+                   const RequestPlan& /*aPlan*/,
+                   const std::shared_ptr<Exchange>& aWinner) -> void
+{
+  aResponse.status = aWinner->Status();
+  aResponse.headers = ForwardResponseHeaders(aWinner->Headers());
+  aResponse.set_header(kVerdictHeader, ToText(Verdict::Ran));
+  const auto& headers = aWinner->Headers();
+  const auto value = [&](const char* aName) {
+    const auto found = headers.find(aName);
+    return found == headers.end() ? std::string{} : found->second;
+  };
+  const auto type = value("Content-Type");
+  const auto length = value("Content-Length");
+  const auto bodiless = aRequest.method == "HEAD" || aResponse.status == 204 ||
+                        aResponse.status == 304;
+  if (bodiless) {
+    if (!length.empty()) {
+      aResponse.set_header("Content-Length", length);
+    }
+    return;
+  }
+  if (aWinner->Body().End() == PipeEnd::Whole) {
+    aResponse.body = aWinner->Body().Read();
+    if (!type.empty()) {
+      aResponse.set_header("Content-Type", type);
+    }
+    return;
+  }
+  const auto onEnd = [aWinner](bool aSucceeded) {
+    if (!aSucceeded) {
+      aWinner->Cancel();
+    }
+  };
+  if (length.empty()) {
+    aResponse.set_chunked_content_provider(
+      type.c_str(),
+      [aWinner](std::size_t, httplib::DataSink& aSink) {
+        const auto bytes = aWinner->Body().Read();
+        if (!bytes.empty()) {
+          return aSink.write(bytes.data(), bytes.size());
+        }
+        if (aWinner->Body().End() != PipeEnd::Whole) {
+          return false;
+        }
+        aSink.done();
+        return true;
+      },
+      onEnd);
+    return;
+  }
+  aResponse.set_content_provider(
+    std::strtoull(length.c_str(), nullptr, 10),
+    type.c_str(),
+    [aWinner](std::size_t, std::size_t, httplib::DataSink& aSink) {
+      const auto bytes = aWinner->Body().Read();
+      return !bytes.empty() && aSink.write(bytes.data(), bytes.size());
+    },
+    onEnd);
+}
+
+auto
+CallerPort::GateOf(const ServiceSpec& aSpec) -> std::shared_ptr<Gate>
+{
+  {
+    auto known = Gates::const_accessor{};
+    if (this->gates.find(known, aSpec.id.text)) {
+      return known->second;
+    }
+  }
+  auto made = Gates::accessor{};
+  if (this->gates.insert(made, aSpec.id.text)) {
+    made->second = std::make_shared<Gate>(this->clock,
+                                          this->settings.routing,
+                                          this->settings.domain,
+                                          this->settings.hop,
+                                          this->metrics.ForService(aSpec.id));
+  }
+  return made->second;
+}
+
+// By header, else by the first label of the host, else the only one.
+auto
+CallerPort::FindRoute(const httplib::Request& aRequest, const RouteTable& aTable)
+  -> std::shared_ptr<const Route>
+{
+  auto name = aRequest.get_header_value(kServiceHeader);
+  if (name.empty()) {
+    const auto host = aRequest.get_header_value("Host");
+    name = host.substr(0, host.find_first_of(".:"));
+  }
+  const auto found = aTable.routes.find(ServiceId{ name });
+  if (found != aTable.routes.end()) {
+    return found->second;
+  }
+  const auto only =
+    aTable.routes.size() == 1 && !aRequest.has_header(kServiceHeader);
+  return only ? aTable.routes.begin()->second : nullptr;
+}
+
+auto
+CallerPort::Fail(httplib::Response& aResponse, const Failure& aFailure) -> void
+{
+  aResponse.status = aFailure.status;
+  aResponse.set_header(kVerdictHeader, ToText(aFailure.verdict));
+  aResponse.set_header(kReasonHeader, ToText(aFailure.refusal));
+  if (aFailure.retryAfter > Millis{ 0 }) {
+    const auto seconds =
+      std::chrono::ceil<std::chrono::seconds>(aFailure.retryAfter);
+    aResponse.set_header("Retry-After", std::to_string(seconds.count()));
+  }
+  aResponse.set_content(aFailure.text + "\n", "text/plain");
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/control.cpp
@@ -0,0 +1,233 @@
+#include "control.h"
+
+#include <future>
+
+#include "log.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kBlockingThreads = 32;
+constexpr Millis kTickInterval{ 20 };
+constexpr Millis kReportInterval{ 1000 };
+
+auto
+RandomId(const std::string& aName) -> InstanceId
+{
+  auto device = std::random_device{};
+  return InstanceId{ aName + "." + std::to_string(device() % 1000000U) };
+}
+
+} // namespace
+
+Control::Control(const Settings& aSettings,
+                 const Clock& aClock,
+                 PlatformServices aPlatform,
+                 Metrics& aMetrics)
+  : settings(aSettings)
+  , clock(aClock)
+  , platform(aPlatform)
+  , metrics(aMetrics)
+  , documents(aPlatform.table)
+  , shards(aPlatform.table, aPlatform.objects)
+  , random(std::random_device{}())
+  , self(RandomId(aSettings.instance))
+  , executor(kBlockingThreads)
+{
+  this->own.id = this->self;
+  this->own.domain = aSettings.domain;
+  this->own.peerAddress = aSettings.peers.address;
+  this->own.adminAddress = aSettings.admin.address;
+  this->identity.Set(std::make_shared<MemberRow>(this->own));
+  this->routes.Set(std::make_shared<RouteTable>());
+  this->current.Set(std::make_shared<LoadedDocument>());
+}
+
+auto
+Control::Start() -> void
+{
+  this->executor.Start(kTickInterval, [this] { this->Tick(); });
+}
+
+auto
+Control::Leave(Millis aAtMost) -> void
+{
+  this->executor.Post([this] { this->leaving = true; });
+  const auto end = this->clock.Now() + aAtMost;
+  while (this->clock.Now() < end) {
+    const auto left =
+      this->executor.Ask([this] { return this->held.size(); });
+    if (left == 0) {
+      break;
+    }
+    std::this_thread::sleep_for(kTickInterval);
+  }
+  const auto version =
+    this->executor.Ask([this] { return this->memberVersion; });
+  if (version != 0) {
+    this->platform.table.Commit(
+      { { { MemberKey(this->Self()), version } },
+        { { MemberKey(this->Self()), std::nullopt } } });
+  }
+}
+
+auto
+Control::Stop() -> void
+{
+  this->executor.Stop();
+}
+
+auto
+Control::Routes() const -> std::shared_ptr<const RouteTable>
+{
+  return this->routes.Get();
+}
+
+auto
+Control::CurrentDocument() const -> std::shared_ptr<const LoadedDocument>
+{
+  return this->current.Get();
+}
+
+auto
+Control::Ready() const -> bool
+{
+  return this->hasDocument;
+}
+
+auto
+Control::Self() const -> InstanceId
+{
+  return this->identity.Get()->id;
+}
+
+auto
+Control::ShardCount() const -> ShardNumber
+{
+  return this->shardCount;
+}
+
+auto
+Control::Members() -> std::vector<MemberRow>
+{
+  return this->executor.Ask(
+    [this] { return this->membership.Live(this->clock.Now()); });
+}
+
+auto
+Control::Workers() -> std::vector<WorkerStatus>
+{
+  return this->executor.Ask([this] {
+    const auto now = this->clock.Now();
+    auto statuses = std::vector<WorkerStatus>{};
+    for (const auto& [number, item] : this->held) {
+      for (const auto& [id, view] : item.shard->Workers()) {
+        statuses.push_back({ id,
+                             view.info.domain,
+                             number,
+                             view.reconciled && now <= view.leaseEnd,
+                             view.Quarantined(now),
+                             view.info.capacity,
+                             view.reserved });
+      }
+    }
+    return statuses;
+  });
+}
+
+auto
+Control::Explain(const TaskId& aTask) -> Explanation
+{
+  return this->executor.Ask([this, aTask] {
+    for (const auto& [number, item] : this->held) {
+      const auto* task = item.shard->Records().Find(aTask);
+      if (task != nullptr && task->phase != TaskPhase::Moved) {
+        return Explanation{ true, item.shard->Explain(aTask) };
+      }
+    }
+    return Explanation{};
+  });
+}
+
+auto
+Control::OnDocumentHint(std::uint64_t aNumber) -> void
+{
+  this->executor.Post([this, aNumber] {
+    const auto known =
+      this->loaded.document ? this->loaded.document->number : 0;
+    if (aNumber > known) {
+      this->nextDocument = {};
+    }
+  });
+}
+
+// One step of everything that is due. Calls to the platform run in the arena,
+// so that no slow reply holds up a lease.
+auto
+Control::Tick() -> void
+{
+  const auto now = this->clock.Now();
+  this->leaseEndMs = MillisOf(this->lease.End());
+  this->FixShardCount();
+  this->RenewMembership();
+  this->ReadMembers();
+  this->PollDocument();
+  this->PollInstances();
+  if (now >= this->nextBalance) {
+    this->nextBalance = now + kMemberRenewInterval / 4;
+    this->BalanceShards();
+    this->DropLapsedMembers();
+  }
+  for (auto& [number, item] : this->held) {
+    this->RunShard(number, item);
+  }
+  std::erase_if(this->held,
+                [](const auto& aItem) { return aItem.second.released; });
+  if (now >= this->nextReport) {
+    this->nextReport = now + kReportInterval;
+    this->ReportMetrics();
+  }
+}
+
+auto
+Control::MayAct(const Held& aHeld) const -> Authority
+{
+  auto authority = Authority{};
+  authority.now = this->clock.Now();
+  authority.document = this->loaded.document;
+  authority.documentConfirmed = this->documentConfirmed;
+  authority.leaseEnd = aHeld.releasing ? Time{} : this->lease.End();
+  const auto allowance = this->loaded.document
+                           ? this->loaded.document->outageAllowance
+                           : Millis{ 0 };
+  const auto promised = aHeld.claim.ownLapse - kWorkerLease;
+  authority.grantEnd = aHeld.releasing
+                         ? Time{}
+                         : this->lease.End() +
+                             std::clamp(allowance, Millis{ 0 }, promised);
+  return authority;
+}
+
+auto
+Control::ReportMetrics() -> void
+{
+  auto phases =
+    std::array<std::size_t, static_cast<std::size_t>(TaskPhase::TaskPhase_NB)>{};
+  for (auto& [number, item] : this->held) {
+    const auto& counts = item.shard->Counts();
+    this->metrics.AddShardCounts(item.counted, counts);
+    item.counted = counts;
+    for (const auto& [id, task] : item.shard->Records().Tasks()) {
+      ++phases[static_cast<std::size_t>(task.phase)];
+    }
+  }
+  for (auto index = std::size_t{ 0 }; index < phases.size(); ++index) {
+    this->metrics.SetTasks(static_cast<TaskPhase>(index), phases[index]);
+  }
+  this->metrics.SetShards(this->held.size());
+  this->metrics.SetMembers(
+    this->membership.Live(this->clock.Now()).size());
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/controlmembers.cpp
@@ -0,0 +1,183 @@
+// Part of Control that keeps this instance's lease and watches the others'.
+
+#include "control.h"
+#include "log.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr Millis kRenewRetry{ 300 };
+constexpr Millis kMembersInterval{ 1000 };
+
+} // namespace
+
+auto
+Control::RenewMembership() -> void
+{
+  const auto now = this->clock.Now();
+  if (this->renewing || now < this->nextRenewal) {
+    return;
+  }
+  this->renewing = true;
+  this->own.counter += 1;
+  this->own.leaving = this->leaving;
+  this->own.document = this->loaded.document ? this->loaded.document->number : 0;
+  const auto row = this->own;
+  const auto version = this->memberVersion;
+  this->executor.Call(
+    [this, row, version] {
+      return this->platform.table.Commit(
+        { { { MemberKey(row.id), version } },
+          { { MemberKey(row.id), nlohmann::json(row).dump() } } });
+    },
+    [this, now, row](const CommitResult& aResult) {
+      this->OnRenewed(now, row, aResult);
+    });
+}
+
+// The lease counts from when the renewal was sent.
+auto
+Control::OnRenewed(Time aSentAt,
+                   const MemberRow& aSent,
+                   const CommitResult& aResult) -> void
+{
+  this->metrics.CountStoreCall(StoreCall::Membership,
+                               aResult.status == StoreStatus::Ok);
+  const auto now = this->clock.Now();
+  switch (aResult.status) {
+    case StoreStatus::Ok:
+      this->renewing = false;
+      this->memberVersion = aResult.version;
+      this->lease.OnRenewed(aSentAt);
+      this->nextRenewal = aSentAt + kMemberRenewInterval;
+      return;
+    case StoreStatus::Unavailable:
+      this->renewing = false;
+      this->nextRenewal = now + kRenewRetry;
+      return;
+    case StoreStatus::Conflict:
+    case StoreStatus::Unknown:
+    case StoreStatus::StoreStatus_NB:
+      this->ReadBackMembership(aSentAt, aSent);
+      return;
+  }
+}
+
+// The renewal may have taken effect although its reply was lost, or others may
+// have removed the row after the lease had lapsed.
+auto
+Control::ReadBackMembership(Time aSentAt, const MemberRow& aSent) -> void
+{
+  this->executor.Call(
+    [this, key = MemberKey(aSent.id)] { return this->platform.table.Read(key); },
+    [this, aSentAt, aSent](const ReadResult& aResult) {
+      this->renewing = false;
+      this->nextRenewal = this->clock.Now() + kRenewRetry;
+      if (aResult.status != StoreStatus::Ok) {
+        return;
+      }
+      const auto json =
+        nlohmann::json::parse(aResult.row.value, nullptr, false);
+      const auto ours = json.is_object() &&
+                        json.value("counter", std::uint64_t{ 0 }) ==
+                          aSent.counter;
+      if (ours) {
+        this->memberVersion = aResult.row.version;
+        this->lease.OnRenewed(aSentAt);
+      } else if (aResult.row.version == 0 && this->memberVersion != 0) {
+        this->LoseMembership();
+      } else {
+        this->memberVersion = aResult.row.version;
+      }
+    });
+}
+
+// Others took this instance for gone. It gives everything up and joins again
+// under a new name, so that no old right can be mistaken for a new one.
+auto
+Control::LoseMembership() -> void
+{
+  LogWarn("membership_lost", { { "instance", this->self.text } });
+  this->lease.OnLost();
+  for (auto& [number, item] : this->held) {
+    item.shard->OnFenced();
+    item.released = !item.appending && !item.snapshotting;
+  }
+  this->memberVersion = 0;
+  this->self.text =
+    this->settings.instance + "." + std::to_string(this->random() % 1000000U);
+  this->own.id = this->self;
+  this->own.counter = 0;
+  this->identity.Set(std::make_shared<MemberRow>(this->own));
+}
+
+auto
+Control::ReadMembers() -> void
+{
+  const auto now = this->clock.Now();
+  if (this->readingMembers || now < this->nextMembers) {
+    return;
+  }
+  this->readingMembers = true;
+  this->nextMembers = now + kMembersInterval;
+  this->executor.Call(
+    [this] { return ScanAll(this->platform.table, "member/"); },
+    [this](const ScanResult& aResult) {
+      this->readingMembers = false;
+      this->metrics.CountStoreCall(StoreCall::Membership,
+                                   aResult.status == StoreStatus::Ok);
+      if (aResult.status != StoreStatus::Ok) {
+        return;
+      }
+      auto rows = std::vector<MemberRow>{};
+      for (const auto& row : aResult.rows) {
+        const auto json = nlohmann::json::parse(row.value, nullptr, false);
+        try {
+          rows.push_back(json.get<MemberRow>());
+        } catch (const nlohmann::json::exception&) {
+          LogWarn("member_row_unreadable", { { "row", row.key } });
+        }
+      }
+      this->membership.OnRows(this->clock.Now(), rows);
+      const auto live =
+        this->membership.Live(this->clock.Now()).size();
+      if (static_cast<int>(live) != this->liveEntries) {
+        this->liveEntries = std::max(1, static_cast<int>(live));
+        LogInfo("members_changed", { { "live", std::to_string(live) } });
+        this->PublishRoutes();
+      }
+    });
+}
+
+// The first of the live members removes rows of members that lapsed long ago.
+auto
+Control::DropLapsedMembers() -> void
+{
+  const auto now = this->clock.Now();
+  const auto live = this->membership.Live(now);
+  if (live.empty() || live.front().id != this->self ||
+      !this->lease.Holds(now)) {
+    return;
+  }
+  for (const auto& gone : this->membership.LongLapsed(now)) {
+    LogInfo("member_removed", { { "instance", gone.id.text } });
+    this->executor.Call(
+      [this, gone] {
+        const auto read = this->platform.table.Read(MemberKey(gone.id));
+        const auto json =
+          nlohmann::json::parse(read.row.value, nullptr, false);
+        if (read.status != StoreStatus::Ok || !json.is_object() ||
+            json.value("counter", std::uint64_t{ 0 }) != gone.counter) {
+          return false;
+        }
+        const auto commit = this->platform.table.Commit(
+          { { { read.row.key, read.row.version } },
+            { { read.row.key, std::nullopt } } });
+        return commit.status == StoreStatus::Ok;
+      },
+      [](bool /*aRemoved*/) {});
+  }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/controlroutes.cpp
@@ -0,0 +1,147 @@
+// Part of Control that follows the document and the platform's list, and
+// publishes the routes.
+
+#include <algorithm>
+
+#include "control.h"
+#include "httpplatform.h"
+#include "log.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr Millis kInstancesInterval{ 500 };
+
+} // namespace
+
+// A reply confirms the document as of the moment when the read was sent.
+auto
+Control::PollDocument() -> void
+{
+  const auto now = this->clock.Now();
+  if (this->pollingDocument || now < this->nextDocument) {
+    return;
+  }
+  this->pollingDocument = true;
+  this->nextDocument = now + kDocumentPollInterval;
+  this->executor.Call(
+    [this, known = this->loaded] { return this->documents.Load(known); },
+    [this, now](const LoadResult& aResult) {
+      this->pollingDocument = false;
+      this->metrics.CountStoreCall(StoreCall::Document,
+                                   aResult.status != LoadStatus::Failed);
+      if (aResult.status == LoadStatus::Failed) {
+        return;
+      }
+      if (aResult.status == LoadStatus::Newer) {
+        this->loaded = aResult.loaded;
+        this->current.Set(std::make_shared<LoadedDocument>(this->loaded));
+        this->metrics.SetDocument(this->loaded.document->number);
+        this->nextRenewal = std::min(this->nextRenewal, this->clock.Now());
+        LogInfo("document_in_force",
+                { { "number", std::to_string(this->loaded.document->number) } });
+        this->PublishRoutes();
+      }
+      this->documentConfirmed = now;
+      this->hasDocument = true;
+    });
+}
+
+auto
+Control::PollInstances() -> void
+{
+  const auto now = this->clock.Now();
+  if (this->pollingInstances || now < this->nextInstances) {
+    return;
+  }
+  this->pollingInstances = true;
+  this->nextInstances = now + kInstancesInterval;
+  this->executor.Call(
+    [this] { return this->platform.instances.List(); },
+    [this](const InstanceListing& aListing) {
+      this->pollingInstances = false;
+      this->metrics.CountStoreCall(StoreCall::Instances,
+                                   aListing.status == StoreStatus::Ok);
+      if (aListing.status != StoreStatus::Ok) {
+        return;
+      }
+      const auto changed = aListing.backends != this->listing.backends;
+      this->listing = aListing;
+      this->fleet.clear();
+      for (const auto& worker : this->listing.workers) {
+        auto& capacities = this->fleet[worker.domain];
+        if (std::find(capacities.begin(), capacities.end(), worker.capacity) ==
+            capacities.end()) {
+          capacities.push_back(worker.capacity);
+        }
+      }
+      for (auto& [number, item] : this->held) {
+        this->GiveWorkers(item, number);
+      }
+      if (changed) {
+        this->PublishRoutes();
+      }
+    });
+}
+
+// Hands a shard the workers whose names fall to it.
+auto
+Control::GiveWorkers(Held& aHeld, ShardNumber aShard) -> void
+{
+  auto own = std::vector<WorkerInfo>{};
+  for (const auto& worker : this->listing.workers) {
+    if (ShardOf(worker.id.text, this->shardCount) == aShard) {
+      own.push_back(worker);
+    }
+  }
+  aHeld.shard->OnWorkers(own, this->fleet);
+}
+
+// Backend servers keep their counters while their address stays; a failure
+// domain that is out of service has none.
+auto
+Control::PublishRoutes() -> void
+{
+  if (!this->loaded.document) {
+    return;
+  }
+  const auto now = this->clock.Now();
+  const auto& document = *this->loaded.document;
+  auto table = std::make_shared<RouteTable>();
+  table->documentNumber = document.number;
+  auto known = std::map<std::string, std::shared_ptr<Backend>>{};
+  for (const auto& spec : document.services) {
+    auto route = std::make_shared<Route>();
+    route->spec = spec;
+    route->placesPerBackend =
+      PlacesPerBackend({ spec.slots, spec.connections, this->liveEntries });
+    for (const auto& info : this->listing.backends) {
+      const auto allowed =
+        spec.domains.empty() ||
+        std::find(spec.domains.begin(), spec.domains.end(), info.domain) !=
+          spec.domains.end();
+      if (info.service != spec.id || !allowed ||
+          !document.IsOpen(info.domain) || !ParseHostPort(info.address)) {
+        continue;
+      }
+      const auto key = info.id + "@" + info.address;
+      auto& backend = known[key];
+      const auto old = this->backends.find(key);
+      if (!backend && old != this->backends.end()) {
+        backend = old->second;
+      }
+      if (!backend) {
+        backend = std::make_shared<Backend>(
+          info.id, info.address, info.domain, now);
+      }
+      backend->SetListedLeaving(info.leaving);
+      route->backends.push_back(backend);
+    }
+    table->routes[spec.id] = std::move(route);
+  }
+  this->backends = std::move(known);
+  this->routes.Set(std::move(table));
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/documentstore.cpp
@@ -0,0 +1,243 @@
+#include "documentstore.h"
+
+#include <chrono>
+#include <cstdio>
+#include <set>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr const char* kHeadKey = "doc/head";
+constexpr const char* kSectionPrefix = "doc/section/";
+constexpr const char* kChangePrefix = "doc/change/";
+// More changes than this are read as whole sections instead.
+constexpr std::uint64_t kMaxChangesByOne = 32;
+constexpr int kMaxAttempts = 32;
+constexpr int kMaxConsistencyReads = 5;
+
+// The stored form of one section.
+struct SectionRow
+{
+  std::uint64_t number = 0;
+  std::string text;
+  std::string identity;
+};
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SectionRow, number, text, identity)
+
+auto
+ChangeKey(std::uint64_t aNumber) -> std::string
+{
+  constexpr std::size_t kDigits = 16;
+  const auto digits = std::to_string(aNumber);
+  return kChangePrefix + std::string(kDigits - digits.size(), '0') + digits;
+}
+
+auto
+ParseSection(const Row& aRow) -> std::optional<SectionRow>
+{
+  const auto json = nlohmann::json::parse(aRow.value, nullptr, false);
+  try {
+    return json.get<SectionRow>();
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+auto
+UnixMillis() -> std::int64_t
+{
+  return std::chrono::duration_cast<Millis>(
+           std::chrono::system_clock::now().time_since_epoch())
+    .count();
+}
+
+} // namespace
+
+DocumentStore::DocumentStore(TableService& aTable)
+  : table(aTable)
+{
+}
+
+auto
+DocumentStore::ReadHead() -> Head
+{
+  const auto read = this->table.Read(kHeadKey);
+  auto head = Head{ read.status, read.row.version, 0 };
+  if (read.status == StoreStatus::Ok && read.row.version != 0) {
+    const auto json = nlohmann::json::parse(read.row.value, nullptr, false);
+    head.number = json.is_number_unsigned() ? json.get<std::uint64_t>() : 0;
+    head.status = head.number == 0 ? StoreStatus::Unknown : head.status;
+  }
+  return head;
+}
+
+// Reads the sections that changed after aFrom, up to aTo.
+auto
+DocumentStore::ReadSections(std::uint64_t aFrom,
+                            std::uint64_t aTo,
+                            Sections& aSections) -> StoreStatus
+{
+  auto rows = std::vector<Row>{};
+  if (aFrom == 0 || aTo - aFrom > kMaxChangesByOne) {
+    auto scan = ScanAll(this->table, kSectionPrefix);
+    if (scan.status != StoreStatus::Ok) {
+      return scan.status;
+    }
+    rows = std::move(scan.rows);
+  } else {
+    const auto changes = this->table.Scan(
+      kChangePrefix, ChangeKey(aFrom), static_cast<std::size_t>(aTo - aFrom));
+    if (changes.status != StoreStatus::Ok) {
+      return changes.status;
+    }
+    auto names = std::set<std::string>{};
+    for (const auto& row : changes.rows) {
+      const auto json = nlohmann::json::parse(row.value, nullptr, false);
+      names.insert(json.value("section", std::string{}));
+    }
+    for (const auto& name : names) {
+      auto read = this->table.Read(kSectionPrefix + name);
+      if (read.status != StoreStatus::Ok) {
+        return read.status;
+      }
+      rows.push_back(std::move(read.row));
+    }
+  }
+  for (const auto& row : rows) {
+    const auto stored = ParseSection(row);
+    if (!stored) {
+      return StoreStatus::Unknown;
+    }
+    const auto name = row.key.substr(std::string{ kSectionPrefix }.size());
+    aSections[name] = Section{ name, stored->number, stored->text };
+  }
+  return StoreStatus::Ok;
+}
+
+// The head is read again after the sections: only if it did not move do they
+// belong to one version.
+auto
+DocumentStore::Load(const LoadedDocument& aKnown) -> LoadResult
+{
+  const auto known = aKnown.document ? aKnown.document->number : 0;
+  auto head = this->ReadHead();
+  for (auto attempt = 0; attempt < kMaxConsistencyReads; ++attempt) {
+    if (head.status != StoreStatus::Ok) {
+      return { LoadStatus::Failed, {}, ToText(head.status) };
+    }
+    if (aKnown.document != nullptr && head.number <= known) {
+      return { LoadStatus::Current, {}, {} };
+    }
+    auto sections = aKnown.sections;
+    const auto status = this->ReadSections(known, head.number, sections);
+    if (status != StoreStatus::Ok) {
+      return { LoadStatus::Failed, {}, ToText(status) };
+    }
+    const auto after = this->ReadHead();
+    if (after.status != StoreStatus::Ok || after.version != head.version) {
+      head = after;
+      continue;
+    }
+    auto errors = std::vector<YamlError>{};
+    auto document = BuildDocument(head.number, sections, errors);
+    if (!document) {
+      return { LoadStatus::Failed, {}, errors.front().Text() };
+    }
+    return { LoadStatus::Newer,
+             { std::make_shared<const Document>(std::move(*document)),
+               std::move(sections) },
+             {} };
+  }
+  return { LoadStatus::Failed, {}, "the document changes too quickly" };
+}
+
+// Edits of other sections only move the head, and are met by another attempt;
+// an edit of the same section is a conflict.
+auto
+DocumentStore::Apply(const Edit& aEdit) -> EditResult
+{
+  auto uncertain = false;
+  for (auto attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto head = this->ReadHead();
+    auto sections = Sections{};
+    const auto status = head.status == StoreStatus::Ok
+                          ? this->ReadSections(0, head.number, sections)
+                          : head.status;
+    if (status != StoreStatus::Ok) {
+      const auto end =
+        uncertain ? EditStatus::Unknown : EditStatus::Unavailable;
+      return { end, 0, {} };
+    }
+    const auto current = sections[aEdit.section].version;
+    if (uncertain) {
+      const auto number = this->Accepted(aEdit);
+      if (number) {
+        return { EditStatus::Accepted, *number, {} };
+      }
+    }
+    if (current != aEdit.base) {
+      return { EditStatus::Conflict, current, {} };
+    }
+    const auto next = head.number + 1;
+    sections[aEdit.section] = Section{ aEdit.section, next, aEdit.text };
+    auto errors = std::vector<YamlError>{};
+    if (!BuildDocument(next, sections, errors)) {
+      return { EditStatus::Invalid, 0, std::move(errors) };
+    }
+    const auto row = SectionRow{ next, aEdit.text, aEdit.identity };
+    const auto change =
+      ChangeRecord{ next, aEdit.section, UnixMillis(), aEdit.identity };
+    const auto commit = this->table.Commit(
+      { { { kHeadKey, head.version } },
+        { { kHeadKey, nlohmann::json(next).dump() },
+          { kSectionPrefix + aEdit.section, nlohmann::json(row).dump() },
+          { ChangeKey(next), nlohmann::json(change).dump() } } });
+    if (commit.status == StoreStatus::Ok) {
+      return { EditStatus::Accepted, next, {} };
+    }
+    uncertain = uncertain || commit.status == StoreStatus::Unknown;
+  }
+  return { uncertain ? EditStatus::Unknown : EditStatus::Unavailable, 0, {} };
+}
+
+auto
+DocumentStore::Accepted(const Edit& aEdit) -> std::optional<std::uint64_t>
+{
+  const auto history = this->History(kMaxChangesByOne);
+  if (!history) {
+    return std::nullopt;
+  }
+  for (const auto& change : *history) {
+    if (change.identity == aEdit.identity) {
+      return change.number;
+    }
+  }
+  return std::nullopt;
+}
+
+auto
+DocumentStore::History(std::size_t aMost)
+  -> std::optional<std::vector<ChangeRecord>>
+{
+  const auto head = this->ReadHead();
+  if (head.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  const auto from = head.number > aMost ? head.number - aMost : 0;
+  const auto scan = this->table.Scan(kChangePrefix, ChangeKey(from), aMost);
+  if (scan.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  auto history = std::vector<ChangeRecord>{};
+  for (const auto& row : scan.rows) {
+    const auto json = nlohmann::json::parse(row.value, nullptr, false);
+    if (!json.is_discarded()) {
+      history.insert(history.begin(), json.get<ChangeRecord>());
+    }
+  }
+  return history;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/exchange.cpp
@@ -0,0 +1,280 @@
+#include "exchange.h"
+
+#include <algorithm>
+
+#include "connectionthreads.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::size_t kMostBufferedBytes = 262144;
+// A connection for a request that must not run twice proved itself this
+// recently.
+constexpr Millis kFreshlyProved{ 1000 };
+constexpr Millis kAnyIdle{ 10000 };
+
+constexpr int kServiceUnavailable = 503;
+
+} // namespace
+
+auto
+Signal::Raise() -> void
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  ++this->count;
+  this->raised.notify_all();
+}
+
+auto
+Signal::Wait(std::uint64_t aSeen,
+             std::chrono::steady_clock::time_point aUntil) -> std::uint64_t
+{
+  auto lock = std::unique_lock{ this->mutex };
+  this->raised.wait_until(lock, aUntil, [&] { return this->count > aSeen; });
+  return this->count;
+}
+
+Exchange::Exchange(std::shared_ptr<const OutgoingRequest> aRequest,
+                   std::shared_ptr<Backend> aBackend,
+                   std::shared_ptr<BackendPool> aPool,
+                   const Clock& aClock,
+                   std::shared_ptr<Signal> aSignal)
+  : request(std::move(aRequest))
+  , backend(std::move(aBackend))
+  , pool(std::move(aPool))
+  , clock(aClock)
+  , signal(std::move(aSignal))
+  , startedAt(aClock.Now())
+  , body(kMostBufferedBytes)
+{
+}
+
+auto
+Exchange::Start(ConnectionThreads& aThreads,
+                Millis aTimeout,
+                bool aFreshOnly,
+                std::function<void()> aOnEnd) -> void
+{
+  this->timeout = aTimeout;
+  aThreads.enqueue([self = this->shared_from_this(),
+                    aTimeout,
+                    aFreshOnly,
+                    onEnd = std::move(aOnEnd)] {
+    self->Run(aTimeout, aFreshOnly);
+    self->backend->Leave();
+    onEnd();
+  });
+}
+
+auto
+Exchange::Cancel() -> void
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  this->cancelled = true;
+  this->body.Close(PipeEnd::Cut);
+  if (this->connection) {
+    this->connection->client->stop();
+  }
+}
+
+auto
+Exchange::HasHeaders() const -> bool
+{
+  return this->hasHeaders;
+}
+
+auto
+Exchange::Status() const -> int
+{
+  return this->status;
+}
+
+auto
+Exchange::Headers() const -> const httplib::Headers&
+{
+  return this->headers;
+}
+
+auto
+Exchange::Body() -> Pipe&
+{
+  return this->body;
+}
+
+auto
+Exchange::End() const -> std::optional<AttemptEnd>
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  return this->end;
+}
+
+auto
+Exchange::OnReusedConnection() const -> bool
+{
+  return this->reused;
+}
+
+auto
+Exchange::Target() const -> const std::shared_ptr<Backend>&
+{
+  return this->backend;
+}
+
+auto
+Exchange::StartedAt() const -> Time
+{
+  return this->startedAt;
+}
+
+auto
+Exchange::Run(Millis aTimeout, bool aFreshOnly) -> void
+{
+  auto taken = this->pool->Borrow(aFreshOnly ? kFreshlyProved : kAnyIdle);
+  auto* client = taken->client.get();
+  client->set_read_timeout(aTimeout);
+  client->set_write_timeout(aTimeout);
+  this->reused = taken->provedAt.has_value();
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    if (!this->cancelled) {
+      this->connection = std::move(taken);
+    }
+  }
+  if (taken) {
+    this->EndUnsent();
+    return;
+  }
+  auto outgoing = this->Build();
+  auto response = httplib::Response{};
+  auto error = httplib::Error::Success;
+  const auto sentAt = this->clock.Now();
+  const auto succeeded = client->send(outgoing, response, error);
+  const auto whole = succeeded && !this->cancelled;
+  this->Record(this->Judge(whole, error, sentAt), whole, sentAt);
+}
+
+// Cancelled before anything was sent.
+auto
+Exchange::EndUnsent() -> void
+{
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    this->end = AttemptEnd::ConnectFailed;
+  }
+  this->body.Close(PipeEnd::Cut);
+  this->signal->Raise();
+}
+
+auto
+Exchange::Build() -> httplib::Request
+{
+  auto outgoing = httplib::Request{};
+  outgoing.method = this->request->method;
+  outgoing.path = this->request->target;
+  outgoing.headers = this->request->headers;
+  outgoing.response_handler = [this](const httplib::Response& aResponse) {
+    return this->OnHeaders(aResponse);
+  };
+  outgoing.content_receiver = [this](const char* aData,
+                                     std::size_t aSize,
+                                     std::uint64_t /*aOffset*/,
+                                     std::uint64_t /*aTotal*/) {
+    return this->body.Write(aData, aSize);
+  };
+  if (!this->request->upload) {
+    outgoing.body = this->request->body;
+    return outgoing;
+  }
+  const auto upload = this->request->upload;
+  const auto chunked = !this->request->uploadLength.has_value();
+  outgoing.is_chunked_content_provider_ = chunked;
+  outgoing.content_length_ = this->request->uploadLength.value_or(0);
+  outgoing.content_provider_ =
+    [upload, chunked](std::size_t, std::size_t, httplib::DataSink& aSink) {
+      const auto bytes = upload->Read();
+      if (!bytes.empty()) {
+        return aSink.write(bytes.data(), bytes.size());
+      }
+      if (upload->End() != PipeEnd::Whole) {
+        return false;
+      }
+      if (chunked) {
+        aSink.done();
+      }
+      return chunked;
+    };
+  return outgoing;
+}
+
+auto
+Exchange::OnHeaders(const httplib::Response& aResponse) -> bool
+{
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    this->status = aResponse.status;
+    this->headers = aResponse.headers;
+  }
+  this->hasHeaders = true;
+  this->signal->Raise();
+  return !this->cancelled;
+}
+
+auto
+Exchange::Judge(bool aSucceeded, httplib::Error aError, Time aSentAt) const
+  -> AttemptEnd
+{
+  if (aSucceeded) {
+    return AttemptEnd::Answered;
+  }
+  if (aError == httplib::Error::Connection ||
+      aError == httplib::Error::ConnectionTimeout) {
+    return AttemptEnd::ConnectFailed;
+  }
+  if (this->cancelled) {
+    return AttemptEnd::Cancelled;
+  }
+  const auto late = this->clock.Now() - aSentAt >= this->timeout;
+  return late ? AttemptEnd::Late : AttemptEnd::Broken;
+}
+
+// What the attempt taught about its connection and its backend server.
+auto
+Exchange::Record(AttemptEnd aEnd, bool aWholeAnswer, Time aSentAt) -> void
+{
+  const auto now = this->clock.Now();
+  auto used = std::unique_ptr<BackendConnection>{};
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    used = std::move(this->connection);
+    this->end = aEnd;
+  }
+  if (aWholeAnswer) {
+    const auto header = this->headers.find("Connection");
+    const auto closes =
+      header != this->headers.end() && header->second == "close";
+    const auto refuses = this->status == kServiceUnavailable &&
+                         this->headers.contains("Retry-After");
+    if (closes || refuses) {
+      this->backend->OnLeavingNotice(now);
+    } else {
+      this->pool->Return(std::move(used));
+    }
+    this->backend->OnAnswer(now, (now - aSentAt).count());
+  } else if (aEnd != AttemptEnd::Cancelled) {
+    if (used && used->provedAt) {
+      // One silent connection must not condemn its backend server.
+      this->pool->Suspect(*used->provedAt);
+    } else {
+      this->backend->OnFailure(now);
+    }
+  }
+  this->body.Close(aWholeAnswer ? PipeEnd::Whole : PipeEnd::Cut);
+  if (this->request->upload) {
+    // Nobody reads on; the caller's thread must not wait for room.
+    this->request->upload->Close(PipeEnd::Cut);
+  }
+  this->signal->Raise();
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/headers.cpp
@@ -0,0 +1,83 @@
+#include "headers.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <set>
+#include <sstream>
+
+namespace gooseberry {
+
+namespace {
+
+// Names that belong to one hop, that the library writes itself, or that it
+// adds to what it read.
+constexpr std::array<const char*, 15> kNotForwarded{
+  "connection",        "keep-alive",  "proxy-authenticate",
+  "proxy-authorization", "proxy-connection", "te",
+  "trailer",           "transfer-encoding", "upgrade",
+  "content-length",    "expect",      "remote_addr",
+  "remote_port",       "local_addr",  "local_port"
+};
+
+auto
+Lower(const std::string& aText) -> std::string
+{
+  auto text = aText;
+  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char aChar) {
+    return static_cast<char>(std::tolower(aChar));
+  });
+  return text;
+}
+
+// Names that the Connection header marks as belonging to this hop.
+auto
+HopNames(const httplib::Headers& aHeaders) -> std::set<std::string>
+{
+  auto names =
+    std::set<std::string>(kNotForwarded.begin(), kNotForwarded.end());
+  const auto [first, last] = aHeaders.equal_range("Connection");
+  for (auto item = first; item != last; ++item) {
+    auto list = std::istringstream{ item->second };
+    auto name = std::string{};
+    while (std::getline(list, name, ',')) {
+      name.erase(0, name.find_first_not_of(' '));
+      name.erase(name.find_last_not_of(' ') + 1);
+      names.insert(Lower(name));
+    }
+  }
+  return names;
+}
+
+auto
+Forward(const httplib::Headers& aHeaders) -> httplib::Headers
+{
+  const auto dropped = HopNames(aHeaders);
+  auto forwarded = httplib::Headers{};
+  for (const auto& [name, value] : aHeaders) {
+    if (!dropped.contains(Lower(name))) {
+      forwarded.emplace(name, value);
+    }
+  }
+  return forwarded;
+}
+
+} // namespace
+
+auto
+ForwardRequestHeaders(const httplib::Request& aRequest) -> httplib::Headers
+{
+  auto forwarded = Forward(aRequest.headers);
+  forwarded.emplace("X-Forwarded-For", aRequest.remote_addr);
+  return forwarded;
+}
+
+auto
+ForwardResponseHeaders(const httplib::Headers& aHeaders) -> httplib::Headers
+{
+  auto forwarded = Forward(aHeaders);
+  forwarded.erase("Content-Type");
+  return forwarded;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/instance.h
@@ -0,0 +1,47 @@
+#ifndef GOOSEBERRY_INSTANCE_H
+#define GOOSEBERRY_INSTANCE_H
+
+// One whole instance: all roles in one process.
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "adminport.h"
+#include "callerport.h"
+#include "control.h"
+#include "httpplatform.h"
+#include "memoryplatform.h"
+#include "steadyclock.h"
+
+namespace gooseberry {
+
+class Instance
+{
+public:
+  explicit Instance(Settings aSettings);
+
+  auto Start(std::string& aReason) -> bool;
+  // Returns when aStop is set and everything has ended gracefully.
+  auto RunUntil(const std::atomic<bool>& aStop, std::atomic<bool>& aReload)
+    -> void;
+
+private:
+  auto Shutdown() -> void;
+
+  const Settings settings;
+  SteadyClock clock;
+  Metrics metrics;
+  MemoryTable memoryTable;
+  MemoryObjects memoryObjects;
+  FixedInstances fixedInstances;
+  std::unique_ptr<HttpPlatform> platform;
+  HttpWorkers workers;
+  std::unique_ptr<Control> control;
+  std::unique_ptr<CallerPort> callers;
+  std::unique_ptr<AdminPort> admin;
+};
+
+} // namespace gooseberry
+
+#endif
--- /dev/null
+++ b/daemon/src/main.cpp
@@ -0,0 +1,162 @@
+// Command line of gooseberryd.
+
+#include <array>
+#include <atomic>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <getopt.h>
+
+#include "instance.h"
+#include "log.h"
+#include "settings.h"
+
+namespace {
+
+using namespace gooseberry;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+constexpr int kExitSettings = 3;
+
+std::atomic<bool> stopAsked = false;
+std::atomic<bool> reloadAsked = false;
+
+auto
+OnSignal(int aSignal) -> void
+{
+  (aSignal == SIGHUP ? reloadAsked : stopAsked) = true;
+}
+
+constexpr const char* kHelp =
+  R"(Usage: gooseberryd [OPTION]...
+Runs one instance of gooseberrytray. Without a settings file it runs alone on
+loopback and keeps nothing, for trying out.
+
+  -c, --config FILE      settings file (YAML)
+      --check-config     check the settings and end
+      --print-defaults   print a settings file with all defaults and end
+  -h, --help             print this text and end
+  -V, --version          print the version and end
+
+Environment: GOOSEBERRY_INSTANCE, GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS,
+GOOSEBERRY_ADMIN, GOOSEBERRY_PEERS and GOOSEBERRY_PLATFORM replace the settings
+of these names.
+
+Signals: SIGTERM and SIGINT stop gracefully, SIGHUP reads the tokens again.
+
+Exit status: 0 ended as asked, 1 failure, 2 wrong command line, 3 wrong
+settings.
+)";
+
+struct CommandLine
+{
+  std::string config;
+  bool checkOnly = false;
+};
+
+// Exit status if the command line settles everything, else nothing.
+auto
+ParseCommandLine(int aCount, char** aArguments, CommandLine& aLine)
+  -> std::optional<int>
+{
+  constexpr std::array<option, 6> kOptions{
+    { { "config", required_argument, nullptr, 'c' },
+      { "check-config", no_argument, nullptr, 'k' },
+      { "print-defaults", no_argument, nullptr, 'p' },
+      { "help", no_argument, nullptr, 'h' },
+      { "version", no_argument, nullptr, 'V' },
+      { nullptr, 0, nullptr, 0 } }
+  };
+  for (;;) {
+    const auto letter =
+      getopt_long(aCount, aArguments, "c:hV", kOptions.data(), nullptr);
+    switch (letter) {
+      case -1:
+        if (optind < aCount) {
+          std::cerr << "gooseberryd: unexpected argument '"
+                    << aArguments[optind] << "'\n";
+          return kExitUsage;
+        }
+        return std::nullopt;
+      case 'c':
+        aLine.config = optarg;
+        break;
+      case 'k':
+        aLine.checkOnly = true;
+        break;
+      case 'p':
+        std::cout << DefaultSettingsText();
+        return kExitOk;
+      case 'h':
+        std::cout << kHelp;
+        return kExitOk;
+      case 'V':
+        std::cout << "gooseberryd " GOOSEBERRY_VERSION "\n";
+        return kExitOk;
+      default:
+        std::cerr << "Try 'gooseberryd --help'.\n";
+        return kExitUsage;
+    }
+  }
+}
+
+auto
+LoadSettings(const std::string& aPath, std::vector<YamlError>& aErrors)
+  -> std::optional<Settings>
+{
+  auto settings = std::optional<Settings>{ Settings{} };
+  if (!aPath.empty()) {
+    auto file = std::ifstream{ aPath };
+    if (!file) {
+      aErrors.push_back({ aPath, 0, "", "", "cannot be read" });
+      return std::nullopt;
+    }
+    auto text = std::ostringstream{};
+    text << file.rdbuf();
+    settings = ParseSettings(aPath, text.str(), aErrors);
+  }
+  if (settings) {
+    ApplyEnvironment(*settings, aErrors);
+  }
+  return aErrors.empty() ? settings : std::nullopt;
+}
+
+} // namespace
+
+auto
+main(int aCount, char** aArguments) -> int
+{
+  auto line = CommandLine{};
+  if (const auto status = ParseCommandLine(aCount, aArguments, line)) {
+    return *status;
+  }
+  auto errors = std::vector<YamlError>{};
+  const auto settings = LoadSettings(line.config, errors);
+  if (!settings) {
+    for (const auto& error : errors) {
+      std::cerr << "gooseberryd: " << error.Text() << '\n';
+    }
+    return kExitSettings;
+  }
+  if (line.checkOnly) {
+    std::cout << "settings are good\n";
+    return kExitOk;
+  }
+  StartLog(settings->logLevel);
+  std::signal(SIGPIPE, SIG_IGN);
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGINT, OnSignal);
+  std::signal(SIGHUP, OnSignal);
+  auto instance = Instance{ *settings };
+  auto reason = std::string{};
+  if (!instance.Start(reason)) {
+    std::cerr << "gooseberryd: " << reason << '\n';
+    return kExitFailure;
+  }
+  instance.RunUntil(stopAsked, reloadAsked);
+  return kExitOk;
+}
--- /dev/null
+++ b/daemon/src/metrics.h
@@ -0,0 +1,90 @@
+#ifndef GOOSEBERRY_METRICS_H
+#define GOOSEBERRY_METRICS_H
+
+// Metrics of one instance, by prometheus-cpp. Counters of the request path are
+// looked up once per service and then only incremented.
+
+#include <array>
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "shard.h"
+#include "tableservice.h"
+#include "verdict.h"
+
+namespace gooseberry {
+
+struct ServiceMetrics
+{
+  prometheus::Counter* requests = nullptr;
+  prometheus::Histogram* seconds = nullptr;
+  prometheus::Gauge* waiting = nullptr;
+  std::array<prometheus::Counter*, static_cast<int>(Refusal::Refusal_NB)>
+    refusals{};
+  std::array<prometheus::Counter*, static_cast<int>(RetryReason::RetryReason_NB)>
+    retries{};
+
+  auto Count(Refusal aRefusal) const -> void;
+  auto Count(RetryReason aReason) const -> void;
+};
+
+enum class StoreCall
+{
+  Membership,
+  Document,
+  Instances,
+  Takeover,
+  Load,
+  Append,
+  Inbox,
+  Snapshot,
+  Claim,
+  StoreCall_NB
+};
+
+class Metrics
+{
+public:
+  Metrics();
+
+  auto ForService(const ServiceId& aService) -> ServiceMetrics;
+  auto CountStoreCall(StoreCall aCall, bool aSucceeded) -> void;
+  auto CountSync(bool aSucceeded) -> void;
+  auto CountAdminRefusal(const char* aReason) -> void;
+  auto CountPeerRefusal(const char* aReason) -> void;
+  // Adds what the counts of a shard grew by.
+  auto AddShardCounts(const ShardCounts& aBefore, const ShardCounts& aAfter)
+    -> void;
+  auto SetShards(std::size_t aCount) -> void;
+  auto SetTasks(TaskPhase aPhase, std::size_t aCount) -> void;
+  auto SetDocument(std::uint64_t aNumber) -> void;
+  auto SetMembers(std::size_t aCount) -> void;
+  auto SetControlBytes(std::uint64_t aPeerBytes) -> void;
+  auto Text() -> std::string;
+
+private:
+  std::shared_ptr<prometheus::Registry> registry;
+  prometheus::Family<prometheus::Counter>& requests;
+  prometheus::Family<prometheus::Histogram>& seconds;
+  prometheus::Family<prometheus::Gauge>& waiting;
+  prometheus::Family<prometheus::Counter>& refusals;
+  prometheus::Family<prometheus::Counter>& retries;
+  prometheus::Family<prometheus::Counter>& storeCalls;
+  prometheus::Family<prometheus::Counter>& syncs;
+  prometheus::Family<prometheus::Counter>& adminRefusals;
+  prometheus::Family<prometheus::Counter>& peerRefusals;
+  prometheus::Family<prometheus::Counter>& shardEvents;
+  prometheus::Family<prometheus::Gauge>& gauges;
+  prometheus::Family<prometheus::Gauge>& tasks;
+  prometheus::Gauge& cpuSeconds;
+  prometheus::Gauge& residentBytes;
+};
+
+} // namespace gooseberry
+
+#endif
--- /dev/null
+++ b/daemon/src/settings.cpp
@@ -0,0 +1,197 @@
+#include "settings.h"
+
+#include <array>
+#include <cstdlib>
+
+#include "httpplatform.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr Millis kMaxTimeout{ 600000 };
+
+auto
+CheckAddress(YamlMap& aMap, const char* aKey, const std::string& aAddress)
+  -> void
+{
+  if (!ParseHostPort(aAddress)) {
+    aMap.Report(aKey, "must be host:port");
+  }
+}
+
+auto
+ReadPort(YamlMap& aRoot, const char* aKey, PortSettings& aPort) -> void
+{
+  auto map = aRoot.Map(aKey);
+  if (!map) {
+    return;
+  }
+  aPort.address = map->String("address", aPort.address);
+  CheckAddress(*map, "address", aPort.address);
+  aPort.certificate = map->String("certificate", "");
+  aPort.key = map->String("key", "");
+  aPort.authority = map->String("authority", "");
+  if (aPort.certificate.empty() != aPort.key.empty()) {
+    map->Report("certificate", "certificate and key belong together");
+  }
+  map->Finish();
+}
+
+auto
+ReadRouting(YamlMap& aRoot, Settings& aSettings) -> void
+{
+  const auto name = aRoot.String("routing", ToText(aSettings.routing));
+  for (auto index = 0; index < static_cast<int>(RoutingPolicy::RoutingPolicy_NB);
+       ++index) {
+    const auto policy = static_cast<RoutingPolicy>(index);
+    if (name == ToText(policy)) {
+      aSettings.routing = policy;
+      return;
+    }
+  }
+  aRoot.Report("routing",
+               "must be least_cost, two_choices, round_robin or random");
+}
+
+} // namespace
+
+auto
+ParseSettings(const std::string& aSource,
+              const std::string& aText,
+              std::vector<YamlError>& aErrors) -> std::optional<Settings>
+{
+  auto settings = Settings{};
+  const auto node = ParseYaml(aSource, aText, {}, aErrors);
+  if (!node) {
+    return std::nullopt;
+  }
+  auto root = YamlMap{ aSource, *node, aErrors };
+  if (root.Has("instance")) {
+    settings.instance = root.Name("instance");
+  }
+  if (root.Has("domain")) {
+    settings.domain.text = root.Name("domain");
+  }
+  ReadPort(root, "callers", settings.callers);
+  ReadPort(root, "admin", settings.admin);
+  ReadPort(root, "peers", settings.peers);
+  settings.tokensFile = root.String("tokens_file", "");
+  settings.maxConnections =
+    root.Integer("max_connections", settings.maxConnections, 1, 20000);
+  settings.maxBodyBytes = root.Integer(
+    "max_body_bytes", settings.maxBodyBytes, 1024, std::int64_t{ 1 } << 40U);
+  settings.callerIdle = root.Duration(
+    "caller_idle", settings.callerIdle, Millis{ 1000 }, kMaxTimeout);
+  settings.callerTimeout = root.Duration(
+    "caller_timeout", settings.callerTimeout, Millis{ 100 }, kMaxTimeout);
+  settings.platform = root.String("platform", "");
+  if (!settings.platform.empty()) {
+    CheckAddress(root, "platform", settings.platform);
+  }
+  settings.platformTimeout = root.Duration(
+    "platform_timeout", settings.platformTimeout, Millis{ 50 }, kMaxTimeout);
+  settings.workerTimeout = root.Duration(
+    "worker_timeout", settings.workerTimeout, Millis{ 50 }, kMaxTimeout);
+  settings.shards = root.Integer("shards", settings.shards, 1, 4096);
+  ReadRouting(root, settings);
+  settings.hop =
+    root.Duration("hop", settings.hop, Millis{ 0 }, Millis{ 1000 });
+  settings.balancerLag = root.Duration(
+    "balancer_lag", settings.balancerLag, Millis{ 0 }, kMaxTimeout);
+  settings.logLevel = root.String("log_level", settings.logLevel);
+  if (settings.logLevel != "info" && settings.logLevel != "debug" &&
+      settings.logLevel != "warn") {
+    root.Report("log_level", "must be debug, info or warn");
+  }
+  root.Finish();
+  if (!aErrors.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+auto
+ApplyEnvironment(Settings& aSettings, std::vector<YamlError>& aErrors) -> void
+{
+  struct Override
+  {
+    const char* name;
+    std::string* value;
+    bool address;
+  };
+  const std::array<Override, 6> overrides{ {
+    { "GOOSEBERRY_INSTANCE", &aSettings.instance, false },
+    { "GOOSEBERRY_DOMAIN", &aSettings.domain.text, false },
+    { "GOOSEBERRY_CALLERS", &aSettings.callers.address, true },
+    { "GOOSEBERRY_ADMIN", &aSettings.admin.address, true },
+    { "GOOSEBERRY_PEERS", &aSettings.peers.address, true },
+    { "GOOSEBERRY_PLATFORM", &aSettings.platform, true },
+  } };
+  for (const auto& item : overrides) {
+    const auto* text = std::getenv(item.name);
+    if (text == nullptr) {
+      continue;
+    }
+    if (item.address && !ParseHostPort(text)) {
+      aErrors.push_back(
+        { "environment", 0, item.name, text, "must be host:port" });
+      continue;
+    }
+    *item.value = text;
+  }
+}
+
+auto
+DefaultSettingsText() -> std::string
+{
+  return R"(# Settings of one gooseberryd instance. All keys may be left out.
+
+# Name of this instance, and the failure domain that it runs in.
+instance: entry
+domain: default
+
+# Ports: requests of callers, administration and metrics, other instances.
+# certificate and key (PEM files) switch TLS on; peers also need the authority
+# that signed the other instances' certificates.
+callers:
+  address: 127.0.0.1:8080
+admin:
+  address: 127.0.0.1:8081
+peers:
+  address: 127.0.0.1:8082
+
+# YAML file of bearer tokens, one per section of the document. Empty: the
+# administration port serves loopback addresses only, without tokens.
+tokens_file: ""
+
+# Limits towards callers.
+max_connections: 1024
+max_body_bytes: 1073741824
+caller_idle: 5s
+caller_timeout: 30s
+
+# host:port of the platform's services. Empty: everything is kept in this
+# process and is lost when it ends; for trying out only.
+platform: ""
+platform_timeout: 2s
+worker_timeout: 1500ms
+
+# Parts into which workers and waiting tasks are divided. The first instance
+# that ever starts fixes the number for all.
+shards: 8
+
+# How backend servers are chosen: least_cost, two_choices, round_robin, random.
+routing: least_cost
+# One-way time between failure domains.
+hop: 1ms
+
+# How long the balancer may go on sending requests after /readyz fails.
+balancer_lag: 2s
+
+# debug, info or warn.
+log_level: info
+)";
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/shardstore.cpp
@@ -0,0 +1,435 @@
+#include "shardstore.h"
+
+#include <algorithm>
+
+namespace gooseberry {
+
+namespace {
+
+// Format of rows and snapshots written by this version.
+constexpr int kFormat = 1;
+constexpr const char* kShardCountKey = "meta/shards";
+constexpr std::size_t kInboxPage = 400;
+constexpr std::size_t kSubmitPage = 200;
+constexpr std::size_t kTrimPage = 400;
+
+auto
+Padded(std::uint64_t aNumber, std::size_t aDigits) -> std::string
+{
+  const auto digits = std::to_string(aNumber);
+  return std::string(aDigits - std::min(aDigits, digits.size()), '0') + digits;
+}
+
+auto
+JournalPrefix(ShardNumber aShard) -> std::string
+{
+  return "journal/" + Padded(aShard, 5) + "/";
+}
+
+auto
+JournalKey(ShardNumber aShard, std::uint64_t aSequence) -> std::string
+{
+  return JournalPrefix(aShard) + Padded(aSequence, 12);
+}
+
+auto
+InboxPrefix(ShardNumber aShard) -> std::string
+{
+  return "inbox/" + Padded(aShard, 5) + "/";
+}
+
+auto
+TaskKey(ShardNumber aShard, const Task& aTask) -> std::string
+{
+  return InboxPrefix(aShard) + "task/" + aTask.id.text + "#" +
+         std::to_string(aTask.moves);
+}
+
+auto
+SnapshotName(ShardNumber aShard) -> std::string
+{
+  return "snapshot/" + Padded(aShard, 5);
+}
+
+template<class Value>
+auto
+Parse(const std::string& aText) -> std::optional<Value>
+{
+  try {
+    return nlohmann::json::parse(aText).get<Value>();
+  } catch (const nlohmann::json::exception&) {
+    return std::nullopt;
+  }
+}
+
+auto
+EntryText(const JournalEntry& aEntry) -> std::string
+{
+  auto json = nlohmann::json(aEntry);
+  json["format"] = kFormat;
+  return json.dump();
+}
+
+// A newer format may hold what this version does not understand; dropping it
+// would lose work.
+auto
+FormatKnown(const nlohmann::json& aJson) -> bool
+{
+  return aJson.is_object() && aJson.value("format", kFormat) <= kFormat;
+}
+
+auto
+ReadSnapshot(const ObjectResult& aObject,
+             StoredShard& aState,
+             std::string& aReason) -> bool
+{
+  if (aObject.generation == 0) {
+    return true;
+  }
+  aState.snapshotGeneration = aObject.generation;
+  try {
+    const auto json = nlohmann::json::parse(aObject.bytes);
+    if (!FormatKnown(json)) {
+      aReason = "the snapshot was written by a newer version";
+      return false;
+    }
+    aState.sequence = json.at("sequence");
+    aState.snapshotSequence = aState.sequence;
+    for (const auto& item : json.at("tasks")) {
+      auto task = item.get<Task>();
+      aState.tasks.insert_or_assign(task.id, std::move(task));
+    }
+  } catch (const nlohmann::json::exception& fault) {
+    aReason = std::string{ "bad snapshot: " } + fault.what();
+    return false;
+  }
+  return true;
+}
+
+auto
+ReplayRow(const Row& aRow, StoredShard& aState, std::string& aReason) -> bool
+{
+  const auto json = nlohmann::json::parse(aRow.value, nullptr, false);
+  if (!FormatKnown(json)) {
+    aReason = "row " + aRow.key + " is unreadable or of a newer version";
+    return false;
+  }
+  try {
+    const auto entry = json.get<JournalEntry>();
+    if (entry.sequence <= aState.sequence) {
+      return true;
+    }
+    if (entry.sequence != aState.sequence + 1) {
+      aReason = "row " + aRow.key + " follows a gap in the journal";
+      return false;
+    }
+    Apply(aState.tasks, entry);
+    aState.sequence = entry.sequence;
+  } catch (const nlohmann::json::exception& fault) {
+    aReason = "row " + aRow.key + ": " + fault.what();
+    return false;
+  }
+  return true;
+}
+
+} // namespace
+
+auto
+MemberKey(const InstanceId& aId) -> std::string
+{
+  return "member/" + aId.text;
+}
+
+auto
+ShardKey(ShardNumber aShard) -> std::string
+{
+  return "shard/" + Padded(aShard, 5);
+}
+
+ShardStore::ShardStore(TableService& aTable, ObjectStore& aObjects)
+  : table(aTable)
+  , objects(aObjects)
+{
+}
+
+auto
+ShardStore::FixShardCount(ShardNumber aWanted) -> std::optional<ShardNumber>
+{
+  const auto read = this->table.Read(kShardCountKey);
+  if (read.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  if (read.row.version != 0) {
+    return Parse<ShardNumber>(read.row.value);
+  }
+  const auto commit =
+    this->table.Commit({ { { kShardCountKey, 0 } },
+                         { { kShardCountKey, std::to_string(aWanted) } } });
+  if (commit.status == StoreStatus::Ok) {
+    return aWanted;
+  }
+  return std::nullopt;
+}
+
+auto
+ShardStore::TakeOver(ShardNumber aShard,
+                     const InstanceId& aSelf,
+                     Millis aWorkersLapseAfter,
+                     const std::function<std::optional<std::uint64_t>(
+                       const InstanceId&)>& aLapsed) -> std::optional<Claim>
+{
+  const auto read = this->table.Read(ShardKey(aShard));
+  if (read.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  auto old = ShardRow{};
+  if (read.row.version != 0) {
+    const auto parsed = Parse<ShardRow>(read.row.value);
+    if (!parsed) {
+      return std::nullopt;
+    }
+    old = *parsed;
+  }
+  auto transaction =
+    Transaction{ { { ShardKey(aShard), read.row.version } }, {} };
+  const auto held = !old.owner.Empty() && !old.released && old.owner != aSelf;
+  if (held) {
+    const auto member = this->table.Read(MemberKey(old.owner));
+    if (member.status != StoreStatus::Ok) {
+      return std::nullopt;
+    }
+    if (member.row.version != 0) {
+      const auto row = Parse<MemberRow>(member.row.value);
+      const auto lapsed = aLapsed(old.owner);
+      if (!row || !lapsed || *lapsed != row->counter) {
+        return std::nullopt;
+      }
+    }
+    transaction.preconditions.push_back(
+      { MemberKey(old.owner), member.row.version });
+  }
+  const auto next =
+    ShardRow{ aSelf, old.epoch + 1, false, aWorkersLapseAfter.count() };
+  transaction.writes.push_back(
+    { ShardKey(aShard), nlohmann::json(next).dump() });
+  const auto commit = this->Commit(transaction);
+  auto claim =
+    Claim{ commit.version, next.epoch, Millis{ old.workersLapseMillis }, aWorkersLapseAfter };
+  if (commit.status == StoreStatus::Ok) {
+    return claim;
+  }
+  // The write may have taken effect all the same.
+  const auto again = this->table.Read(ShardKey(aShard));
+  const auto now = again.status == StoreStatus::Ok
+                     ? Parse<ShardRow>(again.row.value)
+                     : std::optional<ShardRow>{};
+  if (now && *now == next) {
+    claim.rowVersion = again.row.version;
+    return claim;
+  }
+  return std::nullopt;
+}
+
+auto
+ShardStore::Release(ShardNumber aShard,
+                    const Claim& aClaim,
+                    const InstanceId& aSelf,
+                    Millis aWorkersLapseAfter) -> bool
+{
+  const auto row =
+    ShardRow{ aSelf, aClaim.epoch, true, aWorkersLapseAfter.count() };
+  const auto commit =
+    this->Commit({ { { ShardKey(aShard), aClaim.rowVersion } },
+                   { { ShardKey(aShard), nlohmann::json(row).dump() } } });
+  if (commit.status == StoreStatus::Ok ||
+      commit.status == StoreStatus::Conflict) {
+    return true;
+  }
+  const auto now = this->ReadRow(aShard);
+  return now && (now->released || now->owner != aSelf);
+}
+
+auto
+ShardStore::ReadRow(ShardNumber aShard) -> std::optional<ShardRow>
+{
+  const auto read = this->table.Read(ShardKey(aShard));
+  if (read.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  if (read.row.version == 0) {
+    return ShardRow{};
+  }
+  return Parse<ShardRow>(read.row.value);
+}
+
+auto
+ShardStore::Load(ShardNumber aShard, std::string& aReason)
+  -> std::optional<StoredShard>
+{
+  const auto object = this->objects.Get(SnapshotName(aShard));
+  const auto journal = ScanAll(this->table, JournalPrefix(aShard));
+  if (object.status != StoreStatus::Ok || journal.status != StoreStatus::Ok) {
+    aReason = "the store does not answer";
+    return std::nullopt;
+  }
+  auto state = StoredShard{};
+  if (!ReadSnapshot(object, state, aReason)) {
+    return std::nullopt;
+  }
+  for (const auto& row : journal.rows) {
+    if (!ReplayRow(row, state, aReason)) {
+      return std::nullopt;
+    }
+  }
+  return state;
+}
+
+auto
+ShardStore::Append(ShardNumber aShard,
+                   const Claim& aClaim,
+                   const JournalEntry& aEntry,
+                   const std::vector<std::string>& aDone) -> AppendOutcome
+{
+  const auto key = JournalKey(aShard, aEntry.sequence);
+  auto transaction = Transaction{
+    { { ShardKey(aShard), aClaim.rowVersion }, { key, 0 } },
+    { { key, EntryText(aEntry) } }
+  };
+  for (const auto& transfer : aEntry.transfers) {
+    transaction.writes.push_back({ TaskKey(transfer.target, transfer.task),
+                                   nlohmann::json(transfer.task).dump() });
+  }
+  for (const auto& done : aDone) {
+    transaction.writes.push_back({ done, std::nullopt });
+  }
+  const auto commit = this->Commit(transaction);
+  if (commit.status == StoreStatus::Ok) {
+    return AppendOutcome::Recorded;
+  }
+  if (commit.status != StoreStatus::Conflict) {
+    return AppendOutcome::Retry;
+  }
+  // Either this very entry was recorded before, or the shard changed hands.
+  const auto row = this->table.Read(key);
+  const auto owner = this->table.Read(ShardKey(aShard));
+  if (row.status != StoreStatus::Ok || owner.status != StoreStatus::Ok) {
+    return AppendOutcome::Retry;
+  }
+  const auto entry = Parse<JournalEntry>(row.row.value);
+  if (entry && entry->identity == aEntry.identity) {
+    return AppendOutcome::Recorded;
+  }
+  return owner.row.version == aClaim.rowVersion ? AppendOutcome::Retry
+                                                : AppendOutcome::Fenced;
+}
+
+auto
+ShardStore::WriteSnapshot(ShardNumber aShard,
+                          const Claim& aClaim,
+                          const StoredShard& aState)
+  -> std::optional<std::uint64_t>
+{
+  auto tasks = nlohmann::json::array();
+  for (const auto& [id, task] : aState.tasks) {
+    tasks.push_back(task);
+  }
+  const auto json = nlohmann::json{ { "format", kFormat },
+                                    { "sequence", aState.sequence },
+                                    { "tasks", std::move(tasks) } };
+  const auto name = SnapshotName(aShard);
+  const auto bytes = json.dump();
+  auto put = this->objects.Put(name, aState.snapshotGeneration, bytes);
+  if (put.status == StoreStatus::Conflict) {
+    // A previous owner's late snapshot is an older state of the same journal.
+    put = this->objects.Put(name, this->objects.Get(name).generation, bytes);
+  }
+  if (put.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  const auto rows =
+    this->table.Scan(JournalPrefix(aShard), std::string{}, kTrimPage);
+  auto trim = Transaction{ { { ShardKey(aShard), aClaim.rowVersion } }, {} };
+  for (const auto& row : rows.rows) {
+    if (row.key <= JournalKey(aShard, aState.sequence)) {
+      trim.writes.push_back({ row.key, std::nullopt });
+    }
+  }
+  if (!trim.writes.empty()) {
+    this->Commit(trim);
+  }
+  return put.generation;
+}
+
+auto
+ShardStore::ReadInbox(ShardNumber aShard)
+  -> std::optional<std::vector<InboxItem>>
+{
+  const auto prefix = InboxPrefix(aShard);
+  const auto scan = this->table.Scan(prefix, std::string{}, kInboxPage);
+  if (scan.status != StoreStatus::Ok) {
+    return std::nullopt;
+  }
+  auto items = std::vector<InboxItem>{};
+  for (const auto& row : scan.rows) {
+    auto item = InboxItem{ row.key, false, {} };
+    const auto cancelPrefix = prefix + "cancel/";
+    if (row.key.starts_with(cancelPrefix)) {
+      item.cancel = true;
+      item.task.id.text = row.key.substr(cancelPrefix.size());
+      items.push_back(item);
+      continue;
+    }
+    const auto task = Parse<Task>(row.value);
+    if (task) {
+      item.task = *task;
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+auto
+ShardStore::DropInbox(const std::vector<std::string>& aKeys) -> bool
+{
+  auto transaction = Transaction{};
+  for (const auto& key : aKeys) {
+    transaction.writes.push_back({ key, std::nullopt });
+  }
+  return this->Commit(transaction).status == StoreStatus::Ok;
+}
+
+auto
+ShardStore::Submit(const std::vector<Task>& aTasks, ShardNumber aShardCount)
+  -> bool
+{
+  auto transaction = Transaction{};
+  for (const auto& task : aTasks) {
+    transaction.writes.push_back(
+      { TaskKey(ShardOf(task.id.text, aShardCount), task),
+        nlohmann::json(task).dump() });
+    const auto full = transaction.writes.size() >= kSubmitPage;
+    if (full) {
+      if (this->Commit(transaction).status != StoreStatus::Ok) {
+        return false;
+      }
+      transaction.writes.clear();
+    }
+  }
+  return transaction.writes.empty() ||
+         this->Commit(transaction).status == StoreStatus::Ok;
+}
+
+auto
+ShardStore::SubmitCancel(const TaskId& aTask, ShardNumber aShard) -> bool
+{
+  const auto key = InboxPrefix(aShard) + "cancel/" + aTask.text;
+  return this->Commit({ {}, { { key, "{}" } } }).status == StoreStatus::Ok;
+}
+
+auto
+ShardStore::Commit(const Transaction& aTransaction) -> CommitResult
+{
+  return this->table.Commit(aTransaction);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/tokens.cpp
@@ -0,0 +1,88 @@
+#include "tokens.h"
+
+#include <fstream>
+#include <sstream>
+
+#include <openssl/crypto.h>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::size_t kLeastTokenBytes = 16;
+
+// Takes time that depends on the length of the stored token alone.
+auto
+Equal(const std::string& aStored, const std::string& aGiven) -> bool
+{
+  auto padded = aGiven;
+  padded.resize(aStored.size(), '\0');
+  const auto same =
+    CRYPTO_memcmp(aStored.data(), padded.data(), aStored.size()) == 0;
+  return same && aStored.size() == aGiven.size();
+}
+
+} // namespace
+
+Tokens::Tokens(std::string aPath)
+  : path(std::move(aPath))
+{
+}
+
+auto
+Tokens::Reload(std::vector<YamlError>& aErrors) -> bool
+{
+  if (this->path.empty()) {
+    return true;
+  }
+  auto file = std::ifstream{ this->path };
+  if (!file) {
+    aErrors.push_back({ this->path, 0, "", "", "cannot be read" });
+    return false;
+  }
+  auto text = std::ostringstream{};
+  text << file.rdbuf();
+  const auto node = ParseYaml(this->path, text.str(), {}, aErrors);
+  if (!node) {
+    return false;
+  }
+  auto read = std::map<std::string, std::string>{};
+  for (const auto& entry : *node) {
+    const auto good = entry.first.IsScalar() && entry.second.IsScalar() &&
+                      entry.second.Scalar().size() >= kLeastTokenBytes;
+    if (!good) {
+      // The value is not shown: it may be a token.
+      aErrors.push_back({ this->path,
+                          entry.first.Mark().line + 1,
+                          entry.first.IsScalar() ? entry.first.Scalar() : "",
+                          "",
+                          "must be a section with a token of 16 bytes or more" });
+      return false;
+    }
+    read[entry.first.Scalar()] = entry.second.Scalar();
+  }
+  const auto lock = std::lock_guard{ this->mutex };
+  this->bySection = std::move(read);
+  return true;
+}
+
+auto
+Tokens::Configured() const -> bool
+{
+  return !this->path.empty();
+}
+
+auto
+Tokens::OwnerOf(const std::string& aToken) const -> std::optional<std::string>
+{
+  auto owner = std::optional<std::string>{};
+  const auto lock = std::lock_guard{ this->mutex };
+  for (const auto& [section, token] : this->bySection) {
+    if (Equal(token, aToken)) {
+      owner = section;
+    }
+  }
+  return owner;
+}
+
+} // namespace gooseberry
--- a/decisions/src/admission.cpp
+++ b/decisions/src/admission.cpp
@@ -56,21 +56,27 @@
 }
 
 auto
-WaitingLine::Next(Time aNow) -> std::optional<std::uint64_t>
+WaitingLine::First(Time aNow) const -> std::optional<std::uint64_t>
 {
   for (const auto& place : this->order) {
-    const auto& entry = this->entries.at(place.ticket);
-    if (entry.waiter.deadline <= aNow) {
-      continue;
+    if (this->entries.at(place.ticket).waiter.deadline > aNow) {
+      return place.ticket;
     }
-    const auto ticket = place.ticket;
-    this->currentTurn = std::max(this->currentTurn, place.turn);
-    this->Leave(ticket);
-    return ticket;
   }
   return std::nullopt;
 }
 
+auto
+WaitingLine::Serve(std::uint64_t aTicket) -> void
+{
+  const auto found = this->entries.find(aTicket);
+  if (found == this->entries.end()) {
+    return;
+  }
+  this->currentTurn = std::max(this->currentTurn, found->second.place.turn);
+  this->Leave(aTicket);
+}
+
 // Each caller's next request stands one turn after its last one, so that a
 // caller with many requests waits behind a caller with few.
 auto
--- a/decisions/src/admission.h
+++ b/decisions/src/admission.h
@@ -34,9 +34,11 @@
   auto Join(const Waiter& aWaiter, std::optional<std::uint64_t>& aDisplaced)
     -> bool;
   auto Leave(std::uint64_t aTicket) -> void;
-  // The ticket to be served next; it leaves the line. Waiters that cannot make
-  // their deadline any more are left to their own time-out.
-  auto Next(Time aNow) -> std::optional<std::uint64_t>;
+  // The ticket to be served next, passing over waiters that cannot make their
+  // deadline any more.
+  auto First(Time aNow) const -> std::optional<std::uint64_t>;
+  // The ticket got its place; it leaves the line.
+  auto Serve(std::uint64_t aTicket) -> void;
 
 private:
   // Rank, then the caller's turn, then arrival.
--- a/decisions/src/membership.cpp
+++ b/decisions/src/membership.cpp
@@ -46,6 +46,30 @@
   return aNow - found->second.changedAt > WithDrift(kMemberLease);
 }
 
+auto
+Membership::LapsedCounter(const InstanceId& aId, Time aNow) const
+  -> std::optional<std::uint64_t>
+{
+  const auto found = this->members.find(aId);
+  if (found == this->members.end() || !this->Lapsed(aId, aNow)) {
+    return std::nullopt;
+  }
+  return found->second.row.counter;
+}
+
+auto
+Membership::LongLapsed(Time aNow) const -> std::vector<MemberRow>
+{
+  constexpr int kLeasesToWait = 5;
+  auto rows = std::vector<MemberRow>{};
+  for (const auto& [id, seen] : this->members) {
+    if (aNow - seen.changedAt > WithDrift(kMemberLease) * kLeasesToWait) {
+      rows.push_back(seen.row);
+    }
+  }
+  return rows;
+}
+
 auto
 Membership::Known() const -> bool
 {
--- a/decisions/src/membership.h
+++ b/decisions/src/membership.h
@@ -5,6 +5,7 @@
 // and this process's own clock alone.
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,8 +18,11 @@
 {
   InstanceId id;
   std::string peerAddress;
+  std::string adminAddress;
   DomainId domain;
   std::uint64_t counter = 0;
+  // The document's number that it has in force.
+  std::uint64_t document = 0;
   bool leaving = false;
 
   auto operator==(const MemberRow&) const -> bool = default;
@@ -27,8 +31,10 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberRow,
                                    id,
                                    peerAddress,
+                                   adminAddress,
                                    domain,
                                    counter,
+                                   document,
                                    leaving)
 
 class Membership
@@ -38,9 +44,14 @@
   auto OnRows(Time aNow, const std::vector<MemberRow>& aRows) -> void;
   // Members whose lease may still hold, in order of name.
   auto Live(Time aNow) const -> std::vector<MemberRow>;
-  // Whether no lease of this instance can hold any more: its row is gone, or
-  // it stayed unchanged for longer than a lease on any allowed clock.
+  // Whether its row is gone, or stayed unchanged for longer than a lease on
+  // any allowed clock.
   auto Lapsed(const InstanceId& aId, Time aNow) const -> bool;
+  // The counter that stayed unchanged for longer than a lease, if it did.
+  auto LapsedCounter(const InstanceId& aId, Time aNow) const
+    -> std::optional<std::uint64_t>;
+  // Lapsed members whose rows nobody needs any more, with their counters.
+  auto LongLapsed(Time aNow) const -> std::vector<MemberRow>;
   auto Known() const -> bool;
 
 private:
--- /dev/null
+++ b/decisions/src/published.h
@@ -0,0 +1,32 @@
+#ifndef GOOSEBERRY_PUBLISHED_H
+#define GOOSEBERRY_PUBLISHED_H
+
+// Read-copy-update of one immutable value: readers take the current version
+// without waiting for writers, and keep it alive while they use it.
+
+#include <atomic>
+#include <memory>
+
+namespace gooseberry {
+
+template<class Value>
+class Published
+{
+public:
+  auto Get() const -> std::shared_ptr<const Value>
+  {
+    return this->current.load(std::memory_order_acquire);
+  }
+
+  auto Set(std::shared_ptr<const Value> aNext) -> void
+  {
+    this->current.store(std::move(aNext), std::memory_order_release);
+  }
+
+private:
+  std::atomic<std::shared_ptr<const Value>> current;
+};
+
+} // namespace gooseberry
+
+#endif
--- a/decisions/src/retry.cpp
+++ b/decisions/src/retry.cpp
@@ -32,7 +32,7 @@
       return true;
     }
   }
-  const auto now = aNow.time_since_epoch().count();
+  const auto now = MillisOf(aNow);
   auto last = this->lastFloorMs.load();
   return now - last >= kFloorIntervalMs &&
          this->lastFloorMs.compare_exchange_strong(last, now);
--- a/decisions/src/routing.cpp
+++ b/decisions/src/routing.cpp
@@ -23,12 +23,6 @@
 
 using Candidates = std::vector<std::shared_ptr<Backend>>;
 
-auto
-Millis64(Time aTime) -> std::int64_t
-{
-  return aTime.time_since_epoch().count();
-}
-
 // Expected wait and service of one more request there, in microseconds.
 auto
 Cost(const Backend& aBackend, const RoutingContext& aContext) -> double
@@ -152,19 +146,19 @@
 auto
 Backend::Leaving(Time aNow) const -> bool
 {
-  return this->listedLeaving || Millis64(aNow) < this->leavingUntilMs;
+  return this->listedLeaving || MillisOf(aNow) < this->leavingUntilMs;
 }
 
 auto
 Backend::Ejected(Time aNow) const -> bool
 {
-  return Millis64(aNow) < this->ejectedUntilMs;
+  return MillisOf(aNow) < this->ejectedUntilMs;
 }
 
 auto
 Backend::Warmth(Time aNow) const -> double
 {
-  const auto age = static_cast<double>((aNow - this->seen).count());
+  const auto age = static_cast<double>(ToMillis(aNow - this->seen).count());
   return std::clamp(age / kWarmUpMs, kLeastWarmth, 1.0);
 }
 
@@ -206,13 +200,13 @@
   this->failureStreak = 0;
   const auto doublings =
     std::min(this->ejections.fetch_add(1), kMaxEjectionDoublings);
-  this->ejectedUntilMs = Millis64(aNow) + (kEjectionMs << doublings);
+  this->ejectedUntilMs = MillisOf(aNow) + (kEjectionMs << doublings);
 }
 
 auto
 Backend::OnLeavingNotice(Time aNow) -> void
 {
-  this->leavingUntilMs = Millis64(aNow) + kLeavingNoticeMs;
+  this->leavingUntilMs = MillisOf(aNow) + kLeavingNoticeMs;
 }
 
 auto
--- a/decisions/src/shardplace.cpp
+++ b/decisions/src/shardplace.cpp
@@ -152,7 +152,7 @@
   for (const auto& [domain, since] : this->openedAt) {
     const auto elapsed = aAuthority.now - since;
     if (elapsed < kRefillRamp) {
-      refill[domain] = static_cast<double>(elapsed.count()) /
+      refill[domain] = static_cast<double>(ToMillis(elapsed).count()) /
                        static_cast<double>(kRefillRamp.count());
     }
   }
--- a/decisions/src/types.h
+++ b/decisions/src/types.h
@@ -15,9 +15,25 @@
 
 using Millis = std::chrono::milliseconds;
 
-// A point on a process's own monotonic clock, in milliseconds. Never compared
+using Micros = std::chrono::microseconds;
+
+// A point on a process's own monotonic clock, in microseconds. Never compared
 // between processes.
-using Time = std::chrono::time_point<std::chrono::steady_clock, Millis>;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Micros>;
+
+// Whole milliseconds of a duration, rounded up.
+constexpr auto
+ToMillis(Micros aDuration) -> Millis
+{
+  return std::chrono::ceil<Millis>(aDuration);
+}
+
+// Milliseconds since the clock's epoch, for atomics.
+constexpr auto
+MillisOf(Time aTime) -> std::int64_t
+{
+  return std::chrono::floor<Millis>(aTime.time_since_epoch()).count();
+}
 
 // Source of monotonic time; injected so that tests can drive it.
 class Clock
--- /dev/null
+++ b/peer/src/x.cpp
@@ -0,0 +1,1 @@
+#include "types.h"
