--- a/daemon/src/adminport.cpp
+++ b/daemon/src/adminport.cpp
@@ -359,8 +359,8 @@
   const auto out = aCall.request.matches[2].str() == "out";
   const auto identity = this->EditIdentity();
   auto result = EditResult{ EditStatus::Conflict, 0, {} };
-  for (auto attempt = 0; attempt < kDomainEditAttempts &&
-                         result.status == EditStatus::Conflict;
+  for (auto attempt = 0;
+       attempt < kDomainEditAttempts && result.status == EditStatus::Conflict;
        ++attempt) {
     const auto newest = this->documents.Load({});
     if (newest.status != LoadStatus::Newer) {
@@ -405,9 +405,9 @@
   if (!this->Allowed(aCall, spec->team.text)) {
     return;
   }
-  const auto plain = submission.find_first_not_of(
-                       "abcdefghijklmnopqrstuvwxyz0123456789-") ==
-                     std::string::npos;
+  const auto plain =
+    submission.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
+    std::string::npos;
   if (count < 1 || count > kMaxJobsPerCall || submission.empty() ||
       submission.size() > 63 || !plain) {
     this->Refuse(aCall,
@@ -420,18 +420,19 @@
   auto tasks = std::vector<Task>{};
   auto names = nlohmann::json::array();
   for (auto index = 0; index < count; ++index) {
-    const auto id = TaskId{ classId.text + "." + submission + "." +
-                            std::to_string(index) };
+    const auto id =
+      TaskId{ classId.text + "." + submission + "." + std::to_string(index) };
     tasks.push_back(NewTask(id, *spec));
     tasks.back().order = UnixMillis();
     names.push_back(id);
   }
   const auto shardCount = this->control.ShardCount();
   if (shardCount == 0 || !this->shards.Submit(tasks, shardCount)) {
-    this->Refuse(aCall,
-                 kUnavailable,
-                 "store_unavailable",
-                 "some tasks may be submitted; repeat with the same submission");
+    this->Refuse(
+      aCall,
+      kUnavailable,
+      "store_unavailable",
+      "some tasks may be submitted; repeat with the same submission");
     return;
   }
   Reply(aCall, { { "tasks", names } });
--- a/daemon/src/backendpool.cpp
+++ b/daemon/src/backendpool.cpp
@@ -56,9 +56,9 @@
     while (!this->idle.empty()) {
       auto connection = std::move(this->idle.back());
       this->idle.pop_back();
-      const auto usable = now - *connection->provedAt <=
-                            std::min(aMaxIdle, kMaxIdle) &&
-                          now - connection->openedAt <= kMaxAge;
+      const auto usable =
+        now - *connection->provedAt <= std::min(aMaxIdle, kMaxIdle) &&
+        now - connection->openedAt <= kMaxAge;
       if (usable) {
         return connection;
       }
--- a/daemon/src/callerport.cpp
+++ b/daemon/src/callerport.cpp
@@ -251,13 +251,19 @@
 {
   const auto table = this->control.Routes();
   if (!this->control.Ready()) {
-    aFailure = { kUnavailable, Verdict::NotRun, Refusal::NotReady, Millis{ 1000 },
+    aFailure = { kUnavailable,
+                 Verdict::NotRun,
+                 Refusal::NotReady,
+                 Millis{ 1000 },
                  "no document is in force yet" };
     return false;
   }
   aPlan.route = this->FindRoute(aRequest, *table);
   if (!aPlan.route) {
-    aFailure = { kNotFound, Verdict::NotRun, Refusal::UnknownService, Millis{ 0 },
+    aFailure = { kNotFound,
+                 Verdict::NotRun,
+                 Refusal::UnknownService,
+                 Millis{ 0 },
                  "no service of that name in the document" };
     return false;
   }
@@ -269,7 +275,10 @@
     char* end = nullptr;
     const auto wanted = std::strtoll(text.c_str(), &end, 10);
     if (text.empty() || *end != '\0' || wanted <= 0) {
-      aFailure = { kBadRequest, Verdict::NotRun, Refusal::BadRequest, Millis{ 0 },
+      aFailure = { kBadRequest,
+                   Verdict::NotRun,
+                   Refusal::BadRequest,
+                   Millis{ 0 },
                    std::string{ kDeadlineHeader } +
                      " must be a positive number of milliseconds" };
       return false;
@@ -293,22 +302,30 @@
 {
   const auto key = aRequest.get_header_value(kClaimHeader);
   if (key.empty() || key.size() > kMaxClaimKeyBytes) {
-    aFailure = { kBadRequest, Verdict::NotRun, Refusal::ClaimMissing, Millis{ 0 },
+    aFailure = { kBadRequest,
+                 Verdict::NotRun,
+                 Refusal::ClaimMissing,
+                 Millis{ 0 },
                  std::string{ kClaimHeader } +
                    " of 1 to 200 bytes is required for this service" };
     return false;
   }
-  const auto status =
-    this->claims.Take(aPlan.route->spec.id, key, aIdentity);
+  const auto status = this->claims.Take(aPlan.route->spec.id, key, aIdentity);
   this->metrics.CountStoreCall(StoreCall::Claim,
                                status != ClaimStatus::Unavailable);
   if (status == ClaimStatus::Held) {
-    aFailure = { kConflict, Verdict::MayHaveRun, Refusal::ClaimTaken,
-                 Millis{ 0 }, "a request with this key may have run" };
+    aFailure = { kConflict,
+                 Verdict::MayHaveRun,
+                 Refusal::ClaimTaken,
+                 Millis{ 0 },
+                 "a request with this key may have run" };
   }
   if (status == ClaimStatus::Unavailable) {
-    aFailure = { kUnavailable, Verdict::NotRun, Refusal::ClaimUnavailable,
-                 Millis{ 1000 }, "the key can't be claimed now" };
+    aFailure = { kUnavailable,
+                 Verdict::NotRun,
+                 Refusal::ClaimUnavailable,
+                 Millis{ 1000 },
+                 "the key can't be claimed now" };
   }
   return status == ClaimStatus::Taken;
 }
@@ -354,13 +371,12 @@
       upload->Write(kept.data(), kept.size());
       aOutgoing.upload = upload;
       aPlan.outgoing = std::make_shared<OutgoingRequest>(aOutgoing);
-      session =
-        std::thread([&] {
-          outcome = this->RunSession(aPlan);
-          if (!outcome.winner) {
-            upload->Close(PipeEnd::Cut);
-          }
-        });
+      session = std::thread([&] {
+        outcome = this->RunSession(aPlan);
+        if (!outcome.winner) {
+          upload->Close(PipeEnd::Cut);
+        }
+      });
     }
     return true;
   });
@@ -473,8 +489,8 @@
 
 // By header, else by the first label of the host, else the only one.
 auto
-CallerPort::FindRoute(const httplib::Request& aRequest, const RouteTable& aTable)
-  -> std::shared_ptr<const Route>
+CallerPort::FindRoute(const httplib::Request& aRequest,
+                      const RouteTable& aTable) -> std::shared_ptr<const Route>
 {
   auto name = aRequest.get_header_value(kServiceHeader);
   if (name.empty()) {
--- a/daemon/src/claims.cpp
+++ b/daemon/src/claims.cpp
@@ -27,7 +27,8 @@
 {
   const auto key = ClaimKey(aService, aKey);
   for (auto attempt = 0; attempt < kAttempts; ++attempt) {
-    const auto commit = this->table.Commit({ { { key, 0 } }, { { key, aIdentity } } });
+    const auto commit =
+      this->table.Commit({ { { key, 0 } }, { { key, aIdentity } } });
     if (commit.status == StoreStatus::Ok) {
       return ClaimStatus::Taken;
     }
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -56,8 +56,7 @@
   this->executor.Post([this] { this->leaving = true; });
   const auto end = this->clock.Now() + aAtMost;
   while (this->clock.Now() < end) {
-    const auto left =
-      this->executor.Ask([this] { return this->held.size(); });
+    const auto left = this->executor.Ask([this] { return this->held.size(); });
     if (left == 0) {
       break;
     }
@@ -202,18 +201,18 @@
                            ? this->loaded.document->outageAllowance
                            : Millis{ 0 };
   const auto promised = aHeld.claim.ownLapse - kWorkerLease;
-  authority.grantEnd = aHeld.releasing
-                         ? Time{}
-                         : this->lease.End() +
-                             std::clamp(allowance, Millis{ 0 }, promised);
+  authority.grantEnd =
+    aHeld.releasing
+      ? Time{}
+      : this->lease.End() + std::clamp(allowance, Millis{ 0 }, promised);
   return authority;
 }
 
 auto
 Control::ReportMetrics() -> void
 {
-  auto phases =
-    std::array<std::size_t, static_cast<std::size_t>(TaskPhase::TaskPhase_NB)>{};
+  auto phases = std::array<std::size_t,
+                           static_cast<std::size_t>(TaskPhase::TaskPhase_NB)>{};
   for (auto& [number, item] : this->held) {
     const auto& counts = item.shard->Counts();
     this->metrics.AddShardCounts(item.counted, counts);
@@ -226,8 +225,7 @@
     this->metrics.SetTasks(static_cast<TaskPhase>(index), phases[index]);
   }
   this->metrics.SetShards(this->held.size());
-  this->metrics.SetMembers(
-    this->membership.Live(this->clock.Now()).size());
+  this->metrics.SetMembers(this->membership.Live(this->clock.Now()).size());
 }
 
 } // namespace gooseberry
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -116,8 +116,9 @@
 
   // Membership (controlmembers.cpp).
   auto RenewMembership() -> void;
-  auto OnRenewed(Time aSentAt, const MemberRow& aSent, const CommitResult& aResult)
-    -> void;
+  auto OnRenewed(Time aSentAt,
+                 const MemberRow& aSent,
+                 const CommitResult& aResult) -> void;
   auto ReadBackMembership(Time aSentAt, const MemberRow& aSent) -> void;
   auto LoseMembership() -> void;
   auto ReadMembers() -> void;
@@ -175,6 +176,7 @@
   LoadedDocument loaded;
   InstanceListing listing;
   FleetShape fleet;
+  ShardCapacity capacity;
   std::map<std::string, std::shared_ptr<Backend>> backends;
   std::map<ShardNumber, Held> held;
   std::map<ShardNumber, bool> taking;
--- a/daemon/src/controlmembers.cpp
+++ b/daemon/src/controlmembers.cpp
@@ -22,7 +22,8 @@
   this->renewing = true;
   this->own.counter += 1;
   this->own.leaving = this->leaving;
-  this->own.document = this->loaded.document ? this->loaded.document->number : 0;
+  this->own.document =
+    this->loaded.document ? this->loaded.document->number : 0;
   const auto row = this->own;
   const auto version = this->memberVersion;
   this->executor.Call(
@@ -70,7 +71,9 @@
 Control::ReadBackMembership(Time aSentAt, const MemberRow& aSent) -> void
 {
   this->executor.Call(
-    [this, key = MemberKey(aSent.id)] { return this->platform.table.Read(key); },
+    [this, key = MemberKey(aSent.id)] {
+      return this->platform.table.Read(key);
+    },
     [this, aSentAt, aSent](const ReadResult& aResult) {
       this->renewing = false;
       this->nextRenewal = this->clock.Now() + kRenewRetry;
@@ -79,9 +82,9 @@
       }
       const auto json =
         nlohmann::json::parse(aResult.row.value, nullptr, false);
-      const auto ours = json.is_object() &&
-                        json.value("counter", std::uint64_t{ 0 }) ==
-                          aSent.counter;
+      const auto ours =
+        json.is_object() &&
+        json.value("counter", std::uint64_t{ 0 }) == aSent.counter;
       if (ours) {
         this->memberVersion = aResult.row.version;
         this->lease.OnRenewed(aSentAt);
@@ -140,8 +143,7 @@
         }
       }
       this->membership.OnRows(this->clock.Now(), rows);
-      const auto live =
-        this->membership.Live(this->clock.Now()).size();
+      const auto live = this->membership.Live(this->clock.Now()).size();
       if (static_cast<int>(live) != this->liveEntries) {
         this->liveEntries = std::max(1, static_cast<int>(live));
         LogInfo("members_changed", { { "live", std::to_string(live) } });
@@ -165,15 +167,14 @@
     this->executor.Call(
       [this, gone] {
         const auto read = this->platform.table.Read(MemberKey(gone.id));
-        const auto json =
-          nlohmann::json::parse(read.row.value, nullptr, false);
+        const auto json = nlohmann::json::parse(read.row.value, nullptr, false);
         if (read.status != StoreStatus::Ok || !json.is_object() ||
             json.value("counter", std::uint64_t{ 0 }) != gone.counter) {
           return false;
         }
-        const auto commit = this->platform.table.Commit(
-          { { { read.row.key, read.row.version } },
-            { { read.row.key, std::nullopt } } });
+        const auto commit =
+          this->platform.table.Commit({ { { read.row.key, read.row.version } },
+                                        { { read.row.key, std::nullopt } } });
         return commit.status == StoreStatus::Ok;
       },
       [](bool /*aRemoved*/) {});
--- a/daemon/src/controlroutes.cpp
+++ b/daemon/src/controlroutes.cpp
@@ -39,8 +39,9 @@
         this->current.Set(std::make_shared<LoadedDocument>(this->loaded));
         this->metrics.SetDocument(this->loaded.document->number);
         this->nextRenewal = std::min(this->nextRenewal, this->clock.Now());
-        LogInfo("document_in_force",
-                { { "number", std::to_string(this->loaded.document->number) } });
+        LogInfo(
+          "document_in_force",
+          { { "number", std::to_string(this->loaded.document->number) } });
         this->PublishRoutes();
       }
       this->documentConfirmed = now;
@@ -69,7 +70,12 @@
       const auto changed = aListing.backends != this->listing.backends;
       this->listing = aListing;
       this->fleet.clear();
+      this->capacity.clear();
       for (const auto& worker : this->listing.workers) {
+        if (this->shardCount > 0 && !worker.leaving) {
+          this->capacity[ShardOf(worker.id.text, this->shardCount)]
+                        [worker.domain] += worker.capacity;
+        }
         auto& capacities = this->fleet[worker.domain];
         if (std::find(capacities.begin(), capacities.end(), worker.capacity) ==
             capacities.end()) {
@@ -89,13 +95,13 @@
 auto
 Control::GiveWorkers(Held& aHeld, ShardNumber aShard) -> void
 {
-  auto own = std::vector<WorkerInfo>{};
+  auto mine = std::vector<WorkerInfo>{};
   for (const auto& worker : this->listing.workers) {
     if (ShardOf(worker.id.text, this->shardCount) == aShard) {
-      own.push_back(worker);
+      mine.push_back(worker);
     }
   }
-  aHeld.shard->OnWorkers(own, this->fleet);
+  aHeld.shard->OnWorkers(mine, this->fleet, this->capacity);
 }
 
 // Backend servers keep their counters while their address stays; a failure
@@ -132,8 +138,8 @@
         backend = old->second;
       }
       if (!backend) {
-        backend = std::make_shared<Backend>(
-          info.id, info.address, info.domain, now);
+        backend =
+          std::make_shared<Backend>(info.id, info.address, info.domain, now);
       }
       backend->SetListedLeaving(info.leaving);
       route->backends.push_back(backend);
--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -348,7 +348,8 @@
     [this, aShard, epoch = aHeld.claim.epoch, sequence = state.sequence](
       const std::optional<std::uint64_t>& aGeneration) {
       auto* item = this->FindHeld(aShard, epoch);
-      this->metrics.CountStoreCall(StoreCall::Snapshot, aGeneration.has_value());
+      this->metrics.CountStoreCall(StoreCall::Snapshot,
+                                   aGeneration.has_value());
       if (item == nullptr) {
         return;
       }
--- a/daemon/src/exchange.cpp
+++ b/daemon/src/exchange.cpp
@@ -27,8 +27,8 @@
 }
 
 auto
-Signal::Wait(std::uint64_t aSeen,
-             std::chrono::steady_clock::time_point aUntil) -> std::uint64_t
+Signal::Wait(std::uint64_t aSeen, std::chrono::steady_clock::time_point aUntil)
+  -> std::uint64_t
 {
   auto lock = std::unique_lock{ this->mutex };
   this->raised.wait_until(lock, aUntil, [&] { return this->count > aSeen; });
--- a/daemon/src/executor.cpp
+++ b/daemon/src/executor.cpp
@@ -25,8 +25,9 @@
 auto
 Executor::Start(Millis aInterval, std::function<void()> aTick) -> void
 {
-  this->loop = std::thread(
-    [this, aInterval, tick = std::move(aTick)] { this->Loop(aInterval, tick); });
+  this->loop = std::thread([this, aInterval, tick = std::move(aTick)] {
+    this->Loop(aInterval, tick);
+  });
 }
 
 auto
--- a/daemon/src/executor.h
+++ b/daemon/src/executor.h
@@ -39,11 +39,12 @@
   auto Call(Work aWork, Done aDone) -> void
   {
     ++this->calls;
-    this->arena.enqueue([this, work = std::move(aWork), done = std::move(aDone)] {
-      auto result = work();
-      this->Post([done, result = std::move(result)] { done(result); });
-      --this->calls;
-    });
+    this->arena.enqueue(
+      [this, work = std::move(aWork), done = std::move(aDone)] {
+        auto result = work();
+        this->Post([done, result = std::move(result)] { done(result); });
+        --this->calls;
+      });
   }
 
   // Runs on the loop thread and hands the result to the waiting caller.
@@ -51,7 +52,8 @@
   auto Ask(Work aWork) -> decltype(aWork())
   {
     using Result = decltype(aWork());
-    auto task = std::make_shared<std::packaged_task<Result()>>(std::move(aWork));
+    auto task =
+      std::make_shared<std::packaged_task<Result()>>(std::move(aWork));
     auto answer = task->get_future();
     this->Post([task] { (*task)(); });
     return answer.get();
--- a/daemon/src/gate.cpp
+++ b/daemon/src/gate.cpp
@@ -115,8 +115,7 @@
     Waiter{ ticket, aRequest.rank, aRequest.caller, aRequest.deadline };
   const auto tooLate = this->clock.Now() + expected > aRequest.deadline;
   if (tooLate || !this->line.Join(waiter, displaced)) {
-    const auto reason =
-      tooLate ? Refusal::DeadlinePassed : Refusal::QueueFull;
+    const auto reason = tooLate ? Refusal::DeadlinePassed : Refusal::QueueFull;
     return { nullptr, reason, retryAfter };
   }
   if (displaced) {
@@ -167,10 +166,9 @@
 auto
 Gate::ExpectedWait(const Route& aRoute, std::size_t aAhead) -> Micros
 {
-  const auto places =
-    std::max<std::size_t>(1,
-                          aRoute.backends.size() *
-                            static_cast<std::size_t>(aRoute.placesPerBackend));
+  const auto places = std::max<std::size_t>(
+    1,
+    aRoute.backends.size() * static_cast<std::size_t>(aRoute.placesPerBackend));
   return MeanLatency(aRoute) * static_cast<std::int64_t>(aAhead) /
          static_cast<std::int64_t>(places);
 }
--- a/daemon/src/headers.cpp
+++ b/daemon/src/headers.cpp
@@ -12,21 +12,30 @@
 
 // Names that belong to one hop, that the library writes itself, or that it
 // adds to what it read.
-constexpr std::array<const char*, 15> kNotForwarded{
-  "connection",        "keep-alive",  "proxy-authenticate",
-  "proxy-authorization", "proxy-connection", "te",
-  "trailer",           "transfer-encoding", "upgrade",
-  "content-length",    "expect",      "remote_addr",
-  "remote_port",       "local_addr",  "local_port"
-};
+constexpr std::array<const char*, 15> kNotForwarded{ "connection",
+                                                     "keep-alive",
+                                                     "proxy-authenticate",
+                                                     "proxy-authorization",
+                                                     "proxy-connection",
+                                                     "te",
+                                                     "trailer",
+                                                     "transfer-encoding",
+                                                     "upgrade",
+                                                     "content-length",
+                                                     "expect",
+                                                     "remote_addr",
+                                                     "remote_port",
+                                                     "local_addr",
+                                                     "local_port" };
 
 auto
 Lower(const std::string& aText) -> std::string
 {
   auto text = aText;
-  std::transform(text.begin(), text.end(), text.begin(), [](unsigned char aChar) {
-    return static_cast<char>(std::tolower(aChar));
-  });
+  std::transform(
+    text.begin(), text.end(), text.begin(), [](unsigned char aChar) {
+      return static_cast<char>(std::tolower(aChar));
+    });
   return text;
 }
 
--- a/daemon/src/instance.cpp
+++ b/daemon/src/instance.cpp
@@ -80,8 +80,7 @@
   LogInfo("draining", {});
   this->admin->SetDraining();
   this->callers->BeginDrain();
-  auto handover =
-    std::thread([this] { this->control->Leave(kLeaveAtMost); });
+  auto handover = std::thread([this] { this->control->Leave(kLeaveAtMost); });
   std::this_thread::sleep_for(this->settings.balancerLag);
   this->callers->Stop();
   handover.join();
--- a/daemon/src/log.cpp
+++ b/daemon/src/log.cpp
@@ -21,7 +21,8 @@
 auto
 Quoted(const std::string& aValue) -> std::string
 {
-  if (!aValue.empty() && aValue.find_first_of(" \"\n\r=") == std::string::npos) {
+  if (!aValue.empty() &&
+      aValue.find_first_of(" \"\n\r=") == std::string::npos) {
     return aValue;
   }
   auto text = std::string{ "\"" };
--- a/daemon/src/metrics.cpp
+++ b/daemon/src/metrics.cpp
@@ -21,9 +21,9 @@
 auto
 LatencyBuckets() -> prometheus::Histogram::BucketBoundaries
 {
-  return { 0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03,
-           0.05,   0.075, 0.1,   0.15,  0.2,   0.3,    0.5,  0.75,  1.0,  2.0,
-           5.0,    10.0,  30.0 };
+  return { 0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015,
+           0.02,   0.03,  0.05,  0.075, 0.1,   0.15,   0.2,  0.3,
+           0.5,    0.75,  1.0,   2.0,   5.0,   10.0,   30.0 };
 }
 
 auto
@@ -52,9 +52,9 @@
 template<class Builder>
 auto&
 MakeFamily(Builder aBuilder,
-       const std::shared_ptr<prometheus::Registry>& aRegistry,
-       const char* aName,
-       const char* aHelp)
+           const std::shared_ptr<prometheus::Registry>& aRegistry,
+           const char* aName,
+           const char* aHelp)
 {
   return aBuilder.Name(aName).Help(aHelp).Register(*aRegistry);
 }
@@ -76,62 +76,64 @@
 Metrics::Metrics()
   : registry(std::make_shared<prometheus::Registry>())
   , requests(MakeFamily(prometheus::BuildCounter(),
-                    registry,
-                    "gooseberry_requests_total",
-                    "Requests of callers"))
-  , seconds(MakeFamily(prometheus::BuildHistogram(),
-                   registry,
-                   "gooseberry_request_seconds",
-                   "Time from a request's arrival to the end of its answer"))
+                        registry,
+                        "gooseberry_requests_total",
+                        "Requests of callers"))
+  , seconds(
+      MakeFamily(prometheus::BuildHistogram(),
+                 registry,
+                 "gooseberry_request_seconds",
+                 "Time from a request's arrival to the end of its answer"))
   , waiting(MakeFamily(prometheus::BuildGauge(),
-                   registry,
-                   "gooseberry_waiting_requests",
-                   "Requests that wait for a place at a backend server"))
+                       registry,
+                       "gooseberry_waiting_requests",
+                       "Requests that wait for a place at a backend server"))
   , refusals(MakeFamily(prometheus::BuildCounter(),
-                    registry,
-                    "gooseberry_refusals_total",
-                    "Requests refused or given up, by reason"))
+                        registry,
+                        "gooseberry_refusals_total",
+                        "Requests refused or given up, by reason"))
   , retries(MakeFamily(prometheus::BuildCounter(),
-                   registry,
-                   "gooseberry_retries_total",
-                   "Attempts that led to a retry, by reason"))
+                       registry,
+                       "gooseberry_retries_total",
+                       "Attempts that led to a retry, by reason"))
   , storeCalls(MakeFamily(prometheus::BuildCounter(),
-                      registry,
-                      "gooseberry_store_calls_total",
-                      "Calls to the platform's services"))
+                          registry,
+                          "gooseberry_store_calls_total",
+                          "Calls to the platform's services"))
   , syncs(MakeFamily(prometheus::BuildCounter(),
-                 registry,
-                 "gooseberry_worker_syncs_total",
-                 "Exchanges with workers"))
+                     registry,
+                     "gooseberry_worker_syncs_total",
+                     "Exchanges with workers"))
   , adminRefusals(MakeFamily(prometheus::BuildCounter(),
-                         registry,
-                         "gooseberry_admin_refusals_total",
-                         "Refused calls of the administration API"))
-  , peerRefusals(MakeFamily(prometheus::BuildCounter(),
-                        registry,
-                        "gooseberry_peer_refusals_total",
-                        "Refused connections and messages between instances"))
+                             registry,
+                             "gooseberry_admin_refusals_total",
+                             "Refused calls of the administration API"))
+  , peerRefusals(
+      MakeFamily(prometheus::BuildCounter(),
+                 registry,
+                 "gooseberry_peer_refusals_total",
+                 "Refused connections and messages between instances"))
   , shardEvents(MakeFamily(prometheus::BuildCounter(),
-                       registry,
-                       "gooseberry_shard_events_total",
-                       "Events of the shards of this instance"))
+                           registry,
+                           "gooseberry_shard_events_total",
+                           "Events of the shards of this instance"))
   , gauges(MakeFamily(prometheus::BuildGauge(),
-                  registry,
-                  "gooseberry_state",
-                  "Shards owned, document in force, members seen"))
+                      registry,
+                      "gooseberry_state",
+                      "Shards owned, document in force, members seen"))
   , tasks(MakeFamily(prometheus::BuildGauge(),
-                 registry,
-                 "gooseberry_tasks",
-                 "Tasks of the shards of this instance, by phase"))
+                     registry,
+                     "gooseberry_tasks",
+                     "Tasks of the shards of this instance, by phase"))
   , cpuSeconds(MakeFamily(prometheus::BuildGauge(),
-                      registry,
-                      "gooseberry_process_cpu_seconds",
-                      "Processor time of this process")
+                          registry,
+                          "gooseberry_process_cpu_seconds",
+                          "Processor time of this process")
                  .Add({}))
   , residentBytes(MakeFamily(prometheus::BuildGauge(),
-                         registry,
-                         "gooseberry_process_resident_bytes",
-                         "Resident memory of this process")
+                             registry,
+                             "gooseberry_process_resident_bytes",
+                             "Resident memory of this process")
                     .Add({}))
 {
 }
@@ -145,7 +147,8 @@
   metrics.seconds =
     &this->seconds.Add({ { "service", name } }, LatencyBuckets());
   metrics.waiting = &this->waiting.Add({ { "service", name } });
-  for (auto index = std::size_t{ 0 }; index < metrics.refusals.size(); ++index) {
+  for (auto index = std::size_t{ 0 }; index < metrics.refusals.size();
+       ++index) {
     const auto* reason = ToText(static_cast<Refusal>(index));
     metrics.refusals[index] =
       &this->refusals.Add({ { "service", name }, { "reason", reason } });
--- a/daemon/src/metrics.h
+++ b/daemon/src/metrics.h
@@ -26,7 +26,8 @@
   prometheus::Gauge* waiting = nullptr;
   std::array<prometheus::Counter*, static_cast<int>(Refusal::Refusal_NB)>
     refusals{};
-  std::array<prometheus::Counter*, static_cast<int>(RetryReason::RetryReason_NB)>
+  std::array<prometheus::Counter*,
+             static_cast<int>(RetryReason::RetryReason_NB)>
     retries{};
 
   auto Count(Refusal aRefusal) const -> void;
--- a/daemon/src/settings.cpp
+++ b/daemon/src/settings.cpp
@@ -42,7 +42,8 @@
 ReadRouting(YamlMap& aRoot, Settings& aSettings) -> void
 {
   const auto name = aRoot.String("routing", ToText(aSettings.routing));
-  for (auto index = 0; index < static_cast<int>(RoutingPolicy::RoutingPolicy_NB);
+  for (auto index = 0;
+       index < static_cast<int>(RoutingPolicy::RoutingPolicy_NB);
        ++index) {
     const auto policy = static_cast<RoutingPolicy>(index);
     if (name == ToText(policy)) {
--- a/daemon/src/shardstore.cpp
+++ b/daemon/src/shardstore.cpp
@@ -172,11 +172,12 @@
 }
 
 auto
-ShardStore::TakeOver(ShardNumber aShard,
-                     const InstanceId& aSelf,
-                     Millis aWorkersLapseAfter,
-                     const std::function<std::optional<std::uint64_t>(
-                       const InstanceId&)>& aLapsed) -> std::optional<Claim>
+ShardStore::TakeOver(
+  ShardNumber aShard,
+  const InstanceId& aSelf,
+  Millis aWorkersLapseAfter,
+  const std::function<std::optional<std::uint64_t>(const InstanceId&)>& aLapsed)
+  -> std::optional<Claim>
 {
   const auto read = this->table.Read(ShardKey(aShard));
   if (read.status != StoreStatus::Ok) {
@@ -213,8 +214,10 @@
   transaction.writes.push_back(
     { ShardKey(aShard), nlohmann::json(next).dump() });
   const auto commit = this->Commit(transaction);
-  auto claim =
-    Claim{ commit.version, next.epoch, Millis{ old.workersLapseMillis }, aWorkersLapseAfter };
+  auto claim = Claim{ commit.version,
+                      next.epoch,
+                      Millis{ old.workersLapseMillis },
+                      aWorkersLapseAfter };
   if (commit.status == StoreStatus::Ok) {
     return claim;
   }
@@ -291,10 +294,9 @@
                    const std::vector<std::string>& aDone) -> AppendOutcome
 {
   const auto key = JournalKey(aShard, aEntry.sequence);
-  auto transaction = Transaction{
-    { { ShardKey(aShard), aClaim.rowVersion }, { key, 0 } },
-    { { key, EntryText(aEntry) } }
-  };
+  auto transaction =
+    Transaction{ { { ShardKey(aShard), aClaim.rowVersion }, { key, 0 } },
+                 { { key, EntryText(aEntry) } } };
   for (const auto& transfer : aEntry.transfers) {
     transaction.writes.push_back({ TaskKey(transfer.target, transfer.task),
                                    nlohmann::json(transfer.task).dump() });
--- a/daemon/src/shardstore.h
+++ b/daemon/src/shardstore.h
@@ -79,11 +79,12 @@
   // Makes aSelf the owner if the shard is free, released, or its owner's lease
   // has provably lapsed. aLapsed says which counter of a member's row stayed
   // unchanged for too long.
-  auto TakeOver(ShardNumber aShard,
-                const InstanceId& aSelf,
-                Millis aWorkersLapseAfter,
-                const std::function<std::optional<std::uint64_t>(
-                  const InstanceId&)>& aLapsed) -> std::optional<Claim>;
+  auto TakeOver(
+    ShardNumber aShard,
+    const InstanceId& aSelf,
+    Millis aWorkersLapseAfter,
+    const std::function<std::optional<std::uint64_t>(const InstanceId&)>&
+      aLapsed) -> std::optional<Claim>;
   // Gives the shard up; workers may obey this owner for aWorkersLapseAfter.
   auto Release(ShardNumber aShard,
                const Claim& aClaim,
--- a/daemon/src/tokens.cpp
+++ b/daemon/src/tokens.cpp
@@ -52,11 +52,12 @@
                       entry.second.Scalar().size() >= kLeastTokenBytes;
     if (!good) {
       // The value is not shown: it may be a token.
-      aErrors.push_back({ this->path,
-                          entry.first.Mark().line + 1,
-                          entry.first.IsScalar() ? entry.first.Scalar() : "",
-                          "",
-                          "must be a section with a token of 16 bytes or more" });
+      aErrors.push_back(
+        { this->path,
+          entry.first.Mark().line + 1,
+          entry.first.IsScalar() ? entry.first.Scalar() : "",
+          "",
+          "must be a section with a token of 16 bytes or more" });
       return false;
     }
     read[entry.first.Scalar()] = entry.second.Scalar();
--- a/decisions/src/document.cpp
+++ b/decisions/src/document.cpp
@@ -71,8 +71,8 @@
       spec.id.text = entry.Name("name");
       spec.team = aTeam;
       spec.domains = this->ReadDomains(entry);
-      spec.deadline = entry.Duration(
-        "deadline", spec.deadline, Millis{ 1 }, kMaxDeadline);
+      spec.deadline =
+        entry.Duration("deadline", spec.deadline, Millis{ 1 }, kMaxDeadline);
       spec.slots = static_cast<int>(entry.Integer("slots", 8, 1, 1024));
       spec.connections =
         static_cast<int>(entry.Integer("connections", 60, 1, 10000));
@@ -232,8 +232,7 @@
   if (state.IsDefined()) {
     const auto at = static_cast<std::size_t>(state.Mark().pos);
     const auto quoted = text[at] == '"' || text[at] == '\'';
-    return text.replace(
-      at, state.Scalar().size() + (quoted ? 2 : 0), aState);
+    return text.replace(at, state.Scalar().size() + (quoted ? 2 : 0), aState);
   }
   const auto name = aDomain["name"];
   const auto at = static_cast<std::size_t>(name.Mark().pos);
--- a/decisions/src/interference.cpp
+++ b/decisions/src/interference.cpp
@@ -64,8 +64,8 @@
     this->throttled = true;
     return Relief::Throttle;
   }
-  const auto paused = this->lastEviction != Time{} &&
-                      aNow - this->lastEviction < kEvictionPause;
+  const auto paused =
+    this->lastEviction != Time{} && aNow - this->lastEviction < kEvictionPause;
   if (this->suffering >= kReportsBeforeEviction && !paused) {
     this->suffering = 0;
     this->lastEviction = aNow;
--- a/decisions/src/placement.cpp
+++ b/decisions/src/placement.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include "tunables.h"
 
@@ -61,13 +62,10 @@
          const Task& aTask,
          const PlacementContext& aContext) -> std::optional<NoPlace>
 {
-  const auto allowed =
-    aTask.domains.empty() ||
-    std::find(aTask.domains.begin(), aTask.domains.end(), aWorker.info.domain) !=
-      aTask.domains.end();
-  const auto answers =
-    aWorker.listed && !aWorker.info.leaving && aWorker.reconciled &&
-    aContext.now - aWorker.lastReport < kWorkerLease / 2;
+  const auto allowed = aTask.Allows(aWorker.info.domain);
+  const auto answers = aWorker.listed && !aWorker.info.leaving &&
+                       aWorker.reconciled &&
+                       aContext.now - aWorker.lastReport < kWorkerLease / 2;
   if (!allowed || !answers) {
     return NoPlace::NoWorker;
   }
@@ -157,17 +155,45 @@
   return best;
 }
 
+auto
+PickShard(const Task& aTask,
+          const Document& aDocument,
+          const ShardCapacity& aCapacity,
+          ShardNumber aOwn) -> std::optional<ShardNumber>
+{
+  auto best = std::optional<ShardNumber>{};
+  auto bestWeight = 0.0;
+  const auto draw = aTask.id.text + "#" + std::to_string(aTask.moves);
+  for (const auto& [shard, domains] : aCapacity) {
+    auto processors = 0.0;
+    for (const auto& [domain, capacity] : domains) {
+      if (aTask.Allows(domain) && aDocument.IsOpen(domain)) {
+        processors += static_cast<double>(capacity.cpuMillis);
+      }
+    }
+    if (shard == aOwn || processors <= 0.0) {
+      continue;
+    }
+    // Weighted rendezvous: the largest of u^(1/w) has odds proportional to w.
+    constexpr double kRange = 18446744073709551616.0;
+    const auto uniform =
+      (static_cast<double>(StableHash(draw, shard)) + 1.0) / kRange;
+    const auto weight = std::log(uniform) / processors;
+    if (!best || weight > bestWeight) {
+      best = shard;
+      bestWeight = weight;
+    }
+  }
+  return best;
+}
+
 auto
 WhyNever(const Task& aTask, const FleetShape& aFleet)
   -> std::optional<std::string>
 {
   auto largest = Resources{};
   for (const auto& [domain, capacities] : aFleet) {
-    const auto allowed =
-      aTask.domains.empty() ||
-      std::find(aTask.domains.begin(), aTask.domains.end(), domain) !=
-        aTask.domains.end();
-    if (!allowed) {
+    if (!aTask.Allows(domain)) {
       continue;
     }
     for (const auto& capacity : capacities) {
--- a/decisions/src/placement.h
+++ b/decisions/src/placement.h
@@ -50,6 +50,18 @@
 // Distinct capacities of the whole fleet's workers, by failure domain.
 using FleetShape = std::map<DomainId, std::vector<Resources>>;
 
+// Sum of the workers' capacities of each shard, by failure domain.
+using ShardCapacity = std::map<ShardNumber, std::map<DomainId, Resources>>;
+
+// The shard that should try a task next: drawn by the task's name in
+// proportion to the processors of each shard in failure domains that are
+// allowed and in service. Nothing if no other shard has any.
+auto
+PickShard(const Task& aTask,
+          const Document& aDocument,
+          const ShardCapacity& aCapacity,
+          ShardNumber aOwn) -> std::optional<ShardNumber>;
+
 struct PlacementContext
 {
   Time now;
--- a/decisions/src/routing.cpp
+++ b/decisions/src/routing.cpp
@@ -30,7 +30,8 @@
   const auto latency =
     static_cast<double>(std::max<std::int64_t>(aBackend.LatencyMicros(), 100));
   const auto load = (aBackend.InFlight() + 1) / aBackend.Warmth(aContext.now);
-  const auto hop = aBackend.domain == aContext.ownDomain ? 0 : aContext.hopMicros;
+  const auto hop =
+    aBackend.domain == aContext.ownDomain ? 0 : aContext.hopMicros;
   return latency * load + 2.0 * static_cast<double>(hop);
 }
 
--- a/decisions/src/shard.cpp
+++ b/decisions/src/shard.cpp
@@ -70,10 +70,12 @@
 }
 
 auto
-Shard::OnWorkers(const std::vector<WorkerInfo>& aOwn, const FleetShape& aFleet)
-  -> void
+Shard::OnWorkers(const std::vector<WorkerInfo>& aOwn,
+                 const FleetShape& aFleet,
+                 const ShardCapacity& aCapacity) -> void
 {
   this->fleet = aFleet;
+  this->capacity = aCapacity;
   for (auto& [id, view] : this->workers) {
     view.listed = false;
   }
@@ -96,9 +98,8 @@
 Shard::OnSubmit(Time aNow, const Task& aTask) -> void
 {
   const auto* known = this->ledger.Find(aTask.id);
-  const auto returns =
-    known != nullptr && known->phase == TaskPhase::Moved &&
-    aTask.moves > known->moves;
+  const auto returns = known != nullptr && known->phase == TaskPhase::Moved &&
+                       aTask.moves > known->moves;
   if (this->ledger.Busy(aTask.id) || (known != nullptr && !returns)) {
     return;
   }
@@ -168,8 +169,8 @@
   }
   for (const auto& before : this->ledger.Committed()) {
     const auto* after = this->ledger.Find(before.id);
-    const auto left = HoldsRoom(before.phase) &&
-                      (after == nullptr || !HoldsRoom(after->phase));
+    const auto left =
+      HoldsRoom(before.phase) && (after == nullptr || !HoldsRoom(after->phase));
     const auto view = this->workers.find(before.worker);
     if (left && view != this->workers.end()) {
       view->second.reserved -= before.size;
@@ -178,6 +179,11 @@
     }
   }
   for (const auto& task : entry->changed) {
+    if (task.phase == TaskPhase::Starting) {
+      this->unsent.insert(task.id);
+    } else {
+      this->unsent.erase(task.id);
+    }
     if (IsFinal(task.phase)) {
       this->finishedAt[task.id] = aNow;
       this->reasons.erase(task.id);
@@ -224,6 +230,7 @@
                                  task.runTime.count(),
                                  task.checkpoint,
                                  task.kind != TaskKind::Batch });
+      this->unsent.erase(task.id);
     }
     const auto throttle = view.throttles.find(id);
     if (throttle != view.throttles.end()) {
--- a/decisions/src/shard.h
+++ b/decisions/src/shard.h
@@ -46,7 +46,8 @@
 ToText(ShardEvent aEvent) -> const char*;
 
 using ShardCounts =
-  std::array<std::uint64_t, static_cast<std::size_t>(ShardEvent::ShardEvent_NB)>;
+  std::array<std::uint64_t,
+             static_cast<std::size_t>(ShardEvent::ShardEvent_NB)>;
 
 // What the owner may do at this moment.
 struct Authority
@@ -84,8 +85,9 @@
   explicit Shard(Takeover aTakeover);
 
   // Events.
-  auto OnWorkers(const std::vector<WorkerInfo>& aOwn, const FleetShape& aFleet)
-    -> void;
+  auto OnWorkers(const std::vector<WorkerInfo>& aOwn,
+                 const FleetShape& aFleet,
+                 const ShardCapacity& aCapacity) -> void;
   auto OnSubmit(Time aNow, const Task& aTask) -> void;
   auto OnCancel(Time aNow, const TaskId& aTask) -> void;
   auto OnReport(const Authority& aAuthority,
@@ -122,10 +124,12 @@
                const Task& aTask,
                const AttemptReport& aAttempt) -> void;
   auto OnFailure(Time aNow, WorkerView& aView, Task aTask) -> void;
-  auto OnUnlisted(Time aNow, const WorkerId& aWorker, const WorkerReport& aReport)
-    -> void;
-  auto LearnInterference(Time aNow, WorkerView& aView, const WorkerReport& aReport)
-    -> void;
+  auto OnUnlisted(Time aNow,
+                  const WorkerId& aWorker,
+                  const WorkerReport& aReport) -> void;
+  auto LearnInterference(Time aNow,
+                         WorkerView& aView,
+                         const WorkerReport& aReport) -> void;
 
   auto RetryCancels(Time aNow) -> void;
   auto KeepReplicas(const Authority& aAuthority) -> void;
@@ -136,9 +140,12 @@
   auto PlaceOne(const Authority& aAuthority,
                 const PlacementContext& aContext,
                 const std::vector<const WorkerView*>& aViews,
-                Task aTask) -> bool;
+                Task aTask) -> std::optional<NoPlace>;
   auto PreemptFor(const Authority& aAuthority, const Task& aTask) -> bool;
-  auto TransferIfStuck(Time aNow, const Task& aTask) -> void;
+  auto TransferIfStuck(Time aNow,
+                       const Document& aDocument,
+                       const Task& aTask,
+                       NoPlace aReason) -> void;
   auto DropOldRecords(Time aNow) -> void;
   auto Evict(Time aNow, Task aTask, const std::string& aReason) -> void;
   auto WaitingInOrder(const Document& aDocument) const -> std::vector<Task>;
@@ -151,6 +158,7 @@
   Ledger ledger;
   std::map<WorkerId, WorkerView> workers;
   FleetShape fleet;
+  ShardCapacity capacity;
   Interference interference;
   ShardCounts counts{};
   // Volatile facts of waiting tasks.
@@ -158,6 +166,9 @@
   std::map<TaskId, Time> stuckSince;
   std::map<TaskId, std::string> reasons;
   std::map<TaskId, Time> finishedAt;
+  // Starts that were recorded by this owner and not sent yet. Any other start
+  // may have been accepted by its worker.
+  std::set<TaskId> unsent;
   // Attempts that are to stop at once and those that workers may forget.
   std::map<WorkerId, std::vector<AttemptRef>> orphans;
   std::map<WorkerId, std::vector<AttemptRef>> acknowledged;
--- a/decisions/src/shardplace.cpp
+++ b/decisions/src/shardplace.cpp
@@ -73,11 +73,10 @@
       leaving.push_back(task);
     }
   }
-  std::stable_sort(leaving.begin(),
-                   leaving.end(),
-                   [](const Task& aLeft, const Task& aRight) {
-                     return EvacuationRank(aLeft) < EvacuationRank(aRight);
-                   });
+  std::stable_sort(
+    leaving.begin(), leaving.end(), [](const Task& aLeft, const Task& aRight) {
+      return EvacuationRank(aLeft) < EvacuationRank(aRight);
+    });
   for (const auto& task : leaving) {
     if (moving >= kMaxEvictionsPerTick) {
       break;
@@ -98,28 +97,26 @@
     if (HoldsRoom(task.phase)) {
       used[task.team] += task.size;
     }
-    const auto placeable = task.phase == TaskPhase::Waiting ||
-                           task.phase == TaskPhase::Parked;
+    const auto placeable =
+      task.phase == TaskPhase::Waiting || task.phase == TaskPhase::Parked;
     if (placeable && !this->ledger.Busy(id)) {
       waiting.push_back(task);
     }
   }
   auto borrows = std::map<TeamId, bool>{};
   for (const auto& task : waiting) {
-    borrows[task.team] =
-      Borrows(aDocument, used, task.team, this->shardCount);
+    borrows[task.team] = Borrows(aDocument, used, task.team, this->shardCount);
   }
-  std::stable_sort(waiting.begin(),
-                   waiting.end(),
-                   [&](const Task& aLeft, const Task& aRight) {
-                     const auto key = [&](const Task& aTask) {
-                       return std::make_tuple(PlacementRank(aTask),
-                                              borrows.at(aTask.team),
-                                              -aTask.priority,
-                                              aTask.order);
-                     };
-                     return key(aLeft) < key(aRight);
-                   });
+  std::stable_sort(
+    waiting.begin(), waiting.end(), [&](const Task& aLeft, const Task& aRight) {
+      const auto key = [&](const Task& aTask) {
+        return std::make_tuple(PlacementRank(aTask),
+                               borrows.at(aTask.team),
+                               -aTask.priority,
+                               aTask.order);
+      };
+      return key(aLeft) < key(aRight);
+    });
   return waiting;
 }
 
@@ -163,54 +160,57 @@
                                    &refill,
                                    &spread };
   // A size that found no room this time finds none later in the same pass.
-  auto hopeless = std::vector<Task>{};
+  auto hopeless = std::vector<std::pair<Task, NoPlace>>{};
   for (const auto& task : waiting) {
-    const auto same = [&](const Task& aOther) {
-      return aOther.size == task.size && aOther.domains == task.domains &&
-             aOther.classId == task.classId;
+    const auto same = [&](const std::pair<Task, NoPlace>& aOther) {
+      return aOther.first.classId == task.classId;
     };
     const auto twin = std::find_if(hopeless.begin(), hopeless.end(), same);
     if (twin != hopeless.end()) {
-      this->SetReason(task, this->Explain(twin->id));
-      this->TransferIfStuck(aAuthority.now, task);
+      const auto twinReason = twin->second;
+      this->SetReason(task, ToText(twinReason));
+      this->TransferIfStuck(
+        aAuthority.now, *aAuthority.document, task, twinReason);
       continue;
     }
-    if (!this->PlaceOne(aAuthority, context, views, task)) {
-      hopeless.push_back(task);
+    if (const auto reason = this->PlaceOne(aAuthority, context, views, task)) {
+      hopeless.emplace_back(task, *reason);
     }
   }
 }
 
+// The reason if its whole class finds no place now; nothing if it was placed
+// or if it waits for a reason of its own.
 auto
 Shard::PlaceOne(const Authority& aAuthority,
                 const PlacementContext& aContext,
                 const std::vector<const WorkerView*>& aViews,
-                Task aTask) -> bool
+                Task aTask) -> std::optional<NoPlace>
 {
   const auto now = aAuthority.now;
   const auto hold = this->notBefore.find(aTask.id);
   if (hold != this->notBefore.end() && now < hold->second) {
-    return true;
+    return std::nullopt;
   }
   const auto* spec = aAuthority.document->FindClass(aTask.classId);
   if (spec == nullptr) {
     this->SetReason(aTask, "its class is no longer in the document");
-    return true;
+    return std::nullopt;
   }
   aTask.size = spec->size;
   aTask.domains = spec->domains;
   const auto never = WhyNever(aTask, this->fleet);
-  const auto failed = aTask.kind == TaskKind::Batch &&
-                      aTask.failures >= kMaxTaskFailures;
+  const auto failed =
+    aTask.kind == TaskKind::Batch && aTask.failures >= kMaxTaskFailures;
   if (aTask.phase == TaskPhase::Parked && (never || failed)) {
-    return true;
+    return std::nullopt;
   }
   if (never) {
     this->Count(ShardEvent::Park);
     aTask.phase = TaskPhase::Parked;
     aTask.reason = *never;
     this->Stage(now, aTask, Haste::Grouped);
-    return true;
+    return std::nullopt;
   }
   aTask.phase = TaskPhase::Waiting;
   auto reason = NoPlace::NoWorker;
@@ -219,10 +219,10 @@
     this->SetReason(aTask, ToText(reason));
     if (reason == NoPlace::NoRoom && PlacementRank(aTask) < 2 &&
         this->PreemptFor(aAuthority, aTask)) {
-      return true;
+      return std::nullopt;
     }
-    this->TransferIfStuck(now, aTask);
-    return false;
+    this->TransferIfStuck(now, *aAuthority.document, aTask, reason);
+    return reason;
   }
   auto& view = this->workers.at(aViews[*place]->info.id);
   view.reserved += aTask.size;
@@ -234,11 +234,10 @@
   this->reasons.erase(aTask.id);
   this->stuckSince.erase(aTask.id);
   this->notBefore.erase(aTask.id);
-  const auto haste = aTask.urgent || aTask.kind != TaskKind::Batch
-                       ? Haste::Now
-                       : Haste::Grouped;
+  const auto haste =
+    aTask.urgent || aTask.kind != TaskKind::Batch ? Haste::Now : Haste::Grouped;
   this->Stage(now, aTask, haste);
-  return true;
+  return std::nullopt;
 }
 
 // Frees room for urgent work, watchers and services on the worker where the
@@ -248,11 +247,7 @@
 {
   auto bestVictims = std::vector<Task>{};
   for (const auto& [id, view] : this->workers) {
-    const auto allowed =
-      aTask.domains.empty() ||
-      std::find(aTask.domains.begin(), aTask.domains.end(), view.info.domain) !=
-        aTask.domains.end();
-    if (!allowed || !view.reconciled ||
+    if (!aTask.Allows(view.info.domain) || !view.reconciled ||
         !aAuthority.document->IsOpen(view.info.domain)) {
       continue;
     }
@@ -266,13 +261,13 @@
         victims.push_back(task);
       }
     }
-    std::stable_sort(victims.begin(),
-                     victims.end(),
-                     [](const Task& aLeft, const Task& aRight) {
-                       return std::make_pair(!aLeft.checkpoints, aLeft.priority) <
-                              std::make_pair(!aRight.checkpoints,
-                                             aRight.priority);
-                     });
+    std::stable_sort(
+      victims.begin(),
+      victims.end(),
+      [](const Task& aLeft, const Task& aRight) {
+        return std::make_pair(!aLeft.checkpoints, aLeft.priority) <
+               std::make_pair(!aRight.checkpoints, aRight.priority);
+      });
     auto room = view.Room();
     auto count = std::size_t{ 0 };
     while (!aTask.size.FitsIn(room) && count < victims.size()) {
@@ -296,21 +291,29 @@
   return !bestVictims.empty();
 }
 
+// A shard without any worker for the task passes it on at once; one whose
+// workers are full only after a rest that doubles with each move, so that a
+// full fleet does not pass its tasks around.
 auto
-Shard::TransferIfStuck(Time aNow, const Task& aTask) -> void
+Shard::TransferIfStuck(Time aNow,
+                       const Document& aDocument,
+                       const Task& aTask,
+                       NoPlace aReason) -> void
 {
   const auto [since, fresh] = this->stuckSince.try_emplace(aTask.id, aNow);
-  // After a round over all shards the task rests longer in each.
-  const auto rounds = 1 + aTask.moves / static_cast<int>(this->shardCount);
-  const auto rest = kTransferAfter * std::min(rounds, 10);
-  if (this->shardCount < 2 || aNow - since->second < rest) {
+  const auto first = aReason == NoPlace::NoRoom || aReason == NoPlace::Refilling
+                       ? kTransferAfter
+                       : kTransferAtOnce;
+  const auto rest =
+    std::min<Millis>(first * (1 << std::min(aTask.moves, 8)), kTransferRestMax);
+  const auto target = PickShard(aTask, aDocument, this->capacity, this->number);
+  if (!target || aNow - since->second < rest) {
     return;
   }
   this->stuckSince.erase(aTask.id);
   this->reasons.erase(aTask.id);
   this->Count(ShardEvent::Transfer);
-  const auto target = (this->number + 1) % this->shardCount;
-  this->ledger.StageTransfer(aNow, aTask, target);
+  this->ledger.StageTransfer(aNow, aTask, *target);
 }
 
 } // namespace gooseberry
--- a/decisions/src/shardreport.cpp
+++ b/decisions/src/shardreport.cpp
@@ -142,10 +142,10 @@
     case AttemptState::Refused:
       this->Count(ShardEvent::Refusal);
       this->notBefore[task.id] = aAuthority.now + kRetryBackoffMin;
-      this->Requeue(
-        aAuthority.now,
-        task,
-        aView.info.id.text + " refused the start: " + aAttempt.reason);
+      this->Requeue(aAuthority.now,
+                    task,
+                    aView.info.id.text +
+                      " refused the start: " + aAttempt.reason);
       return;
     case AttemptState::Running:
     case AttemptState::AttemptState_NB:
@@ -176,8 +176,7 @@
     return;
   }
   this->Count(ShardEvent::Park);
-  aTask.phase =
-    aTask.cancelAsked ? TaskPhase::Cancelled : TaskPhase::Parked;
+  aTask.phase = aTask.cancelAsked ? TaskPhase::Cancelled : TaskPhase::Parked;
   aTask.worker = {};
   aTask.reason = "failed " + std::to_string(aTask.failures) +
                  " times, last on " + aView.info.id.text;
@@ -196,7 +195,7 @@
         this->ledger.Busy(id) || Lists(aReport, task)) {
       continue;
     }
-    if (task.phase == TaskPhase::Starting) {
+    if (this->unsent.contains(id)) {
       continue;
     }
     this->Count(ShardEvent::LostAttempt);
--- a/decisions/src/task.cpp
+++ b/decisions/src/task.cpp
@@ -1,5 +1,7 @@
 #include "task.h"
 
+#include <algorithm>
+
 #include "enumtext.h"
 
 namespace gooseberry {
@@ -40,6 +42,14 @@
   return aPhase == TaskPhase::Finished || aPhase == TaskPhase::Cancelled;
 }
 
+auto
+Task::Allows(const DomainId& aDomain) const -> bool
+{
+  return this->domains.empty() ||
+         std::find(this->domains.begin(), this->domains.end(), aDomain) !=
+           this->domains.end();
+}
+
 auto
 to_json(nlohmann::json& aJson, const Task& aTask) -> void
 {
@@ -72,16 +82,16 @@
   aJson.at("id").get_to(aTask.id);
   aJson.at("class").get_to(aTask.classId);
   aJson.at("team").get_to(aTask.team);
-  aTask.kind = EnumFromText<TaskKind>(
-    kKindNames, aJson.at("kind").get<std::string>());
+  aTask.kind =
+    EnumFromText<TaskKind>(kKindNames, aJson.at("kind").get<std::string>());
   aJson.at("size").get_to(aTask.size);
   aTask.runTime = Millis{ aJson.at("run_ms").get<std::int64_t>() };
   aJson.at("priority").get_to(aTask.priority);
   aTask.urgent = aJson.value("urgent", false);
   aJson.at("checkpoints").get_to(aTask.checkpoints);
   aJson.at("domains").get_to(aTask.domains);
-  aTask.phase = EnumFromText<TaskPhase>(
-    kPhaseNames, aJson.at("phase").get<std::string>());
+  aTask.phase =
+    EnumFromText<TaskPhase>(kPhaseNames, aJson.at("phase").get<std::string>());
   aJson.at("worker").get_to(aTask.worker);
   aJson.at("attempt").get_to(aTask.attempt);
   aJson.at("checkpoint").get_to(aTask.checkpoint);
--- a/decisions/src/task.h
+++ b/decisions/src/task.h
@@ -66,6 +66,7 @@
   std::string reason;
 
   auto operator==(const Task&) const -> bool = default;
+  auto Allows(const DomainId& aDomain) const -> bool;
 };
 
 auto
--- a/decisions/src/tunables.h
+++ b/decisions/src/tunables.h
@@ -35,8 +35,11 @@
 // Journal rows between two snapshots of a shard.
 inline constexpr std::uint64_t kSnapshotEvery = 256;
 
-// A waiting task is offered to another shard after this long without room.
-inline constexpr Millis kTransferAfter{ 3000 };
+// A waiting task goes to another shard after this long: at once where no worker
+// could take it, else after a rest that doubles with each move.
+inline constexpr Millis kTransferAtOnce{ 1000 };
+inline constexpr Millis kTransferAfter{ 1500 };
+inline constexpr Millis kTransferRestMax{ 10000 };
 
 // Back-off of a task that failed, doubled with each failure up to the maximum.
 inline constexpr Millis kRetryBackoffMin{ 500 };
--- a/decisions/src/types.h
+++ b/decisions/src/types.h
@@ -112,10 +112,7 @@
   }
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources,
-                                   cpuMillis,
-                                   memoryMb,
-                                   accelerators)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Resources, cpuMillis, memoryMb, accelerators)
 
 // Per-dimension maximum.
 auto
--- a/decisions/src/verdict.cpp
+++ b/decisions/src/verdict.cpp
@@ -11,10 +11,10 @@
   kVerdictNames{ "not-run", "may-have-run", "ran" };
 
 constexpr std::array<const char*, static_cast<int>(Refusal::Refusal_NB)>
-  kRefusalNames{ "unknown_service", "queue_full",        "deadline_passed",
-                 "no_backend",      "draining",          "claim_taken",
-                 "claim_unavailable", "claim_missing",   "bad_request",
-                 "not_ready",       "backend_failed",    "backend_timeout",
+  kRefusalNames{ "unknown_service",   "queue_full",     "deadline_passed",
+                 "no_backend",        "draining",       "claim_taken",
+                 "claim_unavailable", "claim_missing",  "bad_request",
+                 "not_ready",         "backend_failed", "backend_timeout",
                  "caller_gone" };
 
 constexpr std::array<const char*, static_cast<int>(RetryReason::RetryReason_NB)>
--- a/decisions/src/workerlink.cpp
+++ b/decisions/src/workerlink.cpp
@@ -55,13 +55,12 @@
 auto
 to_json(nlohmann::json& aJson, const AttemptReport& aReport) -> void
 {
-  aJson = { { "task", aReport.task },
-            { "attempt", aReport.attempt },
-            { "state", ToText(aReport.state) },
-            { "checkpoint", aReport.checkpoint },
-            { "used", aReport.used },
-            { "slowdown", aReport.slowdown },
-            { "reason", aReport.reason } };
+  aJson = {
+    { "task", aReport.task },           { "attempt", aReport.attempt },
+    { "state", ToText(aReport.state) }, { "checkpoint", aReport.checkpoint },
+    { "used", aReport.used },           { "slowdown", aReport.slowdown },
+    { "reason", aReport.reason }
+  };
 }
 
 auto
--- a/decisions/src/yamlreader.cpp
+++ b/decisions/src/yamlreader.cpp
@@ -177,12 +177,12 @@
           std::vector<YamlError>& aErrors) -> std::optional<YAML::Node>
 {
   if (aText.size() > aLimits.maxBytes) {
-    aErrors.push_back({ aSource,
-                        0,
-                        "",
-                        std::to_string(aText.size()) + " bytes",
-                        "at most " + std::to_string(aLimits.maxBytes) +
-                          " bytes are allowed" });
+    aErrors.push_back(
+      { aSource,
+        0,
+        "",
+        std::to_string(aText.size()) + " bytes",
+        "at most " + std::to_string(aLimits.maxBytes) + " bytes are allowed" });
     return std::nullopt;
   }
   try {
@@ -311,8 +311,8 @@
   if (!found.IsDefined()) {
     return aDefault;
   }
-  const auto value = found.IsScalar() ? ParseDuration(found.Scalar())
-                                      : std::optional<Millis>{};
+  const auto value =
+    found.IsScalar() ? ParseDuration(found.Scalar()) : std::optional<Millis>{};
   if (!value || *value < aMin || *value > aMax) {
     this->ReportAt(found,
                    aKey,
--- a/decisions/src/yamlreader.h
+++ b/decisions/src/yamlreader.h
@@ -47,7 +47,9 @@
 class YamlMap
 {
 public:
-  YamlMap(std::string aSource, YAML::Node aNode, std::vector<YamlError>& aErrors);
+  YamlMap(std::string aSource,
+          YAML::Node aNode,
+          std::vector<YamlError>& aErrors);
 
   auto Integer(const char* aKey,
                std::int64_t aDefault,
--- a/standins/src/backend.cpp
+++ b/standins/src/backend.cpp
@@ -167,9 +167,10 @@
 {
   auto backend = Backend{ aOptions };
   auto server = httplib::Server{};
-  server.Post("/mode", [&](const httplib::Request& aRequest, httplib::Response&) {
-    backend.SetMode(nlohmann::json::parse(aRequest.body));
-  });
+  server.Post("/mode",
+              [&](const httplib::Request& aRequest, httplib::Response&) {
+                backend.SetMode(nlohmann::json::parse(aRequest.body));
+              });
   const auto handle = [&](const httplib::Request& aRequest,
                           httplib::Response& aResponse) {
     backend.Handle(aRequest, aResponse);
--- a/standins/src/main.cpp
+++ b/standins/src/main.cpp
@@ -26,8 +26,9 @@
 }
 
 auto
-Integer(const Options& aOptions, const std::string& aName, std::int64_t aDefault)
-  -> std::int64_t
+Integer(const Options& aOptions,
+        const std::string& aName,
+        std::int64_t aDefault) -> std::int64_t
 {
   const auto found = aOptions.find(aName);
   return found == aOptions.end() ? aDefault : std::stoll(found->second);
--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -116,7 +116,8 @@
     aResponse.set_content(answer.dump(), "application/json");
   }
 
-  static auto StatusTo(StoreStatus aStatus, httplib::Response& aResponse) -> void
+  static auto StatusTo(StoreStatus aStatus, httplib::Response& aResponse)
+    -> void
   {
     if (aStatus == StoreStatus::Conflict) {
       aResponse.status = kConflict;
@@ -176,15 +177,14 @@
                                                aBody.at("bytes")),
                              aResponse);
                });
-    this->Post(
-      aServer,
-      "/objects/delete",
-      true,
-      [this, text](Body aBody, httplib::Response& aResponse) {
-        return text(
-          this->objects.Delete(aBody.at("name"), aBody.at("generation")),
-          aResponse);
-      });
+    this->Post(aServer,
+               "/objects/delete",
+               true,
+               [this, text](Body aBody, httplib::Response& aResponse) {
+                 return text(this->objects.Delete(aBody.at("name"),
+                                                  aBody.at("generation")),
+                             aResponse);
+               });
   }
 
   auto Instances(httplib::Server& aServer) -> void
@@ -225,17 +225,17 @@
 
   auto Faults(httplib::Server& aServer) -> void
   {
-    aServer.Post("/fault",
-                 [this](const httplib::Request& aRequest, httplib::Response&) {
-                   const auto body = nlohmann::json::parse(aRequest.body);
-                   this->down = body.value("down", this->down.load());
-                   this->slowMs = body.value("slow_ms", this->slowMs.load());
-                   this->lagMs = body.value("lag_ms", this->lagMs.load());
-                   this->loseReplyEvery = body.value(
-                     "lose_reply_every", this->loseReplyEvery.load());
-                   this->recorder.Write({ { "event", "platform_fault" },
-                                          { "fault", body } });
-                 });
+    aServer.Post(
+      "/fault", [this](const httplib::Request& aRequest, httplib::Response&) {
+        const auto body = nlohmann::json::parse(aRequest.body);
+        this->down = body.value("down", this->down.load());
+        this->slowMs = body.value("slow_ms", this->slowMs.load());
+        this->lagMs = body.value("lag_ms", this->lagMs.load());
+        this->loseReplyEvery =
+          body.value("lose_reply_every", this->loseReplyEvery.load());
+        this->recorder.Write(
+          { { "event", "platform_fault" }, { "fault", body } });
+      });
     aServer.Get("/figures",
                 [this](const httplib::Request&, httplib::Response& aResponse) {
                   const auto figures =
--- a/standins/src/proxy.cpp
+++ b/standins/src/proxy.cpp
@@ -110,9 +110,10 @@
     auto size = static_cast<std::int64_t>(got);
     const auto cut = aUp ? 0 : aFaults.cutAfter.load();
     if (cut > 0 && passed + size > cut) {
-      SendAll(into,
-              buffer.data(),
-              static_cast<std::size_t>(std::max<std::int64_t>(0, cut - passed)));
+      SendAll(
+        into,
+        buffer.data(),
+        static_cast<std::size_t>(std::max<std::int64_t>(0, cut - passed)));
       break;
     }
     passed += size;
--- a/standins/src/standin.h
+++ b/standins/src/standin.h
@@ -17,11 +17,13 @@
 using Options = std::map<std::string, std::string>;
 
 auto
-Text(const Options& aOptions, const std::string& aName, const std::string& aDefault)
-  -> std::string;
+Text(const Options& aOptions,
+     const std::string& aName,
+     const std::string& aDefault) -> std::string;
 auto
-Integer(const Options& aOptions, const std::string& aName, std::int64_t aDefault)
-  -> std::int64_t;
+Integer(const Options& aOptions,
+        const std::string& aName,
+        std::int64_t aDefault) -> std::int64_t;
 
 // Milliseconds on the machine's monotonic clock, the same in all processes.
 auto
--- a/standins/src/worker.cpp
+++ b/standins/src/worker.cpp
@@ -108,8 +108,8 @@
     const auto known =
       aRequest.stamp && aRequest.stamp->incarnation == this->incarnation;
     if (known) {
-      this->leaseEnd = std::max(this->leaseEnd,
-                                aRequest.stamp->millis + aRequest.leaseMillis);
+      this->leaseEnd =
+        std::max(this->leaseEnd, aRequest.stamp->millis + aRequest.leaseMillis);
     }
     for (const auto& throttle : aRequest.throttles) {
       const auto found = this->tasks.find({ throttle.task, throttle.attempt });
@@ -156,27 +156,21 @@
     const auto now = MonotonicMillis();
     const auto lapsed = now >= this->leaseEnd;
     const auto until = std::min(now, this->leaseEnd);
-    const auto elapsed =
-      std::max<std::int64_t>(0, until - this->lastStep);
+    const auto elapsed = std::max<std::int64_t>(0, until - this->lastStep);
     this->lastStep = now;
     auto batches = 0;
     for (const auto& [key, task] : this->tasks) {
       batches += task.state == AttemptState::Running && !task.command.service;
     }
     this->slowdown = 1.0 + this->harm * batches;
-    for (auto item = this->tasks.begin(); item != this->tasks.end();) {
-      auto& task = item->second;
+    for (auto& [key, task] : this->tasks) {
       if (task.state != AttemptState::Running) {
-        ++item;
         continue;
       }
       this->Advance(task, elapsed, until);
       if (lapsed && task.state == AttemptState::Running) {
         this->End(task, AttemptState::Stopped, this->leaseEnd);
-        item = this->tasks.erase(item);
-        continue;
       }
-      ++item;
     }
   }
 
@@ -186,7 +180,8 @@
       this->End(aTask, AttemptState::Failed, aNow);
       return;
     }
-    aTask.progress += static_cast<double>(aElapsed * aTask.percent) / kFullSpeed;
+    aTask.progress +=
+      static_cast<double>(aElapsed * aTask.percent) / kFullSpeed;
     const auto done = static_cast<std::uint64_t>(aTask.progress);
     aTask.checkpoint = std::max<std::uint64_t>(
       aTask.checkpoint, done / kCheckpointMs * kCheckpointMs);
@@ -256,7 +251,8 @@
   const auto body = nlohmann::json{
     { "kind", "worker" },
     { "id", aId },
-    { "address", "127.0.0.1:" + std::to_string(aPort) },
+    { "address",
+      Text(aOptions, "address", "127.0.0.1:" + std::to_string(aPort)) },
     { "domain", Text(aOptions, "domain", "default") },
     { "rack", Text(aOptions, "rack", "rack-1") },
     { "capacity",
@@ -285,9 +281,10 @@
       aResponse.set_content(nlohmann::json(worker.Sync(request)).dump(),
                             "application/json");
     });
-  server.Post("/mode", [&](const httplib::Request& aRequest, httplib::Response&) {
-    worker.SetMode(nlohmann::json::parse(aRequest.body));
-  });
+  server.Post("/mode",
+              [&](const httplib::Request& aRequest, httplib::Response&) {
+                worker.SetMode(nlohmann::json::parse(aRequest.body));
+              });
   std::thread([&] {
     for (;;) {
       worker.Tick();
--- /dev/null
+++ b/tests/src/chaos.cpp
@@ -0,0 +1,5 @@
+auto
+main() -> int
+{
+  return 0;
+}
