gooseberryctl: the operators' command line over the administration API

Cause: operators had only the raw API. Change: document, section, apply, validate, diff, history, rollout, domain, submit, cancel, tasks, why, workers, instances, services, drain; table or JSON; exit status 0 only when the effect is in force.

--- /dev/null
+++ b/bench/tests/world_test.cpp
@@ -0,0 +1,1 @@
+#include <criterion/criterion.h>
--- /dev/null
+++ b/ctl/src/main.cpp
@@ -0,0 +1,214 @@
+// Command line of gooseberryctl.
+
+#include <array>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+
+#include <getopt.h>
+
+#include "benches.h"
+#include "commands.h"
+
+namespace {
+
+using namespace gooseberry;
+
+enum Letter
+{
+  kBaseOption = 256,
+  kSubmissionOption,
+  kCountOption,
+  kPhaseOption,
+  kWaitOption,
+  kAuthorityOption
+};
+
+constexpr std::array<option, 12> kOptions{
+  { { "server", required_argument, nullptr, 's' },
+    { "token-file", required_argument, nullptr, 't' },
+    { "ca", required_argument, nullptr, kAuthorityOption },
+    { "output", required_argument, nullptr, 'o' },
+    { "wait", required_argument, nullptr, kWaitOption },
+    { "base", required_argument, nullptr, kBaseOption },
+    { "submission", required_argument, nullptr, kSubmissionOption },
+    { "count", required_argument, nullptr, kCountOption },
+    { "phase", required_argument, nullptr, kPhaseOption },
+    { "help", no_argument, nullptr, 'h' },
+    { "version", no_argument, nullptr, 'V' },
+    { nullptr, 0, nullptr, 0 } }
+};
+
+auto
+PrintHelp() -> void
+{
+  std::cout << R"(Usage: gooseberryctl [OPTION]... COMMAND [ARGUMENT]...
+
+Commands:
+)";
+  for (const auto& command : Commands()) {
+    const auto usage =
+      std::string{ command.name } + " " + command.arguments;
+    std::printf("  %-24s %s\n", usage.c_str(), command.help);
+  }
+  std::cout << R"(  bench NAME [OPTION]...   run a bench; 'bench help' lists them
+
+Options:
+  -s, --server HOST:PORT  administration port (default 127.0.0.1:8081)
+  -t, --token-file FILE   file that holds the bearer token
+      --ca FILE           authority of the server's certificate; uses TLS
+  -o, --output FORMAT     table (default) or json
+      --wait SECONDS      how long to wait for an effect (default 15)
+      --base VERSION      apply: the version that the edit started from
+      --submission NAME   submit: the same name submits the same tasks once
+      --count N           submit: number of tasks (default 1)
+      --phase PHASE       tasks: only those in this phase
+  -h, --help              print this text and end
+  -V, --version           print the version and end
+
+Exit status: 0 the effect is in force, 1 failure, 2 wrong command line,
+3 refused, 4 accepted but not in force everywhere within the wait.
+)";
+}
+
+struct CommandLine
+{
+  ApiOptions api;
+  bool json = false;
+  long wait = 15;
+  std::string base;
+  std::string submission;
+  std::string phase;
+  int count = 1;
+};
+
+auto
+UsageError(const std::string& aText) -> std::optional<ExitCode>
+{
+  std::cerr << "gooseberryctl: " << aText << "\nTry 'gooseberryctl --help'.\n";
+  return ExitCode::Usage;
+}
+
+auto
+PositiveNumber(const char* aText) -> std::optional<long>
+{
+  char* end = nullptr;
+  const auto value = std::strtol(aText, &end, 10);
+  if (*aText == '\0' || *end != '\0' || value < 1) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+// Exit code if the options settle everything or are wrong.
+auto
+ReadOption(int aLetter, CommandLine& aLine) -> std::optional<ExitCode>
+{
+  switch (aLetter) {
+    case 's':
+      aLine.api.server = optarg;
+      return std::nullopt;
+    case 't': {
+      auto file = std::ifstream{ optarg };
+      if (!(file >> aLine.api.token)) {
+        return UsageError(std::string{ "cannot read a token from " } + optarg);
+      }
+      return std::nullopt;
+    }
+    case kAuthorityOption:
+      aLine.api.authority = optarg;
+      return std::nullopt;
+    case 'o':
+      aLine.json = std::string{ optarg } == "json";
+      if (!aLine.json && std::string{ optarg } != "table") {
+        return UsageError("--output must be table or json");
+      }
+      return std::nullopt;
+    case kWaitOption:
+    case kCountOption: {
+      const auto value = PositiveNumber(optarg);
+      if (!value) {
+        return UsageError(std::string{ "not a positive number: " } + optarg);
+      }
+      if (aLetter == kWaitOption) {
+        aLine.wait = *value;
+      } else {
+        aLine.count = static_cast<int>(*value);
+      }
+      return std::nullopt;
+    }
+    case kBaseOption:
+      aLine.base = optarg;
+      return std::nullopt;
+    case kSubmissionOption:
+      aLine.submission = optarg;
+      return std::nullopt;
+    case kPhaseOption:
+      aLine.phase = optarg;
+      return std::nullopt;
+    case 'h':
+      PrintHelp();
+      return ExitCode::Ok;
+    case 'V':
+      std::cout << "gooseberryctl " GOOSEBERRY_VERSION "\n";
+      return ExitCode::Ok;
+    default:
+      return UsageError("unknown option");
+  }
+}
+
+auto
+RunCommand(CommandLine& aLine, const std::vector<std::string>& aWords)
+  -> ExitCode
+{
+  for (const auto& command : Commands()) {
+    if (aWords[0] != command.name) {
+      continue;
+    }
+    auto arguments = std::vector<std::string>(aWords.begin() + 1, aWords.end());
+    if (arguments.size() < command.least || arguments.size() > command.most) {
+      return *UsageError(std::string{ "usage: " } + command.name + " " +
+                         command.arguments);
+    }
+    auto context = CommandContext{ ApiClient{ aLine.api },
+                                   aLine.json,
+                                   std::chrono::seconds{ aLine.wait },
+                                   std::move(arguments),
+                                   aLine.base,
+                                   aLine.submission,
+                                   aLine.phase,
+                                   aLine.count };
+    return command.run(context);
+  }
+  return *UsageError("unknown command '" + aWords[0] + "'");
+}
+
+} // namespace
+
+auto
+main(int aCount, char** aArguments) -> int
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  if (aCount > 1 && std::string{ aArguments[1] } == "bench") {
+    return RunBench(std::vector<std::string>(aArguments + 2, aArguments + aCount));
+  }
+  auto line = CommandLine{};
+  for (;;) {
+    const auto letter =
+      getopt_long(aCount, aArguments, "s:t:o:hV", kOptions.data(), nullptr);
+    if (letter == -1) {
+      break;
+    }
+    if (const auto code = ReadOption(letter, line)) {
+      return static_cast<int>(*code);
+    }
+  }
+  const auto words =
+    std::vector<std::string>(aArguments + optind, aArguments + aCount);
+  if (words.empty()) {
+    return static_cast<int>(*UsageError("a command is missing"));
+  }
+  return static_cast<int>(RunCommand(line, words));
+}
