--- a/bench/src/benches.cpp
+++ b/bench/src/benches.cpp
@@ -1,11 +1,44 @@
 #include "benches.h"
 
+#include <array>
+#include <cstdio>
+
+#include "benchoptions.h"
+#include "chaosbench.h"
+#include "log.h"
+
 namespace gooseberry {
 
+namespace {
+
+struct Bench
+{
+  const char* name;
+  const char* help;
+  int (*run)(const std::vector<std::string>&);
+};
+
+constexpr std::array<Bench, 1> kBenches{ {
+  { "chaos",
+    "--seed N --seeds N: worlds with drawn faults, judged",
+    RunChaosBench },
+} };
+
+} // namespace
+
 auto
-RunBench(const std::vector<std::string>& /*aWords*/) -> int
+RunBench(const std::vector<std::string>& aWords) -> int
 {
-  return 2;
+  StartLog("off");
+  for (const auto& bench : kBenches) {
+    if (!aWords.empty() && aWords[0] == bench.name) {
+      return bench.run({ aWords.begin() + 1, aWords.end() });
+    }
+  }
+  for (const auto& bench : kBenches) {
+    std::printf("bench %-10s %s\n", bench.name, bench.help);
+  }
+  return aWords.size() == 1 && aWords[0] == "help" ? 0 : kBenchUsage;
 }
 
 } // namespace gooseberry
--- /dev/null
+++ b/bench/src/world.cpp
@@ -0,0 +1,567 @@
+#include "world.h"
+
+#include <algorithm>
+#include <iostream>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kPerMille = 1000;
+constexpr Micros kStoreLatency{ 5000 };
+constexpr Millis kWorkerStep{ 100 };
+constexpr Millis kSampleInterval{ 500 };
+constexpr Millis kMostDelay{ 12000 };
+constexpr std::int64_t kMostDrift = 4;
+
+auto
+MillisText(Time aTime) -> std::int64_t
+{
+  return MillisOf(aTime);
+}
+
+} // namespace
+
+FaultyTable::FaultyTable(TableService& aTable,
+                         EventQueue& aQueue,
+                         std::mt19937_64& aRandom,
+                         const FaultRates& aRates)
+  : table(aTable)
+  , queue(aQueue)
+  , random(aRandom)
+  , rates(aRates)
+{
+}
+
+auto
+FaultyTable::Draw(int aPerMille) -> bool
+{
+  return aPerMille > 0 &&
+         static_cast<int>(this->random() % kPerMille) < aPerMille;
+}
+
+auto
+FaultyTable::Read(const std::string& aKey) -> ReadResult
+{
+  ++this->reads;
+  if (this->down || this->Draw(this->rates.storeRefused)) {
+    return {};
+  }
+  return this->table.Read(aKey);
+}
+
+auto
+FaultyTable::Scan(const std::string& aPrefix,
+                  const std::string& aAfter,
+                  std::size_t aLimit) -> ScanResult
+{
+  ++this->reads;
+  if (this->down || this->Draw(this->rates.storeRefused)) {
+    return {};
+  }
+  return this->table.Scan(aPrefix, aAfter, aLimit);
+}
+
+// A write may be refused, take effect without a reply, or take effect late.
+auto
+FaultyTable::Commit(const Transaction& aTransaction) -> CommitResult
+{
+  ++this->writes;
+  if (this->down || this->Draw(this->rates.storeRefused)) {
+    return { StoreStatus::Unavailable, 0 };
+  }
+  if (this->Draw(this->rates.storeWriteDelayed)) {
+    const auto delay = Millis{ static_cast<std::int64_t>(
+      this->random() % static_cast<std::uint64_t>(kMostDelay.count())) };
+    this->queue.After(
+      delay, [this, aTransaction] { this->table.Commit(aTransaction); });
+    return { StoreStatus::Unknown, 0 };
+  }
+  const auto result = this->table.Commit(aTransaction);
+  if (this->Draw(this->rates.storeReplyLost)) {
+    return { StoreStatus::Unknown, 0 };
+  }
+  return result;
+}
+
+struct World::FakeWorker
+{
+  FakeWorker(const EventQueue& aQueue, std::int64_t aDrift)
+    : clock(aQueue, aDrift)
+  {
+  }
+
+  WorkerInfo info;
+  DriftingClock clock;
+  std::unique_ptr<WorkerModel> model;
+  int lives = 0;
+  bool paused = false;
+  bool dead = false;
+  std::vector<SyncRequest> heldBack;
+};
+
+// One instance's contact with the workers.
+class World::Workers : public WorkerClient
+{
+public:
+  explicit Workers(World& aWorld)
+    : world(aWorld)
+  {
+  }
+
+  auto Sync(const WorkerInfo& aWorker,
+            const SyncRequest& aRequest,
+            std::string& aReason) -> std::optional<WorkerReport> override
+  {
+    aReason = "no answer";
+    auto* worker = this->Find(aWorker.id);
+    if (worker == nullptr || this->cut ||
+        this->Draw(this->world.rates.syncLost)) {
+      return std::nullopt;
+    }
+    if (this->Draw(this->world.rates.syncDelayed)) {
+      const auto delay = Millis{ static_cast<std::int64_t>(
+        this->world.random() %
+        static_cast<std::uint64_t>(kMostDelay.count())) };
+      this->world.queue.After(delay, [this, worker, aRequest] {
+        this->world.Deliver(*worker, aRequest);
+      });
+      return std::nullopt;
+    }
+    auto report = this->world.Deliver(*worker, aRequest);
+    if (this->Draw(this->world.rates.syncReplyLost)) {
+      return std::nullopt;
+    }
+    return report;
+  }
+
+  bool cut = false;
+
+private:
+  auto Find(const WorkerId& aId) -> FakeWorker*
+  {
+    for (auto& worker : this->world.workers) {
+      if (worker->info.id == aId) {
+        return worker.get();
+      }
+    }
+    return nullptr;
+  }
+
+  auto Draw(int aPerMille) -> bool
+  {
+    return aPerMille > 0 &&
+           static_cast<int>(this->world.random() % kPerMille) < aPerMille;
+  }
+
+  World& world;
+};
+
+struct World::FakeInstance
+{
+  FakeInstance(World& aWorld, std::int64_t aDrift, int aNumber)
+    : clock(aWorld.queue, aDrift)
+    , executor(aWorld.queue, kStoreLatency)
+    , table(aWorld.table, aWorld.queue, aWorld.random, aWorld.rates)
+    , workers(aWorld)
+  {
+    this->settings.instance = "entry-" + std::to_string(aNumber);
+    this->settings.shards = aWorld.options.shards;
+    this->settings.placement = aWorld.options.placement;
+    this->control = std::make_unique<Control>(
+      this->settings,
+      this->clock,
+      PlatformServices{
+        this->table, aWorld.objects, aWorld.instancesList, this->workers },
+      this->metrics,
+      this->executor,
+      aWorld.random());
+  }
+
+  Settings settings;
+  DriftingClock clock;
+  VirtualExecutor executor;
+  FaultyTable table;
+  Workers workers;
+  Metrics metrics;
+  std::unique_ptr<Control> control;
+};
+
+World::World(WorldOptions aOptions)
+  : options(aOptions)
+  , random(aOptions.seed)
+{
+  for (auto index = 0; index < this->options.workers; ++index) {
+    const auto drift =
+      static_cast<std::int64_t>(this->random() % (2 * kMostDrift + 1)) -
+      kMostDrift;
+    auto worker = std::make_unique<FakeWorker>(this->queue, drift);
+    worker->info.id.text = "worker-" + std::to_string(index);
+    worker->info.address = "fake";
+    worker->info.domain.text =
+      "domain-" + std::to_string(index % this->options.domains);
+    worker->info.rack.text = "rack-" + std::to_string(index / 8);
+    worker->info.capacity = this->options.workerCapacity;
+    this->BootWorker(*worker);
+    this->workers.push_back(std::move(worker));
+  }
+  this->ListWorkers();
+  for (auto index = 0; index < this->options.instances; ++index) {
+    this->instances.push_back(this->AddInstance());
+  }
+  this->StepWorkers();
+}
+
+World::~World() = default;
+
+auto
+World::Queue() -> EventQueue&
+{
+  return this->queue;
+}
+
+auto
+World::Random() -> std::mt19937_64&
+{
+  return this->random;
+}
+
+auto
+World::RunFor(Millis aDuration) -> void
+{
+  this->queue.RunUntil(this->queue.Now() + aDuration);
+}
+
+auto
+World::Edit(const std::string& aSection, const std::string& aText) -> bool
+{
+  auto store = DocumentStore{ this->table };
+  const auto newest = store.Load({});
+  auto base = std::uint64_t{ 0 };
+  const auto found = newest.loaded.sections.find(aSection);
+  if (found != newest.loaded.sections.end()) {
+    base = found->second.version;
+  }
+  const auto identity = "world/" + std::to_string(this->editNumber++);
+  return store.Apply({ aSection, base, aText, identity }).status ==
+         EditStatus::Accepted;
+}
+
+auto
+World::SetDomain(const std::string& aDomain, bool aOut) -> bool
+{
+  auto store = DocumentStore{ this->table };
+  const auto newest = store.Load({});
+  auto reason = std::string{};
+  const auto text =
+    WithDomainState(newest.loaded.sections.at(kSiteSection).text,
+                    DomainId{ aDomain },
+                    aOut,
+                    reason);
+  return text && this->Edit(kSiteSection, *text);
+}
+
+auto
+World::Submit(const std::string& aClass,
+              int aCount,
+              const std::string& aSubmission) -> void
+{
+  auto documents = DocumentStore{ this->table };
+  const auto newest = documents.Load({});
+  const auto* spec = newest.loaded.document->FindClass(ClassId{ aClass });
+  auto tasks = std::vector<Task>{};
+  for (auto index = 0; index < aCount; ++index) {
+    tasks.push_back(NewTask(
+      TaskId{ aClass + "." + aSubmission + "." + std::to_string(index) },
+      *spec));
+    tasks.back().order =
+      static_cast<std::uint64_t>(MillisText(this->queue.Now()));
+  }
+  auto store = ShardStore{ this->table, this->objects };
+  store.Submit(tasks, static_cast<ShardNumber>(this->options.shards));
+}
+
+auto
+World::Cancel(const std::string& aTask) -> void
+{
+  auto store = ShardStore{ this->table, this->objects };
+  store.SubmitOrder(
+    InboxKind::Cancel,
+    TaskId{ aTask },
+    ShardOf(aTask, static_cast<ShardNumber>(this->options.shards)));
+}
+
+auto
+World::PauseInstance(std::size_t aIndex, Millis aFor) -> void
+{
+  auto* instance = this->instances[aIndex].get();
+  instance->executor.Pause();
+  this->queue.After(aFor, [instance] { instance->executor.Resume(); });
+}
+
+auto
+World::ReplaceInstance(std::size_t aIndex, Millis aAfter) -> void
+{
+  if (!this->instances[aIndex]->executor.Alive()) {
+    return;
+  }
+  this->instances[aIndex]->executor.Kill();
+  this->queue.After(aAfter, [this, aIndex] {
+    this->graveyard.push_back(std::move(this->instances[aIndex]));
+    this->instances[aIndex] = this->AddInstance();
+  });
+}
+
+auto
+World::CutInstanceFromStore(std::size_t aIndex, Millis aFor) -> void
+{
+  auto* instance = this->instances[aIndex].get();
+  instance->table.down = true;
+  this->queue.After(aFor, [instance] { instance->table.down = false; });
+}
+
+auto
+World::CutInstanceFromWorkers(std::size_t aIndex, Millis aFor) -> void
+{
+  auto* instance = this->instances[aIndex].get();
+  instance->workers.cut = true;
+  this->queue.After(aFor, [instance] { instance->workers.cut = false; });
+}
+
+auto
+World::PauseWorker(std::size_t aIndex, Millis aFor) -> void
+{
+  auto* worker = this->workers[aIndex].get();
+  worker->paused = true;
+  this->queue.After(aFor, [this, worker] {
+    worker->paused = false;
+    worker->model->Step(MillisText(worker->clock.Now()));
+    for (const auto& request : std::exchange(worker->heldBack, {})) {
+      this->Deliver(*worker, request);
+    }
+  });
+}
+
+auto
+World::RestartWorker(std::size_t aIndex, Millis aAfter) -> void
+{
+  auto* worker = this->workers[aIndex].get();
+  if (worker->dead) {
+    return;
+  }
+  // What ran until now has ended; its progress beyond the checkpoint is lost.
+  worker->model->Step(MillisText(worker->clock.Now()));
+  worker->model->EndAll(MillisText(worker->clock.Now()));
+  worker->dead = true;
+  this->queue.After(aAfter, [this, worker] {
+    worker->dead = false;
+    worker->heldBack.clear();
+    this->BootWorker(*worker);
+  });
+}
+
+auto
+World::SetFailAll(std::size_t aIndex, bool aFailAll) -> void
+{
+  this->workers[aIndex]->model->SetFailAll(aFailAll);
+}
+
+auto
+World::StoreDown(Millis aFor) -> void
+{
+  for (auto index = std::size_t{ 0 }; index < this->instances.size(); ++index) {
+    this->CutInstanceFromStore(index, aFor);
+  }
+}
+
+auto
+World::Rates() -> FaultRates&
+{
+  return this->rates;
+}
+
+auto
+World::InstanceCount() const -> std::size_t
+{
+  return this->instances.size();
+}
+
+auto
+World::WorkerCount() const -> std::size_t
+{
+  return this->workers.size();
+}
+
+auto
+World::DomainOf(std::size_t aWorker) const -> std::string
+{
+  return this->workers[aWorker]->info.domain.text;
+}
+
+auto
+World::Events() const -> const std::vector<TaskEvent>&
+{
+  return this->events;
+}
+
+auto
+World::CountPhase(const std::string& aPrefix, TaskPhase aPhase) -> int
+{
+  auto store = ShardStore{ this->table, this->objects };
+  auto count = 0;
+  for (auto shard = 0; shard < this->options.shards; ++shard) {
+    auto reason = std::string{};
+    const auto stored = store.Load(static_cast<ShardNumber>(shard), reason);
+    for (const auto& [id, task] :
+         stored ? stored->tasks : StoredShard{}.tasks) {
+      count += task.phase == aPhase && id.text.starts_with(aPrefix) ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+auto
+World::DescribeOpen() -> void
+{
+  auto store = ShardStore{ this->table, this->objects };
+  for (auto shard = 0; shard < this->options.shards; ++shard) {
+    auto reason = std::string{};
+    const auto stored = store.Load(static_cast<ShardNumber>(shard), reason);
+    const auto row = store.ReadRow(static_cast<ShardNumber>(shard));
+    std::cerr << "shard " << shard << " " << nlohmann::json(*row).dump() << " "
+              << reason << "\n";
+    for (const auto& [id, task] : stored->tasks) {
+      if (task.phase != TaskPhase::Finished &&
+          task.phase != TaskPhase::Cancelled && task.phase != TaskPhase::Moved)
+        std::cerr << "  " << nlohmann::json(task).dump() << "\n";
+    }
+  }
+  for (const auto& row : this->table.Scan("inbox/", "", 100).rows)
+    std::cerr << row.key << " " << row.value << "\n";
+  for (const auto& row : this->table.Scan("member/", "", 100).rows)
+    std::cerr << row.key << " " << row.value << "\n";
+  for (auto& instance : this->instances) {
+    std::cerr << "instance " << instance->control->Self().text << " alive "
+              << instance->executor.Alive() << "\n";
+    for (auto& m : instance->control->Workers())
+      std::cerr << "   " << nlohmann::json(m).dump() << "\n";
+  }
+}
+
+auto
+World::Figures(const std::vector<std::string>& aAtMostOnce) -> WorldFigures
+{
+  auto figures = WorldFigures{};
+  figures.tasks = JudgeTaskEvents(this->events, aAtMostOnce);
+  const auto add = [&](const FakeInstance& aInstance) {
+    figures.storeWrites += aInstance.table.writes;
+    figures.storeReads += aInstance.table.reads;
+    const auto counts = aInstance.control->TotalCounts();
+    for (auto index = std::size_t{ 0 }; index < counts.size(); ++index) {
+      figures.counts[index] += counts[index];
+    }
+  };
+  for (const auto& instance : this->instances) {
+    add(*instance);
+  }
+  for (const auto& instance : this->graveyard) {
+    add(*instance);
+  }
+  const auto all =
+    static_cast<double>(std::max<std::uint64_t>(1, this->samples));
+  figures.brokenShare = static_cast<double>(this->brokenSamples) / all;
+  figures.utilization =
+    this->utilizationSum /
+    std::max(1.0, all / static_cast<double>(this->workers.size()));
+  for (const auto& event : this->events) {
+    figures.signature = StableHash(event.what + event.worker + event.task +
+                                     std::to_string(event.millis) + "/" +
+                                     std::to_string(event.attempt),
+                                   figures.signature);
+  }
+  return figures;
+}
+
+auto
+World::AddInstance() -> std::unique_ptr<FakeInstance>
+{
+  const auto drift =
+    static_cast<std::int64_t>(this->random() % (2 * kMostDrift + 1)) -
+    kMostDrift;
+  const auto number = static_cast<int>(this->graveyard.size());
+  auto instance = std::make_unique<FakeInstance>(*this, drift, number);
+  instance->control->Start();
+  return instance;
+}
+
+auto
+World::BootWorker(FakeWorker& aWorker) -> void
+{
+  auto model = WorkerModelOptions{};
+  model.incarnation =
+    aWorker.info.id.text + "/" + std::to_string(aWorker.lives++);
+  model.capacity = this->options.workerCapacity;
+  model.harmPercent = this->options.harmPercent;
+  model.usePercent = this->options.usePercent;
+  aWorker.model = std::make_unique<WorkerModel>(
+    model,
+    MillisText(aWorker.clock.Now()),
+    [this, &aWorker](const WorkerEvent& aEvent) {
+      this->events.push_back({ aWorker.clock.WorldMillis(aEvent.millis),
+                               aEvent.what,
+                               aWorker.info.id.text,
+                               aEvent.task.text,
+                               aEvent.attempt,
+                               aEvent.checkpoint });
+    });
+}
+
+auto
+World::StepWorkers() -> void
+{
+  const auto sample = MillisText(this->queue.Now()) % kSampleInterval.count() <
+                      kWorkerStep.count();
+  for (auto& worker : this->workers) {
+    if (worker->dead || worker->paused) {
+      continue;
+    }
+    worker->model->Step(MillisText(worker->clock.Now()));
+    if (sample) {
+      const auto hasService = worker->model->ServiceCount() > 0;
+      this->samples += 1;
+      this->brokenSamples +=
+        hasService && worker->model->Slowdown() > kSlowdownLimit ? 1 : 0;
+      this->utilizationSum +=
+        static_cast<double>(worker->model->Given().cpuMillis) /
+        static_cast<double>(this->options.workerCapacity.cpuMillis) /
+        static_cast<double>(this->workers.size());
+    }
+  }
+  this->queue.After(kWorkerStep, [this] { this->StepWorkers(); });
+}
+
+auto
+World::ListWorkers() -> void
+{
+  auto listing = InstanceListing{ StoreStatus::Ok, {}, {} };
+  for (const auto& worker : this->workers) {
+    listing.workers.push_back(worker->info);
+  }
+  this->instancesList.Set(listing);
+}
+
+auto
+World::Deliver(FakeWorker& aWorker, const SyncRequest& aRequest)
+  -> std::optional<WorkerReport>
+{
+  if (aWorker.dead) {
+    return std::nullopt;
+  }
+  if (aWorker.paused) {
+    aWorker.heldBack.push_back(aRequest);
+    return std::nullopt;
+  }
+  return aWorker.model->Sync(MillisText(aWorker.clock.Now()), aRequest);
+}
+
+} // namespace gooseberry
--- a/ctl/src/commands.cpp
+++ b/ctl/src/commands.cpp
@@ -107,8 +107,9 @@
 };
 
 auto
-FindSection(CommandContext& aContext, const std::string& aName, ApiReply& aReply)
-  -> FoundSection
+FindSection(CommandContext& aContext,
+            const std::string& aName,
+            ApiReply& aReply) -> FoundSection
 {
   aReply = aContext.api.Call("GET", "/v1/document");
   if (aReply.Good()) {
@@ -170,8 +171,8 @@
   auto base = aContext.base;
   if (base.empty()) {
     auto reply = ApiReply{};
-    base =
-      std::to_string(FindSection(aContext, aContext.arguments[0], reply).version);
+    base = std::to_string(
+      FindSection(aContext, aContext.arguments[0], reply).version);
     if (!reply.Good()) {
       return Fail(reply);
     }
@@ -272,8 +273,8 @@
   }
   return FinishEdit(
     aContext,
-    aContext.api.Call(
-      "POST", "/v1/domains/" + aContext.arguments[0] + "/" + state));
+    aContext.api.Call("POST",
+                      "/v1/domains/" + aContext.arguments[0] + "/" + state));
 }
 
 auto
@@ -333,6 +334,27 @@
   return ExitCode::NotInForce;
 }
 
+auto
+RetryTask(CommandContext& aContext) -> ExitCode
+{
+  const auto& task = aContext.arguments[0];
+  const auto reply = aContext.api.Call("POST", "/v1/tasks/" + task + "/retry");
+  if (!reply.Good()) {
+    return Fail(reply);
+  }
+  const auto end = std::chrono::steady_clock::now() + aContext.wait;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto phase = TaskPhase(aContext, task);
+    if (phase && *phase != "lost" && *phase != "parked") {
+      std::cout << *phase << '\n';
+      return ExitCode::Ok;
+    }
+    std::this_thread::sleep_for(kPoll);
+  }
+  std::cerr << "gooseberryctl: not tried again in time\n";
+  return ExitCode::NotInForce;
+}
+
 auto
 ListTasks(CommandContext& aContext) -> ExitCode
 {
@@ -500,9 +522,15 @@
     { "diff", "NAME FILE", "compare with a section", 2, 2, DiffSection },
     { "history", "", "show the last changes", 0, 0, ShowHistory },
     { "rollout", "", "wait for the newest version", 0, 0, ShowRollout },
-    { "domain", "NAME in|out", "take a failure domain out or back", 2, 2, SetDomain },
+    { "domain",
+      "NAME in|out",
+      "take a failure domain out or back",
+      2,
+      2,
+      SetDomain },
     { "submit", "CLASS", "submit tasks of a batch class", 1, 1, SubmitJobs },
     { "cancel", "TASK", "cancel a task and wait", 1, 1, CancelTask },
+    { "retry", "TASK", "try a parked or lost task again", 1, 1, RetryTask },
     { "tasks", "", "list tasks", 0, 0, ListTasks },
     { "why", "TASK", "say why a task is not running", 1, 1, ExplainTask },
     { "workers", "", "list workers", 0, 0, ListWorkers },
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -49,11 +49,11 @@
 Commands:
 )";
   for (const auto& command : Commands()) {
-    const auto usage =
-      std::string{ command.name } + " " + command.arguments;
+    const auto usage = std::string{ command.name } + " " + command.arguments;
     std::printf("  %-24s %s\n", usage.c_str(), command.help);
   }
-  std::cout << R"(  bench NAME [OPTION]...   run a bench; 'bench help' lists them
+  std::cout
+    << R"(  bench NAME [OPTION]...   run a bench; 'bench help' lists them
 
 Options:
   -s, --server HOST:PORT  administration port (default 127.0.0.1:8081)
@@ -192,7 +192,8 @@
 {
   std::signal(SIGPIPE, SIG_IGN);
   if (aCount > 1 && std::string{ aArguments[1] } == "bench") {
-    return RunBench(std::vector<std::string>(aArguments + 2, aArguments + aCount));
+    return RunBench(
+      std::vector<std::string>(aArguments + 2, aArguments + aCount));
   }
   auto line = CommandLine{};
   for (;;) {
--- a/daemon/src/adminport.cpp
+++ b/daemon/src/adminport.cpp
@@ -118,6 +118,7 @@
   this->Add("POST", "/v1/domains/([a-z0-9-]+)/(in|out)", &AdminPort::SetDomain);
   this->Add("POST", "/v1/jobs", &AdminPort::SubmitJobs);
   this->Add("DELETE", "/v1/tasks/([A-Za-z0-9._-]+)", &AdminPort::CancelTask);
+  this->Add("POST", "/v1/tasks/([A-Za-z0-9._-]+)/retry", &AdminPort::RetryTask);
   this->Add("GET", "/v1/tasks", &AdminPort::ListTasks);
   this->Add("GET", "/v1/tasks/([A-Za-z0-9._-]+)/why", &AdminPort::ExplainTask);
   this->Add("GET", "/v1/workers", &AdminPort::ListWorkers);
@@ -440,6 +441,19 @@
 
 auto
 AdminPort::CancelTask(const Call& aCall) -> void
+{
+  this->SendOrder(aCall, InboxKind::Cancel, "cancelling");
+}
+
+auto
+AdminPort::RetryTask(const Call& aCall) -> void
+{
+  this->SendOrder(aCall, InboxKind::Retry, "retrying");
+}
+
+auto
+AdminPort::SendOrder(const Call& aCall, InboxKind aKind, const char* aWord)
+  -> void
 {
   const auto id = TaskId{ aCall.request.matches[1].str() };
   const auto classId = ClassId{ id.text.substr(0, id.text.find('.')) };
@@ -451,11 +465,11 @@
   }
   const auto shardCount = this->control.ShardCount();
   if (shardCount == 0 ||
-      !this->shards.SubmitCancel(id, ShardOf(id.text, shardCount))) {
+      !this->shards.SubmitOrder(aKind, id, ShardOf(id.text, shardCount))) {
     this->Refuse(aCall, kUnavailable, "store_unavailable", "repeat the call");
     return;
   }
-  Reply(aCall, { { "cancelling", id } });
+  Reply(aCall, { { aWord, id } });
 }
 
 // Read from the store, so that each instance gives the same answer.
--- a/daemon/src/adminport.h
+++ b/daemon/src/adminport.h
@@ -67,6 +67,8 @@
   auto SetDomain(const Call& aCall) -> void;
   auto SubmitJobs(const Call& aCall) -> void;
   auto CancelTask(const Call& aCall) -> void;
+  auto RetryTask(const Call& aCall) -> void;
+  auto SendOrder(const Call& aCall, InboxKind aKind, const char* aWord) -> void;
   auto ListTasks(const Call& aCall) -> void;
   auto ExplainTask(const Call& aCall) -> void;
   auto ListWorkers(const Call& aCall) -> void;
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -1,6 +1,6 @@
 #include "control.h"
 
-#include <future>
+#include <thread>
 
 #include "log.h"
 
@@ -8,33 +8,30 @@
 
 namespace {
 
-constexpr int kBlockingThreads = 32;
 constexpr Millis kTickInterval{ 20 };
 constexpr Millis kReportInterval{ 1000 };
 
-auto
-RandomId(const std::string& aName) -> InstanceId
-{
-  auto device = std::random_device{};
-  return InstanceId{ aName + "." + std::to_string(device() % 1000000U) };
-}
+constexpr std::uint64_t kIdRange = 1000000;
 
 } // namespace
 
 Control::Control(const Settings& aSettings,
                  const Clock& aClock,
                  PlatformServices aPlatform,
-                 Metrics& aMetrics)
+                 Metrics& aMetrics,
+                 Executor& aExecutor,
+                 std::uint64_t aSeed)
   : settings(aSettings)
   , clock(aClock)
   , platform(aPlatform)
   , metrics(aMetrics)
   , documents(aPlatform.table)
   , shards(aPlatform.table, aPlatform.objects)
-  , random(std::random_device{}())
-  , self(RandomId(aSettings.instance))
-  , executor(kBlockingThreads)
+  , random(aSeed)
+  , executor(aExecutor)
 {
+  this->self.text =
+    aSettings.instance + "." + std::to_string(this->random() % kIdRange);
   this->own.id = this->self;
   this->own.domain = aSettings.domain;
   this->own.peerAddress = aSettings.peers.address;
@@ -181,8 +178,14 @@
   for (auto& [number, item] : this->held) {
     this->RunShard(number, item);
   }
-  std::erase_if(this->held,
-                [](const auto& aItem) { return aItem.second.released; });
+  for (auto item = this->held.begin(); item != this->held.end();) {
+    if (!item->second.released) {
+      ++item;
+      continue;
+    }
+    this->AddCounts(item->second);
+    item = this->held.erase(item);
+  }
   if (now >= this->nextReport) {
     this->nextReport = now + kReportInterval;
     this->ReportMetrics();
@@ -208,15 +211,31 @@
   return authority;
 }
 
+auto
+Control::TotalCounts() const -> const ShardCounts&
+{
+  return this->totalCounts;
+}
+
+// Adds what happened in a shard since the last time.
+auto
+Control::AddCounts(Held& aHeld) -> void
+{
+  const auto& counts = aHeld.shard->Counts();
+  this->metrics.AddShardCounts(aHeld.counted, counts);
+  for (auto index = std::size_t{ 0 }; index < counts.size(); ++index) {
+    this->totalCounts[index] += counts[index] - aHeld.counted[index];
+  }
+  aHeld.counted = counts;
+}
+
 auto
 Control::ReportMetrics() -> void
 {
   auto phases = std::array<std::size_t,
                            static_cast<std::size_t>(TaskPhase::TaskPhase_NB)>{};
   for (auto& [number, item] : this->held) {
-    const auto& counts = item.shard->Counts();
-    this->metrics.AddShardCounts(item.counted, counts);
-    item.counted = counts;
+    this->AddCounts(item);
     for (const auto& [id, task] : item.shard->Records().Tasks()) {
       ++phases[static_cast<std::size_t>(task.phase)];
     }
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -68,7 +68,9 @@
   Control(const Settings& aSettings,
           const Clock& aClock,
           PlatformServices aPlatform,
-          Metrics& aMetrics);
+          Metrics& aMetrics,
+          Executor& aExecutor,
+          std::uint64_t aSeed);
 
   auto Start() -> void;
   // Gives the shards up and leaves the membership; returns when done or when
@@ -84,6 +86,8 @@
   auto ShardCount() const -> ShardNumber;
   auto Members() -> std::vector<MemberRow>;
   auto Workers() -> std::vector<WorkerStatus>;
+  // Events of all shards that this instance ever owned.
+  auto TotalCounts() const -> const ShardCounts&;
   auto Explain(const TaskId& aTask) -> Explanation;
   // A peer knows of this document number: read the store at once.
   auto OnDocumentHint(std::uint64_t aNumber) -> void;
@@ -103,6 +107,8 @@
     bool released = false;
     Time nextInbox{};
     Time nextAppend{};
+    Time nextVerify{};
+    bool verifying = false;
     // Inbox rows whose effect is not recorded yet, by task.
     std::map<std::string, InboxItem> absorbing;
     std::vector<std::string> absorbed;
@@ -134,6 +140,9 @@
   auto FixShardCount() -> void;
   auto BalanceShards() -> void;
   auto TakeShard(ShardNumber aShard) -> void;
+  // Reads the shard's row: an owner that appends nothing would not notice that
+  // another has taken over.
+  auto VerifyOwnership(ShardNumber aShard, Held& aHeld) -> void;
   auto ReleaseShard(ShardNumber aShard, Held& aHeld) -> void;
   auto RunShard(ShardNumber aShard, Held& aHeld) -> void;
   auto AppendNext(ShardNumber aShard, Held& aHeld) -> void;
@@ -144,6 +153,7 @@
   auto SyncWorkers(ShardNumber aShard, Held& aHeld) -> void;
   auto SnapshotIfDue(ShardNumber aShard, Held& aHeld) -> void;
   auto FindHeld(ShardNumber aShard, std::uint64_t aEpoch) -> Held*;
+  auto AddCounts(Held& aHeld) -> void;
   auto ReportMetrics() -> void;
 
   const Settings& settings;
@@ -178,6 +188,7 @@
   FleetShape fleet;
   ShardCapacity capacity;
   std::map<std::string, std::shared_ptr<Backend>> backends;
+  ShardCounts totalCounts{};
   std::map<ShardNumber, Held> held;
   std::map<ShardNumber, bool> taking;
   int liveEntries = 1;
@@ -190,7 +201,7 @@
   Published<LoadedDocument> current;
   Published<MemberRow> identity;
 
-  Executor executor;
+  Executor& executor;
 };
 
 } // namespace gooseberry
--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -102,6 +102,7 @@
       takeover.sequence = aTaken.stored->sequence;
       takeover.now = this->clock.Now();
       takeover.workersLapseAfter = aTaken.claim->previousLapse;
+      takeover.policy = this->settings.placement;
       takeover.tasks = aTaken.stored->tasks;
       item.shard = std::make_unique<Shard>(std::move(takeover));
       this->GiveWorkers(item, aShard);
@@ -126,11 +127,37 @@
     aHeld.shard->OnTick(authority);
     this->AbsorbInbox(aShard, aHeld);
   }
+  this->VerifyOwnership(aShard, aHeld);
   this->AppendNext(aShard, aHeld);
   this->SyncWorkers(aShard, aHeld);
   this->SnapshotIfDue(aShard, aHeld);
 }
 
+auto
+Control::VerifyOwnership(ShardNumber aShard, Held& aHeld) -> void
+{
+  const auto now = this->clock.Now();
+  if (aHeld.verifying || now < aHeld.nextVerify) {
+    return;
+  }
+  aHeld.verifying = true;
+  aHeld.nextVerify = now + kVerifyInterval;
+  this->executor.Call(
+    [this, aShard] { return this->shards.ReadRow(aShard); },
+    [this, aShard, epoch = aHeld.claim.epoch](
+      const std::optional<ShardRow>& aRow) {
+      auto* item = this->FindHeld(aShard, epoch);
+      if (item == nullptr) {
+        return;
+      }
+      item->verifying = false;
+      if (aRow && aRow->epoch != epoch) {
+        LogWarn("shard_fenced", { { "shard", std::to_string(aShard) } });
+        item->shard->OnFenced();
+      }
+    });
+}
+
 // What is staged is recorded first; then the row says that this owner grants
 // nothing any more.
 auto
@@ -250,16 +277,22 @@
   const auto now = this->clock.Now();
   for (const auto& inbox : aItems) {
     aHeld.absorbing[inbox.key] = inbox;
-    if (inbox.cancel) {
-      aHeld.shard->OnCancel(now, inbox.task.id);
-    } else {
-      aHeld.shard->OnSubmit(now, inbox.task);
+    switch (inbox.kind) {
+      case InboxKind::Task:
+        aHeld.shard->OnSubmit(now, inbox.task);
+        break;
+      case InboxKind::Cancel:
+        aHeld.shard->OnCancel(now, inbox.task.id);
+        break;
+      case InboxKind::Retry:
+        aHeld.shard->OnRetry(now, inbox.task.id);
+        break;
     }
   }
   this->SettleAbsorbed(aHeld);
 }
 
-// An inbox row is dropped only when its effect is recorded. A cancellation
+// An inbox row is dropped only when its effect is recorded. An order
 // follows a task that moved to another shard.
 auto
 Control::SettleAbsorbed(Held& aHeld) -> void
@@ -269,12 +302,19 @@
     const auto& records = aHeld.shard->Records();
     const auto* task = records.Find(inbox.task.id);
     auto settled = task != nullptr && !records.Busy(inbox.task.id);
-    if (settled && inbox.cancel) {
-      settled = IsFinal(task->phase) || task->cancelAsked;
+    if (settled && inbox.kind != InboxKind::Task) {
+      settled =
+        inbox.kind == InboxKind::Cancel
+          ? IsFinal(task->phase) || task->cancelAsked
+          : task->phase != TaskPhase::Lost && task->phase != TaskPhase::Parked;
       if (task->phase == TaskPhase::Moved) {
         this->executor.Call(
-          [this, id = task->id, target = task->movedTo, key = inbox.key] {
-            return this->shards.SubmitCancel(id, target) &&
+          [this,
+           id = task->id,
+           target = task->movedTo,
+           kind = inbox.kind,
+           key = inbox.key] {
+            return this->shards.SubmitOrder(kind, id, target) &&
                    this->shards.DropInbox({ key });
           },
           [](bool /*aForwarded*/) {});
--- a/daemon/src/executor.h
+++ b/daemon/src/executor.h
@@ -1,18 +1,12 @@
 #ifndef GOOSEBERRY_EXECUTOR_H
 #define GOOSEBERRY_EXECUTOR_H
 
-// One loop thread that owns the control state, and an arena of oneTBB for
-// calls that block. A call's completion runs on the loop thread.
+// Where control code runs: one loop that owns the control state, and calls
+// that block, whose completions come back to the loop. Threads carry it in the
+// daemon; a bench may carry it in virtual time.
 
-#include <atomic>
 #include <functional>
-#include <future>
-#include <memory>
-#include <thread>
-
-#include <oneapi/tbb/concurrent_queue.h>
-#include <oneapi/tbb/global_control.h>
-#include <oneapi/tbb/task_arena.h>
+#include <optional>
 
 #include "types.h"
 
@@ -21,54 +15,41 @@
 class Executor
 {
 public:
-  explicit Executor(int aBlockingThreads);
-  Executor(const Executor&) = delete;
-  auto operator=(const Executor&) -> Executor& = delete;
-  ~Executor();
-
-  // Calls aTick every aInterval on the loop thread until Stop().
-  auto Start(Millis aInterval, std::function<void()> aTick) -> void;
-  // Waits until no blocking call is under way.
-  auto Stop() -> void;
-
-  // Runs on the loop thread.
-  auto Post(std::function<void()> aWork) -> void;
-
-  // Runs aWork in the arena, then aDone with its result on the loop thread.
-  template<class Work, class Done>
-  auto Call(Work aWork, Done aDone) -> void
+  using Work = std::function<void()>;
+  // Runs off the loop and returns what the loop has to do with the result.
+  using BlockingCall = std::function<Work()>;
+
+  virtual ~Executor() = default;
+
+  // Calls aTick every aInterval on the loop until Stop().
+  virtual auto Start(Millis aInterval, Work aTick) -> void = 0;
+  // Returns when no call is under way any more.
+  virtual auto Stop() -> void = 0;
+  // Runs on the loop.
+  virtual auto Post(Work aWork) -> void = 0;
+  // Runs off the loop; its completion runs on it.
+  virtual auto Run(BlockingCall aCall) -> void = 0;
+  // Runs on the loop and waits; not to be called from the loop itself.
+  virtual auto RunAndWait(const Work& aWork) -> void = 0;
+
+  // Runs aWork off the loop, then aDone with its result on it.
+  template<class Blocking, class Done>
+  auto Call(Blocking aWork, Done aDone) -> void
   {
-    ++this->calls;
-    this->arena.enqueue(
-      [this, work = std::move(aWork), done = std::move(aDone)] {
-        auto result = work();
-        this->Post([done, result = std::move(result)] { done(result); });
-        --this->calls;
-      });
+    this->Run([work = std::move(aWork), done = std::move(aDone)]() -> Work {
+      auto result = work();
+      return [done, result = std::move(result)] { done(result); };
+    });
   }
 
-  // Runs on the loop thread and hands the result to the waiting caller.
-  template<class Work>
-  auto Ask(Work aWork) -> decltype(aWork())
+  // Runs on the loop and hands the result to the waiting caller.
+  template<class Question>
+  auto Ask(Question aQuestion) -> decltype(aQuestion())
   {
-    using Result = decltype(aWork());
-    auto task =
-      std::make_shared<std::packaged_task<Result()>>(std::move(aWork));
-    auto answer = task->get_future();
-    this->Post([task] { (*task)(); });
-    return answer.get();
+    auto answer = std::optional<decltype(aQuestion())>{};
+    this->RunAndWait([&] { answer.emplace(aQuestion()); });
+    return std::move(*answer);
   }
-
-private:
-  auto Loop(Millis aInterval, const std::function<void()>& aTick) -> void;
-
-  // Blocking calls need more threads than there are processors.
-  oneapi::tbb::global_control threads;
-  oneapi::tbb::task_arena arena;
-  oneapi::tbb::concurrent_bounded_queue<std::function<void()>> queue;
-  std::atomic<int> calls = 0;
-  std::atomic<bool> stopping = false;
-  std::thread loop;
 };
 
 } // namespace gooseberry
--- a/daemon/src/instance.cpp
+++ b/daemon/src/instance.cpp
@@ -1,5 +1,6 @@
 #include "instance.h"
 
+#include <random>
 #include <thread>
 
 #include "log.h"
@@ -8,6 +9,7 @@
 
 namespace {
 
+constexpr int kBlockingThreads = 32;
 constexpr Millis kStopPoll{ 50 };
 constexpr Millis kLeaveAtMost{ 10000 };
 
@@ -16,6 +18,7 @@
 Instance::Instance(Settings aSettings)
   : settings(std::move(aSettings))
   , workers(this->settings.workerTimeout)
+  , executor(kBlockingThreads)
 {
   auto* table = static_cast<TableService*>(&this->memoryTable);
   auto* objects = static_cast<ObjectStore*>(&this->memoryObjects);
@@ -31,7 +34,9 @@
     this->settings,
     this->clock,
     PlatformServices{ *table, *objects, *instances, this->workers },
-    this->metrics);
+    this->metrics,
+    this->executor,
+    std::random_device{}());
   this->callers = std::make_unique<CallerPort>(
     this->settings, this->clock, *this->control, *table, this->metrics);
   this->admin = std::make_unique<AdminPort>(
--- a/daemon/src/instance.h
+++ b/daemon/src/instance.h
@@ -13,6 +13,7 @@
 #include "httpplatform.h"
 #include "memoryplatform.h"
 #include "steadyclock.h"
+#include "threadedexecutor.h"
 
 namespace gooseberry {
 
@@ -37,6 +38,7 @@
   FixedInstances fixedInstances;
   std::unique_ptr<HttpPlatform> platform;
   HttpWorkers workers;
+  ThreadedExecutor executor;
   std::unique_ptr<Control> control;
   std::unique_ptr<CallerPort> callers;
   std::unique_ptr<AdminPort> admin;
--- a/daemon/src/settings.cpp
+++ b/daemon/src/settings.cpp
@@ -38,21 +38,23 @@
   map->Finish();
 }
 
+// Reads the name of a policy; NB stands for their number.
+template<class Policy>
 auto
-ReadRouting(YamlMap& aRoot, Settings& aSettings) -> void
+ReadPolicy(YamlMap& aRoot, const char* aKey, Policy aDefault, Policy aCount)
+  -> Policy
 {
-  const auto name = aRoot.String("routing", ToText(aSettings.routing));
-  for (auto index = 0;
-       index < static_cast<int>(RoutingPolicy::RoutingPolicy_NB);
-       ++index) {
-    const auto policy = static_cast<RoutingPolicy>(index);
+  const auto name = aRoot.String(aKey, ToText(aDefault));
+  auto known = std::string{};
+  for (auto index = 0; index < static_cast<int>(aCount); ++index) {
+    const auto policy = static_cast<Policy>(index);
     if (name == ToText(policy)) {
-      aSettings.routing = policy;
-      return;
+      return policy;
     }
+    known += (index > 0 ? ", " : "") + std::string{ ToText(policy) };
   }
-  aRoot.Report("routing",
-               "must be least_cost, two_choices, round_robin or random");
+  aRoot.Report(aKey, "must be one of " + known);
+  return aDefault;
 }
 
 } // namespace
@@ -95,7 +97,10 @@
   settings.workerTimeout = root.Duration(
     "worker_timeout", settings.workerTimeout, Millis{ 50 }, kMaxTimeout);
   settings.shards = root.Integer("shards", settings.shards, 1, 4096);
-  ReadRouting(root, settings);
+  settings.routing = ReadPolicy(
+    root, "routing", settings.routing, RoutingPolicy::RoutingPolicy_NB);
+  settings.placement = ReadPolicy(
+    root, "placement", settings.placement, PlacementPolicy::PlacementPolicy_NB);
   settings.hop =
     root.Duration("hop", settings.hop, Millis{ 0 }, Millis{ 1000 });
   settings.balancerLag = root.Duration(
@@ -184,6 +189,8 @@
 
 # How backend servers are chosen: least_cost, two_choices, round_robin, random.
 routing: least_cost
+# How workers are chosen: best_fit, first_fit, random.
+placement: best_fit
 # One-way time between failure domains.
 hop: 1ms
 
--- a/daemon/src/settings.h
+++ b/daemon/src/settings.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "placement.h"
 #include "routing.h"
 #include "types.h"
 #include "yamlreader.h"
@@ -48,6 +49,7 @@
   std::int64_t shards = 8;
 
   RoutingPolicy routing = RoutingPolicy::LeastCost;
+  PlacementPolicy placement = PlacementPolicy::BestFit;
   Millis hop{ 1 };
   Millis balancerLag{ 2000 };
   std::string logLevel = "info";
--- a/daemon/src/shardstore.cpp
+++ b/daemon/src/shardstore.cpp
@@ -45,6 +45,12 @@
          std::to_string(aTask.moves);
 }
 
+auto
+OrderName(InboxKind aKind) -> std::string
+{
+  return aKind == InboxKind::Cancel ? "cancel/" : "retry/";
+}
+
 auto
 SnapshotName(ShardNumber aShard) -> std::string
 {
@@ -373,11 +379,17 @@
   }
   auto items = std::vector<InboxItem>{};
   for (const auto& row : scan.rows) {
-    auto item = InboxItem{ row.key, false, {} };
-    const auto cancelPrefix = prefix + "cancel/";
-    if (row.key.starts_with(cancelPrefix)) {
-      item.cancel = true;
-      item.task.id.text = row.key.substr(cancelPrefix.size());
+    auto item = InboxItem{ row.key, InboxKind::Task, {} };
+    auto order = false;
+    for (const auto kind : { InboxKind::Cancel, InboxKind::Retry }) {
+      const auto orderPrefix = prefix + OrderName(kind);
+      if (row.key.starts_with(orderPrefix)) {
+        item.kind = kind;
+        item.task.id.text = row.key.substr(orderPrefix.size());
+        order = true;
+      }
+    }
+    if (order) {
       items.push_back(item);
       continue;
     }
@@ -422,9 +434,11 @@
 }
 
 auto
-ShardStore::SubmitCancel(const TaskId& aTask, ShardNumber aShard) -> bool
+ShardStore::SubmitOrder(InboxKind aKind,
+                        const TaskId& aTask,
+                        ShardNumber aShard) -> bool
 {
-  const auto key = InboxPrefix(aShard) + "cancel/" + aTask.text;
+  const auto key = InboxPrefix(aShard) + OrderName(aKind) + aTask.text;
   return this->Commit({ {}, { { key, "{}" } } }).status == StoreStatus::Ok;
 }
 
--- a/daemon/src/shardstore.h
+++ b/daemon/src/shardstore.h
@@ -43,11 +43,18 @@
   std::map<TaskId, Task> tasks;
 };
 
+enum class InboxKind
+{
+  Task,
+  Cancel,
+  Retry
+};
+
 struct InboxItem
 {
   std::string key;
-  bool cancel = false;
-  Task task; // only the identity counts for a cancellation
+  InboxKind kind = InboxKind::Task;
+  Task task; // only the identity counts unless the kind is Task
 };
 
 enum class AppendOutcome
@@ -110,7 +117,9 @@
   auto DropInbox(const std::vector<std::string>& aKeys) -> bool;
   // Puts tasks into their shards' inboxes; false if the store did not confirm.
   auto Submit(const std::vector<Task>& aTasks, ShardNumber aShardCount) -> bool;
-  auto SubmitCancel(const TaskId& aTask, ShardNumber aShard) -> bool;
+  // Puts a cancellation or a retry into a shard's inbox.
+  auto SubmitOrder(InboxKind aKind, const TaskId& aTask, ShardNumber aShard)
+    -> bool;
 
 private:
   auto Commit(const Transaction& aTransaction) -> CommitResult;
--- a/daemon/src/executor.cpp
+++ b/daemon/src/threadedexecutor.cpp
@@ -1,6 +1,8 @@
-#include "executor.h"
+#include "threadedexecutor.h"
 
 #include <chrono>
+#include <future>
+#include <memory>
 
 namespace gooseberry {
 
@@ -10,20 +12,20 @@
 
 } // namespace
 
-Executor::Executor(int aBlockingThreads)
+ThreadedExecutor::ThreadedExecutor(int aBlockingThreads)
   : threads(oneapi::tbb::global_control::max_allowed_parallelism,
             static_cast<std::size_t>(aBlockingThreads) + 1)
   , arena(aBlockingThreads, 0)
 {
 }
 
-Executor::~Executor()
+ThreadedExecutor::~ThreadedExecutor()
 {
   this->Stop();
 }
 
 auto
-Executor::Start(Millis aInterval, std::function<void()> aTick) -> void
+ThreadedExecutor::Start(Millis aInterval, Work aTick) -> void
 {
   this->loop = std::thread([this, aInterval, tick = std::move(aTick)] {
     this->Loop(aInterval, tick);
@@ -31,7 +33,7 @@
 }
 
 auto
-Executor::Stop() -> void
+ThreadedExecutor::Stop() -> void
 {
   if (!this->loop.joinable()) {
     return;
@@ -44,13 +46,34 @@
 }
 
 auto
-Executor::Post(std::function<void()> aWork) -> void
+ThreadedExecutor::Post(Work aWork) -> void
 {
   this->queue.push(std::move(aWork));
 }
 
 auto
-Executor::Loop(Millis aInterval, const std::function<void()>& aTick) -> void
+ThreadedExecutor::Run(BlockingCall aCall) -> void
+{
+  ++this->calls;
+  this->arena.enqueue([this, call = std::move(aCall)] {
+    this->Post(call());
+    --this->calls;
+  });
+}
+
+auto
+ThreadedExecutor::RunAndWait(const Work& aWork) -> void
+{
+  auto finished = std::promise<void>{};
+  this->Post([&] {
+    aWork();
+    finished.set_value();
+  });
+  finished.get_future().wait();
+}
+
+auto
+ThreadedExecutor::Loop(Millis aInterval, const Work& aTick) -> void
 {
   std::jthread ticker([this, aInterval, &aTick](const std::stop_token& aStop) {
     auto pending = std::make_shared<std::atomic<bool>>(false);
@@ -65,7 +88,7 @@
     }
   });
   while (!this->stopping) {
-    auto work = std::function<void()>{};
+    auto work = Work{};
     this->queue.pop(work);
     work();
   }
--- a/decisions/src/document.cpp
+++ b/decisions/src/document.cpp
@@ -105,6 +105,7 @@
       spec.priority = static_cast<int>(entry.Integer("priority", 0, 0, 100));
       spec.urgent = entry.Boolean("urgent", false);
       spec.checkpoints = entry.Boolean("checkpoints", false);
+      spec.atMostOnce = entry.Boolean("at_most_once", false);
       spec.domains = this->ReadDomains(entry);
       if (aKind == TaskKind::Batch) {
         spec.runTime =
--- a/decisions/src/document.h
+++ b/decisions/src/document.h
@@ -73,6 +73,8 @@
   int priority = 0;
   bool urgent = false;
   bool checkpoints = false;
+  // Once it may have finished, it is never started again by itself.
+  bool atMostOnce = false;
   int replicas = 0;
   std::vector<DomainId> domains;
 
--- a/decisions/src/placement.cpp
+++ b/decisions/src/placement.cpp
@@ -89,9 +89,9 @@
 // Lower is better. Batch packs tightly, to keep whole workers free for large
 // tasks; services and watchers spread over failure domains first.
 auto
-Cost(const WorkerView& aWorker,
-     const Task& aTask,
-     const PlacementContext& aContext) -> double
+BestCost(const WorkerView& aWorker,
+         const Task& aTask,
+         const PlacementContext& aContext) -> double
 {
   auto after = aWorker.reserved;
   after += aTask.size;
@@ -108,8 +108,44 @@
   return cost + fullness;
 }
 
+auto
+FirstCost(const WorkerView& /*aWorker*/,
+          const Task& /*aTask*/,
+          const PlacementContext& /*aContext*/) -> double
+{
+  return 0.0;
+}
+
+auto
+RandomCost(const WorkerView& aWorker,
+           const Task& aTask,
+           const PlacementContext& aContext) -> double
+{
+  const auto draw = aWorker.info.id.text + aTask.id.text;
+  return static_cast<double>(
+    StableHash(draw, static_cast<std::uint64_t>(MillisOf(aContext.now))));
+}
+
+struct PolicyEntry
+{
+  const char* name;
+  double (*cost)(const WorkerView&, const Task&, const PlacementContext&);
+};
+
+constexpr std::array<PolicyEntry,
+                     static_cast<int>(PlacementPolicy::PlacementPolicy_NB)>
+  kPolicies{ { { "best_fit", BestCost },
+               { "first_fit", FirstCost },
+               { "random", RandomCost } } };
+
 } // namespace
 
+auto
+ToText(PlacementPolicy aPolicy) -> const char*
+{
+  return kPolicies[static_cast<std::size_t>(aPolicy)].name;
+}
+
 auto
 WorkerView::Room() const -> Resources
 {
@@ -146,7 +182,8 @@
       aReason = std::max(aReason, *obstacle);
       continue;
     }
-    const auto cost = Cost(worker, aTask, aContext);
+    const auto& policy = kPolicies[static_cast<std::size_t>(aContext.policy)];
+    const auto cost = policy.cost(worker, aTask, aContext);
     if (!best || cost < bestCost) {
       best = index;
       bestCost = cost;
--- a/decisions/src/placement.h
+++ b/decisions/src/placement.h
@@ -62,9 +62,21 @@
           const ShardCapacity& aCapacity,
           ShardNumber aOwn) -> std::optional<ShardNumber>;
 
+enum class PlacementPolicy
+{
+  BestFit,  // by cost: interference, spread, packing
+  FirstFit, // the first worker with room, by name
+  Random,   // any worker with room
+  PlacementPolicy_NB
+};
+
+auto
+ToText(PlacementPolicy aPolicy) -> const char*;
+
 struct PlacementContext
 {
   Time now;
+  PlacementPolicy policy = PlacementPolicy::BestFit;
   const Document* document = nullptr;
   const Interference* interference = nullptr;
   // Failure domains that were opened lately, and the share that may be used.
--- a/decisions/src/shard.cpp
+++ b/decisions/src/shard.cpp
@@ -14,6 +14,7 @@
                "failure",
                "refusal",
                "lost_attempt",
+               "lost_for_good",
                "domain_eviction",
                "interference_eviction",
                "priority_eviction",
@@ -51,6 +52,7 @@
   , shardCount(aTakeover.shardCount)
   , takenAt(aTakeover.now)
   , workersLapseAfter(aTakeover.workersLapseAfter)
+  , policy(aTakeover.policy)
   , ledger(aTakeover.owner.text,
            aTakeover.epoch,
            aTakeover.sequence,
@@ -133,6 +135,21 @@
   this->Stage(aNow, task, Haste::Now);
 }
 
+auto
+Shard::OnRetry(Time aNow, const TaskId& aTask) -> void
+{
+  const auto* known = this->ledger.Find(aTask);
+  const auto retryable =
+    known != nullptr && !this->ledger.Busy(aTask) &&
+    (known->phase == TaskPhase::Lost || known->phase == TaskPhase::Parked);
+  if (!retryable) {
+    return;
+  }
+  auto task = *known;
+  task.failures = 0;
+  this->Requeue(aNow, task, "an operator asked for another try");
+}
+
 auto
 Shard::OnTick(const Authority& aAuthority) -> void
 {
@@ -174,8 +191,6 @@
     const auto view = this->workers.find(before.worker);
     if (left && view != this->workers.end()) {
       view->second.reserved -= before.size;
-      this->acknowledged[before.worker].push_back(
-        { before.id, before.attempt });
     }
   }
   for (const auto& task : entry->changed) {
@@ -305,6 +320,22 @@
   this->Stage(aNow, std::move(aTask), Haste::Now);
 }
 
+// Room is free either way. A task that must not run twice keeps its worker and
+// attempt, so that a late report can still tell how it ended.
+auto
+Shard::Lose(Time aNow, Task aTask, const std::string& aReason) -> void
+{
+  this->Count(ShardEvent::LostAttempt);
+  if (!aTask.atMostOnce || aTask.cancelAsked) {
+    this->Requeue(aNow, std::move(aTask), aReason);
+    return;
+  }
+  this->Count(ShardEvent::LostForGood);
+  aTask.phase = TaskPhase::Lost;
+  aTask.reason = aReason + "; it may have finished. 'retry' starts it again";
+  this->Stage(aNow, std::move(aTask), Haste::Now);
+}
+
 auto
 Shard::SetReason(const Task& aTask, const std::string& aReason) -> void
 {
@@ -392,8 +423,7 @@
     for (const auto& [taskId, task] : this->ledger.Tasks()) {
       if (task.worker == id && HoldsRoom(task.phase) &&
           !this->ledger.Busy(taskId)) {
-        this->Count(ShardEvent::LostAttempt);
-        this->Requeue(
+        this->Lose(
           aAuthority.now, task, "worker " + id.text + " lost its lease");
       }
     }
--- a/decisions/src/shard.h
+++ b/decisions/src/shard.h
@@ -29,6 +29,7 @@
   Failure,
   Refusal,
   LostAttempt,
+  LostForGood,
   DomainEviction,
   InterferenceEviction,
   PriorityEviction,
@@ -77,6 +78,7 @@
   // The longest that a worker may still obey the previous owner.
   Millis workersLapseAfter{ 0 };
   std::map<TaskId, Task> tasks;
+  PlacementPolicy policy = PlacementPolicy::BestFit;
 };
 
 class Shard
@@ -90,6 +92,8 @@
                  const ShardCapacity& aCapacity) -> void;
   auto OnSubmit(Time aNow, const Task& aTask) -> void;
   auto OnCancel(Time aNow, const TaskId& aTask) -> void;
+  // An operator wants a parked or lost task to be tried again.
+  auto OnRetry(Time aNow, const TaskId& aTask) -> void;
   auto OnReport(const Authority& aAuthority,
                 const WorkerId& aWorker,
                 const WorkerReport& aReport) -> void;
@@ -114,6 +118,8 @@
   auto Count(ShardEvent aEvent) -> void;
   auto Stage(Time aNow, Task aTask, Haste aHaste) -> void;
   auto Requeue(Time aNow, Task aTask, const std::string& aReason) -> void;
+  // The attempt ended without a word from its worker.
+  auto Lose(Time aNow, Task aTask, const std::string& aReason) -> void;
   auto SetReason(const Task& aTask, const std::string& aReason) -> void;
 
   auto OnAttempt(const Authority& aAuthority,
@@ -123,6 +129,8 @@
                WorkerView& aView,
                const Task& aTask,
                const AttemptReport& aAttempt) -> void;
+  auto OnLateFinish(const Authority& aAuthority, const AttemptReport& aAttempt)
+    -> bool;
   auto OnFailure(Time aNow, WorkerView& aView, Task aTask) -> void;
   auto OnUnlisted(Time aNow,
                   const WorkerId& aWorker,
@@ -155,6 +163,7 @@
   ShardNumber shardCount;
   Time takenAt;
   Millis workersLapseAfter;
+  PlacementPolicy policy;
   Ledger ledger;
   std::map<WorkerId, WorkerView> workers;
   FleetShape fleet;
--- a/decisions/src/shardplace.cpp
+++ b/decisions/src/shardplace.cpp
@@ -154,11 +154,10 @@
     }
   }
   auto spread = this->Spread();
-  auto context = PlacementContext{ aAuthority.now,
-                                   aAuthority.document.get(),
-                                   &this->interference,
-                                   &refill,
-                                   &spread };
+  auto context = PlacementContext{
+    aAuthority.now,      this->policy, aAuthority.document.get(),
+    &this->interference, &refill,      &spread
+  };
   // A size that found no room this time finds none later in the same pass.
   auto hopeless = std::vector<std::pair<Task, NoPlace>>{};
   for (const auto& task : waiting) {
--- a/decisions/src/shardreport.cpp
+++ b/decisions/src/shardreport.cpp
@@ -79,10 +79,14 @@
                  const AttemptReport& aAttempt) -> void
 {
   const auto* task = this->ledger.Find(aAttempt.task);
-  const auto current = task != nullptr && HoldsRoom(task->phase) &&
-                       task->worker == aView.info.id &&
-                       task->attempt == aAttempt.attempt;
+  const auto current =
+    task != nullptr &&
+    (HoldsRoom(task->phase) || task->phase == TaskPhase::Lost) &&
+    task->worker == aView.info.id && task->attempt == aAttempt.attempt;
   const auto running = aAttempt.state == AttemptState::Running;
+  if (!current && !running && this->OnLateFinish(aAuthority, aAttempt)) {
+    return;
+  }
   if (!current) {
     const auto ref = AttemptRef{ aAttempt.task, aAttempt.attempt };
     auto& list = running ? this->orphans[aView.info.id]
@@ -110,6 +114,33 @@
   this->ledger.Note(known);
 }
 
+// An attempt that was given up has finished after all: the task is done, and
+// an attempt that followed it is stopped. False if there is nothing to learn.
+auto
+Shard::OnLateFinish(const Authority& aAuthority, const AttemptReport& aAttempt)
+  -> bool
+{
+  const auto* task = this->ledger.Find(aAttempt.task);
+  if (aAttempt.state != AttemptState::Finished || task == nullptr ||
+      IsFinal(task->phase) || task->phase == TaskPhase::Moved ||
+      task->kind != TaskKind::Batch) {
+    return false;
+  }
+  if (this->ledger.Busy(aAttempt.task) || task->phase == TaskPhase::Evicting) {
+    return true;
+  }
+  if (HoldsRoom(task->phase)) {
+    this->Evict(aAuthority.now, *task, "an earlier attempt has finished");
+    return true;
+  }
+  this->Count(ShardEvent::Finish);
+  auto finished = *task;
+  finished.phase = TaskPhase::Finished;
+  finished.reason = "an earlier attempt has finished";
+  this->Stage(aAuthority.now, finished, Haste::Now);
+  return true;
+}
+
 auto
 Shard::OnEnded(const Authority& aAuthority,
                WorkerView& aView,
@@ -198,8 +229,7 @@
     if (this->unsent.contains(id)) {
       continue;
     }
-    this->Count(ShardEvent::LostAttempt);
-    this->Requeue(aNow, task, aWorker.text + " no longer runs it");
+    this->Lose(aNow, task, aWorker.text + " no longer runs it");
   }
 }
 
@@ -235,6 +265,9 @@
       suffering = task->classId;
     }
   }
+  if (this->policy != PlacementPolicy::BestFit) {
+    return;
+  }
   const auto relief = aView.relief.Next(aNow, worst);
   if (relief == Relief::Restore) {
     for (auto& [id, percent] : aView.throttles) {
--- a/decisions/src/task.cpp
+++ b/decisions/src/task.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 constexpr std::array<const char*, static_cast<int>(TaskPhase::TaskPhase_NB)>
-  kPhaseNames{ "waiting",  "starting",  "running", "evicting",
-               "finished", "cancelled", "parked",  "moved" };
+  kPhaseNames{ "waiting",   "starting", "running", "evicting", "finished",
+               "cancelled", "parked",   "moved",   "lost" };
 
 constexpr std::array<const char*, static_cast<int>(TaskKind::TaskKind_NB)>
   kKindNames{ "batch", "watcher", "service" };
@@ -62,6 +62,7 @@
             { "priority", aTask.priority },
             { "urgent", aTask.urgent },
             { "checkpoints", aTask.checkpoints },
+            { "at_most_once", aTask.atMostOnce },
             { "domains", aTask.domains },
             { "phase", ToText(aTask.phase) },
             { "worker", aTask.worker },
@@ -89,6 +90,7 @@
   aJson.at("priority").get_to(aTask.priority);
   aTask.urgent = aJson.value("urgent", false);
   aJson.at("checkpoints").get_to(aTask.checkpoints);
+  aTask.atMostOnce = aJson.value("at_most_once", false);
   aJson.at("domains").get_to(aTask.domains);
   aTask.phase =
     EnumFromText<TaskPhase>(kPhaseNames, aJson.at("phase").get<std::string>());
@@ -117,6 +119,7 @@
   task.priority = aClass.priority;
   task.urgent = aClass.urgent;
   task.checkpoints = aClass.checkpoints;
+  task.atMostOnce = aClass.atMostOnce;
   task.domains = aClass.domains;
   return task;
 }
--- a/decisions/src/task.h
+++ b/decisions/src/task.h
@@ -21,6 +21,7 @@
   Cancelled, // final
   Parked,    // can't run as things are; the reason says why
   Moved,     // another shard holds it
+  Lost,      // its worker is gone and nobody knows whether it finished
   TaskPhase_NB
 };
 
@@ -46,6 +47,7 @@
   int priority = 0;
   bool urgent = false;
   bool checkpoints = false;
+  bool atMostOnce = false;
   std::vector<DomainId> domains;
 
   TaskPhase phase = TaskPhase::Waiting;
--- a/decisions/src/tunables.h
+++ b/decisions/src/tunables.h
@@ -28,6 +28,9 @@
 inline constexpr Millis kSyncInterval{ 500 };
 inline constexpr Millis kInboxInterval{ 500 };
 
+// How often an owner reads its shards' rows, to learn that another took over.
+inline constexpr Millis kVerifyInterval{ 5000 };
+
 // Starts wait this long for company in one transaction; urgent ones do not.
 inline constexpr Millis kGroupCommitDelay{ 200 };
 inline constexpr std::size_t kMaxChangesPerCommit = 200;
