An owner whose lease lapsed verifies its shards before it acts again

Cause: found while writing the model of leases and takeovers: an owner that was cut off, superseded, and then renewed its lease went on granting and starting until its next append or check. A write of a takeover that was delayed could also leave a shard with an instance that did not know. Change: a lapsed and regained lease begins a new term; a shard acts only when its row was read under that term. Takeovers of unknown outcome are remembered with their epoch and given up when they turn out to have taken effect. Ruled out: deleting the member row at takeover (another write per takeover, and the row may be shared by several shards of the same owner).

--- a/bench/src/chaosbench.cpp
+++ b/bench/src/chaosbench.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr Millis kFaultTime{ 90000 };
+constexpr Millis kLongestPause{ 30000 };
 constexpr Millis kFaultInterval{ 1500 };
 constexpr Millis kRecoveryStep{ 10000 };
 constexpr Millis kRecoveryAtMost{ 400000 };
@@ -71,12 +72,15 @@
     }
     this->Calm();
     const auto finished = this->Recover();
+    // Whatever is still paused goes on and says what it did.
+    this->world.RunFor(kLongestPause);
     auto figures = this->world.Figures({ "billing.", "certificate." });
     auto result = ChaosResult{ aSeed,
                                std::move(figures.tasks.violations),
                                figures.tasks.starts,
                                figures.tasks.finishes,
-                               figures.signature };
+                               figures.signature,
+                               this->world.Events() };
     if (!finished) {
       result.violations.push_back(this->Unfinished());
     }
@@ -208,15 +212,14 @@
 
   auto WatchersRun() -> bool
   {
-    auto running = std::set<std::string>{};
+    auto running = std::set<std::pair<std::string, std::uint64_t>>{};
     for (const auto& event : this->world.Events()) {
-      if (event.task.starts_with("locker.") ||
-          event.task.starts_with("kiosk.")) {
-        if (event.what == "start") {
-          running.insert(event.task);
-        } else {
-          running.erase(event.task);
-        }
+      const auto kept =
+        event.task.starts_with("locker.") || event.task.starts_with("kiosk.");
+      if (kept && event.what == "start") {
+        running.emplace(event.task, event.attempt);
+      } else if (kept) {
+        running.erase({ event.task, event.attempt });
       }
     }
     return running.size() == 9;
@@ -236,7 +239,6 @@
 
   auto Unfinished() -> std::string
   {
-    this->world.DescribeOpen();
     return "not recovered: " + std::to_string(this->Open()) +
            " tasks open, watchers and services " +
            (this->WatchersRun() ? "run" : "missing");
@@ -269,6 +271,22 @@
   int submitted = 0;
 };
 
+auto
+Trace(const ChaosResult& aResult, const std::string& aTask) -> void
+{
+  for (const auto& event : aResult.events) {
+    if (!aTask.empty() && event.task == aTask) {
+      std::printf("seed %llu: %8lld %-12s %s attempt %llu on %s\n",
+                  static_cast<unsigned long long>(aResult.seed),
+                  static_cast<long long>(event.millis),
+                  event.what.c_str(),
+                  event.task.c_str(),
+                  static_cast<unsigned long long>(event.attempt),
+                  event.worker.c_str());
+    }
+  }
+}
+
 } // namespace
 
 auto
@@ -281,7 +299,7 @@
 RunChaosBench(const std::vector<std::string>& aWords) -> int
 {
   auto options = BenchOptions{};
-  if (!options.Read(aWords, { "seed", "seeds" })) {
+  if (!options.Read(aWords, { "seed", "seeds", "trace" })) {
     return kBenchUsage;
   }
   const auto first = options.Number("seed", 1);
@@ -299,6 +317,7 @@
     starts += result.starts;
     finishes += result.finishes;
     signature = StableHash(std::to_string(result.signature), signature);
+    Trace(result, options.Text("trace", ""));
     broken += result.violations.empty() ? 0 : 1;
     for (const auto& violation : result.violations) {
       std::cout << "seed " << result.seed << ": " << violation << '\n';
--- a/bench/src/chaosbench.h
+++ b/bench/src/chaosbench.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "taskjudge.h"
+
 namespace gooseberry {
 
 struct ChaosResult
@@ -17,13 +19,16 @@
   std::size_t starts = 0;
   std::size_t finishes = 0;
   std::uint64_t signature = 0;
+  // What the workers did, in the order in which they said so.
+  std::vector<TaskEvent> events;
 };
 
 // One world of two minutes of faults and time to recover.
 auto
 RunChaosSeed(std::uint64_t aSeed) -> ChaosResult;
 
-// gooseberryctl bench chaos [--seed N] [--seeds N]; 1 if a promise broke.
+// gooseberryctl bench chaos [--seed N] [--seeds N] [--trace TASK]; prints the
+// events of that task; 1 if a promise broke.
 auto
 RunChaosBench(const std::vector<std::string>& aWords) -> int;
 
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -1,7 +1,6 @@
 #include "world.h"
 
 #include <algorithm>
-#include <iostream>
 
 namespace gooseberry {
 
@@ -420,34 +419,6 @@
   return count;
 }
 
-auto
-World::DescribeOpen() -> void
-{
-  auto store = ShardStore{ this->table, this->objects };
-  for (auto shard = 0; shard < this->options.shards; ++shard) {
-    auto reason = std::string{};
-    const auto stored = store.Load(static_cast<ShardNumber>(shard), reason);
-    const auto row = store.ReadRow(static_cast<ShardNumber>(shard));
-    std::cerr << "shard " << shard << " " << nlohmann::json(*row).dump() << " "
-              << reason << "\n";
-    for (const auto& [id, task] : stored->tasks) {
-      if (task.phase != TaskPhase::Finished &&
-          task.phase != TaskPhase::Cancelled && task.phase != TaskPhase::Moved)
-        std::cerr << "  " << nlohmann::json(task).dump() << "\n";
-    }
-  }
-  for (const auto& row : this->table.Scan("inbox/", "", 100).rows)
-    std::cerr << row.key << " " << row.value << "\n";
-  for (const auto& row : this->table.Scan("member/", "", 100).rows)
-    std::cerr << row.key << " " << row.value << "\n";
-  for (auto& instance : this->instances) {
-    std::cerr << "instance " << instance->control->Self().text << " alive "
-              << instance->executor.Alive() << "\n";
-    for (auto& m : instance->control->Workers())
-      std::cerr << "   " << nlohmann::json(m).dump() << "\n";
-  }
-}
-
 auto
 World::Figures(const std::vector<std::string>& aAtMostOnce) -> WorldFigures
 {
--- a/bench/src/world.h
+++ b/bench/src/world.h
@@ -120,7 +120,6 @@
   auto Events() const -> const std::vector<TaskEvent>&;
   // Tasks of a class in one phase, as the store has them.
   auto CountPhase(const std::string& aPrefix, TaskPhase aPhase) -> int;
-  auto DescribeOpen() -> void;
   // aAtMostOnce: prefixes of tasks that must not start after any finish.
   auto Figures(const std::vector<std::string>& aAtMostOnce) -> WorldFigures;
 
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -199,15 +199,17 @@
   authority.now = this->clock.Now();
   authority.document = this->loaded.document;
   authority.documentConfirmed = this->documentConfirmed;
-  authority.leaseEnd = aHeld.releasing ? Time{} : this->lease.End();
+  const auto mayAct =
+    !aHeld.releasing && aHeld.verifiedTerm == this->lease.Term();
+  authority.leaseEnd = mayAct ? this->lease.End() : Time{};
   const auto allowance = this->loaded.document
                            ? this->loaded.document->outageAllowance
                            : Millis{ 0 };
   const auto promised = aHeld.claim.ownLapse - kWorkerLease;
   authority.grantEnd =
-    aHeld.releasing
-      ? Time{}
-      : this->lease.End() + std::clamp(allowance, Millis{ 0 }, promised);
+    mayAct
+      ? this->lease.End() + std::clamp(allowance, Millis{ 0 }, promised)
+      : Time{};
   return authority;
 }
 
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -108,6 +109,8 @@
     Time nextInbox{};
     Time nextAppend{};
     Time nextVerify{};
+    // Term of the own lease under which the shard was last seen to be ours.
+    std::uint64_t verifiedTerm = 0;
     bool verifying = false;
     // Inbox rows whose effect is not recorded yet, by task.
     std::map<std::string, InboxItem> absorbing;
@@ -139,6 +142,8 @@
   // Shards (controlshards.cpp).
   auto FixShardCount() -> void;
   auto BalanceShards() -> void;
+  // Gives up shards that takeovers without a known outcome may have left here.
+  auto DropStrays(const std::vector<InstanceId>& aOwners) -> void;
   auto TakeShard(ShardNumber aShard) -> void;
   // Reads the shard's row: an owner that appends nothing would not notice that
   // another has taken over.
@@ -191,6 +196,9 @@
   ShardCounts totalCounts{};
   std::map<ShardNumber, Held> held;
   std::map<ShardNumber, bool> taking;
+  // Epoch that a takeover of unknown outcome tried.
+  std::map<ShardNumber, std::uint64_t> strays;
+  Time nextStrays{};
   int liveEntries = 1;
 
   // Any thread.
--- a/daemon/src/controlmembers.cpp
+++ b/daemon/src/controlmembers.cpp
@@ -50,7 +50,7 @@
     case StoreStatus::Ok:
       this->renewing = false;
       this->memberVersion = aResult.version;
-      this->lease.OnRenewed(aSentAt);
+      this->lease.OnRenewed(aSentAt, now);
       this->nextRenewal = aSentAt + kMemberRenewInterval;
       return;
     case StoreStatus::Unavailable:
@@ -87,7 +87,7 @@
         json.value("counter", std::uint64_t{ 0 }) == aSent.counter;
       if (ours) {
         this->memberVersion = aResult.row.version;
-        this->lease.OnRenewed(aSentAt);
+        this->lease.OnRenewed(aSentAt, this->clock.Now());
       } else if (aResult.row.version == 0 && this->memberVersion != 0) {
         this->LoseMembership();
       } else {
--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -47,6 +47,33 @@
       item->second.releasing = true;
     }
   }
+  this->DropStrays(owners);
+}
+
+auto
+Control::DropStrays(const std::vector<InstanceId>& aOwners) -> void
+{
+  const auto now = this->clock.Now();
+  if (now < this->nextStrays) {
+    return;
+  }
+  this->nextStrays = now + kVerifyInterval;
+  for (const auto& [stray, tried] : this->strays) {
+    const auto shard = stray;
+    if (this->held.contains(shard) || this->taking[shard] ||
+        aOwners[shard] == this->self) {
+      continue;
+    }
+    this->executor.Call(
+      [this, shard, id = this->self, epoch = tried] {
+        return this->shards.ReleaseStray(shard, id, epoch);
+      },
+      [this, shard](bool aSettled) {
+        if (aSettled && !this->taking[shard]) {
+          this->strays.erase(shard);
+        }
+      });
+  }
 }
 
 auto
@@ -55,6 +82,9 @@
   struct Taken
   {
     std::optional<Claim> claim;
+    std::uint64_t triedEpoch = 0;
+    // Term of the own lease when the takeover began.
+    std::uint64_t term = 0;
     std::optional<StoredShard> stored;
     std::string reason;
   };
@@ -67,9 +97,12 @@
   };
   const auto self = this->self;
   this->executor.Call(
-    [this, aShard, self, lapse, lapsed] {
+    [this, aShard, self, lapse, lapsed, term = this->lease.Term()] {
       auto taken = Taken{};
-      taken.claim = this->shards.TakeOver(aShard, self, lapse, lapsed);
+      taken.term = term;
+      const auto result = this->shards.TakeOver(aShard, self, lapse, lapsed);
+      taken.claim = result.claim;
+      taken.triedEpoch = result.triedEpoch;
       if (taken.claim) {
         taken.stored = this->shards.Load(aShard, taken.reason);
       }
@@ -77,6 +110,9 @@
     },
     [this, aShard, self](const Taken& aTaken) {
       this->taking[aShard] = false;
+      if (aTaken.triedEpoch != 0) {
+        this->strays[aShard] = aTaken.triedEpoch;
+      }
       if (aTaken.claim) {
         this->metrics.CountStoreCall(StoreCall::Takeover, true);
         this->metrics.CountStoreCall(StoreCall::Load,
@@ -90,8 +126,10 @@
         }
         return;
       }
+      this->strays.erase(aShard);
       auto& item = this->held[aShard];
       item.claim = *aTaken.claim;
+      item.verifiedTerm = aTaken.term;
       item.snapshotSequence = aTaken.stored->snapshotSequence;
       item.snapshotGeneration = aTaken.stored->snapshotGeneration;
       auto takeover = Takeover{};
@@ -133,18 +171,23 @@
   this->SnapshotIfDue(aShard, aHeld);
 }
 
+// After the own lease had lapsed, nothing is done for a shard until its row,
+// read under the new lease, still names this owner. A takeover that commits
+// later depends on the member row as it was and fails.
 auto
 Control::VerifyOwnership(ShardNumber aShard, Held& aHeld) -> void
 {
   const auto now = this->clock.Now();
-  if (aHeld.verifying || now < aHeld.nextVerify) {
+  const auto term = this->lease.Term();
+  const auto due = now >= aHeld.nextVerify || aHeld.verifiedTerm != term;
+  if (aHeld.verifying || !due || !this->lease.Holds(now)) {
     return;
   }
   aHeld.verifying = true;
   aHeld.nextVerify = now + kVerifyInterval;
   this->executor.Call(
     [this, aShard] { return this->shards.ReadRow(aShard); },
-    [this, aShard, epoch = aHeld.claim.epoch](
+    [this, aShard, term, epoch = aHeld.claim.epoch](
       const std::optional<ShardRow>& aRow) {
       auto* item = this->FindHeld(aShard, epoch);
       if (item == nullptr) {
@@ -154,6 +197,8 @@
       if (aRow && aRow->epoch != epoch) {
         LogWarn("shard_fenced", { { "shard", std::to_string(aShard) } });
         item->shard->OnFenced();
+      } else if (aRow) {
+        item->verifiedTerm = term;
       }
     });
 }
--- a/daemon/src/shardstore.cpp
+++ b/daemon/src/shardstore.cpp
@@ -182,18 +182,17 @@
   ShardNumber aShard,
   const InstanceId& aSelf,
   Millis aWorkersLapseAfter,
-  const std::function<std::optional<std::uint64_t>(const InstanceId&)>& aLapsed)
-  -> std::optional<Claim>
+  const LapsedCounterOf& aLapsed) -> TakeOverResult
 {
   const auto read = this->table.Read(ShardKey(aShard));
   if (read.status != StoreStatus::Ok) {
-    return std::nullopt;
+    return {};
   }
   auto old = ShardRow{};
   if (read.row.version != 0) {
     const auto parsed = Parse<ShardRow>(read.row.value);
     if (!parsed) {
-      return std::nullopt;
+      return {};
     }
     old = *parsed;
   }
@@ -203,13 +202,13 @@
   if (held) {
     const auto member = this->table.Read(MemberKey(old.owner));
     if (member.status != StoreStatus::Ok) {
-      return std::nullopt;
+      return {};
     }
     if (member.row.version != 0) {
       const auto row = Parse<MemberRow>(member.row.value);
       const auto lapsed = aLapsed(old.owner);
       if (!row || !lapsed || *lapsed != row->counter) {
-        return std::nullopt;
+        return {};
       }
     }
     transaction.preconditions.push_back(
@@ -225,7 +224,7 @@
                       Millis{ old.workersLapseMillis },
                       aWorkersLapseAfter };
   if (commit.status == StoreStatus::Ok) {
-    return claim;
+    return { claim, next.epoch };
   }
   // The write may have taken effect all the same.
   const auto again = this->table.Read(ShardKey(aShard));
@@ -234,9 +233,9 @@
                      : std::optional<ShardRow>{};
   if (now && *now == next) {
     claim.rowVersion = again.row.version;
-    return claim;
+    return { claim, next.epoch };
   }
-  return std::nullopt;
+  return { std::nullopt, next.epoch };
 }
 
 auto
@@ -258,6 +257,28 @@
   return now && (now->released || now->owner != aSelf);
 }
 
+auto
+ShardStore::ReleaseStray(ShardNumber aShard,
+                         const InstanceId& aSelf,
+                         std::uint64_t aTriedEpoch) -> bool
+{
+  const auto read = this->table.Read(ShardKey(aShard));
+  const auto row = read.status == StoreStatus::Ok && read.row.version != 0
+                     ? Parse<ShardRow>(read.row.value)
+                     : std::optional<ShardRow>{};
+  if (!row) {
+    return false;
+  }
+  if (row->owner != aSelf || row->released) {
+    // A late write depends on the row as it was before that epoch.
+    return row->epoch >= aTriedEpoch;
+  }
+  const auto claim =
+    Claim{ read.row.version, row->epoch, Millis{ 0 }, Millis{ 0 } };
+  this->Release(aShard, claim, aSelf, Millis{ row->workersLapseMillis });
+  return false;
+}
+
 auto
 ShardStore::ReadRow(ShardNumber aShard) -> std::optional<ShardRow>
 {
--- a/daemon/src/shardstore.h
+++ b/daemon/src/shardstore.h
@@ -75,6 +75,17 @@
   Millis ownLapse{ 0 };
 };
 
+struct TakeOverResult
+{
+  std::optional<Claim> claim;
+  // Epoch of a write that was tried and may still take effect; 0 if none was.
+  std::uint64_t triedEpoch = 0;
+};
+
+// The counter of a member's row that stayed unchanged for longer than a lease.
+using LapsedCounterOf =
+  std::function<std::optional<std::uint64_t>(const InstanceId&)>;
+
 class ShardStore
 {
 public:
@@ -84,19 +95,22 @@
   auto FixShardCount(ShardNumber aWanted) -> std::optional<ShardNumber>;
 
   // Makes aSelf the owner if the shard is free, released, or its owner's lease
-  // has provably lapsed. aLapsed says which counter of a member's row stayed
-  // unchanged for too long.
+  // has provably lapsed.
   auto TakeOver(
     ShardNumber aShard,
     const InstanceId& aSelf,
     Millis aWorkersLapseAfter,
-    const std::function<std::optional<std::uint64_t>(const InstanceId&)>&
-      aLapsed) -> std::optional<Claim>;
+    const LapsedCounterOf& aLapsed) -> TakeOverResult;
   // Gives the shard up; workers may obey this owner for aWorkersLapseAfter.
   auto Release(ShardNumber aShard,
                const Claim& aClaim,
                const InstanceId& aSelf,
                Millis aWorkersLapseAfter) -> bool;
+  // Gives up a shard that a takeover without a known outcome may have left with
+  // aSelf. True once the write of that epoch can't take effect any more.
+  auto ReleaseStray(ShardNumber aShard,
+                    const InstanceId& aSelf,
+                    std::uint64_t aTriedEpoch) -> bool;
   auto ReadRow(ShardNumber aShard) -> std::optional<ShardRow>;
 
   // Snapshot and journal; nullopt with the reason if anything is missing.
--- a/decisions/src/membership.cpp
+++ b/decisions/src/membership.cpp
@@ -77,8 +77,10 @@
 }
 
 auto
-OwnLease::OnRenewed(Time aSentAt) -> void
+OwnLease::OnRenewed(Time aSentAt, Time aNow) -> void
 {
+  // A reply after the old end: others may have taken over in between.
+  this->term += aNow >= this->end ? 1 : 0;
   this->end = std::max(this->end, aSentAt + kMemberLease);
 }
 
@@ -94,6 +96,12 @@
   return this->end;
 }
 
+auto
+OwnLease::Term() const -> std::uint64_t
+{
+  return this->term;
+}
+
 auto
 OwnLease::Holds(Time aNow) const -> bool
 {
--- a/decisions/src/membership.h
+++ b/decisions/src/membership.h
@@ -69,13 +69,18 @@
 class OwnLease
 {
 public:
-  auto OnRenewed(Time aSentAt) -> void;
+  // aNow: when the reply arrived.
+  auto OnRenewed(Time aSentAt, Time aNow) -> void;
   auto OnLost() -> void;
   auto End() const -> Time;
+  // Grows each time the lease is gained again after it had lapsed. What was
+  // held under an older term may belong to others and has to be verified.
+  auto Term() const -> std::uint64_t;
   auto Holds(Time aNow) const -> bool;
 
 private:
   Time end{};
+  std::uint64_t term = 0;
 };
 
 // The owner of each shard, by rendezvous hashing with bounded load: no member
--- a/decisions/src/placement.h
+++ b/decisions/src/placement.h
@@ -28,7 +28,6 @@
   Time lastReport{};
   // Nothing runs there after this time unless a newer lease was sent.
   Time leaseEnd{};
-  std::uint64_t sequence = 0;
   // Declared sizes of all tasks that occupy it.
   Resources reserved;
   // Use that it reported.
--- a/decisions/src/shard.cpp
+++ b/decisions/src/shard.cpp
@@ -203,6 +203,7 @@
       this->finishedAt[task.id] = aNow;
       this->reasons.erase(task.id);
       this->stuckSince.erase(task.id);
+      this->unconfirmedSince.erase(task.id);
     }
   }
 }
@@ -226,7 +227,7 @@
   auto request = SyncRequest{};
   request.shard = this->number;
   request.epoch = this->ledger.Epoch();
-  request.sequence = ++view.sequence;
+  request.sequence = ++this->syncSequence;
   request.startWindowMillis = kStartWindow.count();
   for (const auto& [id, task] : this->ledger.Tasks()) {
     if (task.worker != aWorker || !HoldsRoom(task.phase)) {
@@ -326,6 +327,7 @@
 Shard::Lose(Time aNow, Task aTask, const std::string& aReason) -> void
 {
   this->Count(ShardEvent::LostAttempt);
+  aTask.unconfirmed = true;
   if (!aTask.atMostOnce || aTask.cancelAsked) {
     this->Requeue(aNow, std::move(aTask), aReason);
     return;
@@ -412,7 +414,11 @@
 Shard::DropLapsedWorkers(const Authority& aAuthority) -> void
 {
   for (auto& [id, view] : this->workers) {
-    if (aAuthority.now <= view.leaseEnd) {
+    // A worker that answered since holds no lease yet, but its report tells
+    // what became of its tasks.
+    const auto answered = view.reconciled && view.lastReport > view.leaseEnd &&
+                          aAuthority.now - view.lastReport < kWorkerLease;
+    if (aAuthority.now <= view.leaseEnd || answered) {
       continue;
     }
     view.reconciled = false;
--- a/decisions/src/shard.h
+++ b/decisions/src/shard.h
@@ -174,6 +174,8 @@
   std::map<TaskId, Time> notBefore;
   std::map<TaskId, Time> stuckSince;
   std::map<TaskId, std::string> reasons;
+  // Since when this owner has known of unconfirmed tasks.
+  std::map<TaskId, Time> unconfirmedSince;
   std::map<TaskId, Time> finishedAt;
   // Starts that were recorded by this owner and not sent yet. Any other start
   // may have been accepted by its worker.
@@ -185,6 +187,8 @@
   std::set<TaskId> pendingCancels;
   std::map<DomainId, Time> openedAt;
   std::map<DomainId, bool> openBefore;
+  // Grows with each exchange with any worker.
+  std::uint64_t syncSequence = 0;
   std::uint64_t replicasFor = 0;
   bool replicasKnown = false;
 };
--- a/decisions/src/shardplace.cpp
+++ b/decisions/src/shardplace.cpp
@@ -228,6 +228,7 @@
   aTask.phase = TaskPhase::Starting;
   aTask.worker = view.info.id;
   aTask.attempt += 1;
+  aTask.unconfirmed = false;
   aTask.reason.clear();
   this->Count(ShardEvent::Start);
   this->reasons.erase(aTask.id);
@@ -299,7 +300,7 @@
                        const Task& aTask,
                        NoPlace aReason) -> void
 {
-  const auto [since, fresh] = this->stuckSince.try_emplace(aTask.id, aNow);
+  const auto [since, firstTime] = this->stuckSince.try_emplace(aTask.id, aNow);
   const auto first = aReason == NoPlace::NoRoom || aReason == NoPlace::Refilling
                        ? kTransferAfter
                        : kTransferAtOnce;
@@ -309,6 +310,12 @@
   if (!target || aNow - since->second < rest) {
     return;
   }
+  const auto [known, fresh] =
+    this->unconfirmedSince.try_emplace(aTask.id, aNow);
+  if (aTask.unconfirmed && aNow - known->second < kUnconfirmedStay) {
+    return;
+  }
+  this->unconfirmedSince.erase(aTask.id);
   this->stuckSince.erase(aTask.id);
   this->reasons.erase(aTask.id);
   this->Count(ShardEvent::Transfer);
--- a/decisions/src/task.cpp
+++ b/decisions/src/task.cpp
@@ -71,6 +71,7 @@
             { "failures", aTask.failures },
             { "evictions", aTask.evictions },
             { "cancel_asked", aTask.cancelAsked },
+            { "unconfirmed", aTask.unconfirmed },
             { "order", aTask.order },
             { "moved_to", aTask.movedTo },
             { "moves", aTask.moves },
@@ -100,6 +101,7 @@
   aTask.failures = aJson.value("failures", 0);
   aTask.evictions = aJson.value("evictions", 0);
   aTask.cancelAsked = aJson.value("cancel_asked", false);
+  aTask.unconfirmed = aJson.value("unconfirmed", false);
   aTask.order = aJson.value("order", std::uint64_t{ 0 });
   aTask.movedTo = aJson.value("moved_to", ShardNumber{ 0 });
   aTask.moves = aJson.value("moves", 0);
--- a/decisions/src/task.h
+++ b/decisions/src/task.h
@@ -60,6 +60,8 @@
   int evictions = 0;
   // Set when a cancellation came while the task occupied a worker.
   bool cancelAsked = false;
+  // Its last attempt was given up without a word from its worker.
+  bool unconfirmed = false;
   // Order of submission, for fairness between equals.
   std::uint64_t order = 0;
   // The shard that holds a moved task, and how often it moved.
