--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -207,9 +207,8 @@
                            : Millis{ 0 };
   const auto promised = aHeld.claim.ownLapse - kWorkerLease;
   authority.grantEnd =
-    mayAct
-      ? this->lease.End() + std::clamp(allowance, Millis{ 0 }, promised)
-      : Time{};
+    mayAct ? this->lease.End() + std::clamp(allowance, Millis{ 0 }, promised)
+           : Time{};
   return authority;
 }
 
--- a/daemon/src/shardstore.cpp
+++ b/daemon/src/shardstore.cpp
@@ -178,11 +178,10 @@
 }
 
 auto
-ShardStore::TakeOver(
-  ShardNumber aShard,
-  const InstanceId& aSelf,
-  Millis aWorkersLapseAfter,
-  const LapsedCounterOf& aLapsed) -> TakeOverResult
+ShardStore::TakeOver(ShardNumber aShard,
+                     const InstanceId& aSelf,
+                     Millis aWorkersLapseAfter,
+                     const LapsedCounterOf& aLapsed) -> TakeOverResult
 {
   const auto read = this->table.Read(ShardKey(aShard));
   if (read.status != StoreStatus::Ok) {
--- a/daemon/src/shardstore.h
+++ b/daemon/src/shardstore.h
@@ -96,11 +96,10 @@
 
   // Makes aSelf the owner if the shard is free, released, or its owner's lease
   // has provably lapsed.
-  auto TakeOver(
-    ShardNumber aShard,
-    const InstanceId& aSelf,
-    Millis aWorkersLapseAfter,
-    const LapsedCounterOf& aLapsed) -> TakeOverResult;
+  auto TakeOver(ShardNumber aShard,
+                const InstanceId& aSelf,
+                Millis aWorkersLapseAfter,
+                const LapsedCounterOf& aLapsed) -> TakeOverResult;
   // Gives the shard up; workers may obey this owner for aWorkersLapseAfter.
   auto Release(ShardNumber aShard,
                const Claim& aClaim,
--- a/decisions/src/shardplace.cpp
+++ b/decisions/src/shardplace.cpp
@@ -227,6 +227,7 @@
   view.reserved += aTask.size;
   aTask.phase = TaskPhase::Starting;
   aTask.worker = view.info.id;
+  aTask.incarnation = view.stamp ? view.stamp->incarnation : std::string{};
   aTask.attempt += 1;
   aTask.unconfirmed = false;
   aTask.reason.clear();
--- a/decisions/src/shardreport.cpp
+++ b/decisions/src/shardreport.cpp
@@ -229,7 +229,11 @@
     if (this->unsent.contains(id)) {
       continue;
     }
-    this->Lose(aNow, task, aWorker.text + " no longer runs it");
+    if (task.incarnation == aReport.stamp.incarnation) {
+      this->Requeue(aNow, task, "the start never reached " + aWorker.text);
+    } else {
+      this->Lose(aNow, task, aWorker.text + " no longer runs it");
+    }
   }
 }
 
--- a/decisions/src/task.cpp
+++ b/decisions/src/task.cpp
@@ -66,6 +66,7 @@
             { "domains", aTask.domains },
             { "phase", ToText(aTask.phase) },
             { "worker", aTask.worker },
+            { "incarnation", aTask.incarnation },
             { "attempt", aTask.attempt },
             { "checkpoint", aTask.checkpoint },
             { "failures", aTask.failures },
@@ -96,6 +97,7 @@
   aTask.phase =
     EnumFromText<TaskPhase>(kPhaseNames, aJson.at("phase").get<std::string>());
   aJson.at("worker").get_to(aTask.worker);
+  aTask.incarnation = aJson.value("incarnation", std::string{});
   aJson.at("attempt").get_to(aTask.attempt);
   aJson.at("checkpoint").get_to(aTask.checkpoint);
   aTask.failures = aJson.value("failures", 0);
--- a/decisions/src/task.h
+++ b/decisions/src/task.h
@@ -52,6 +52,9 @@
 
   TaskPhase phase = TaskPhase::Waiting;
   WorkerId worker;
+  // The worker's life at the time of the start; one that lives on keeps every
+  // ended attempt until it is acknowledged.
+  std::string incarnation;
   // Grows with every start; a worker's word on an older attempt is ignored.
   std::uint64_t attempt = 0;
   // Grows only; 0 means that there is none.
--- a/decisions/src/tunables.h
+++ b/decisions/src/tunables.h
@@ -44,8 +44,8 @@
 inline constexpr Millis kTransferAfter{ 1500 };
 inline constexpr Millis kTransferRestMax{ 10000 };
 
-// A task whose worker was lost stays in that worker's shard for so long, where a
-// late report of its finish is heard.
+// A task whose worker was lost stays in that worker's shard for so long, where
+// a late report of its finish is heard.
 inline constexpr Millis kUnconfirmedStay{ 60000 };
 
 // Back-off of a task that failed, doubled with each failure up to the maximum.
--- a/model/work.pml
+++ b/model/work.pml
@@ -16,7 +16,10 @@
 #define MAXATTEMPT 2
 #endif
 #ifndef MAXSEQ
-#define MAXSEQ 2
+#define MAXSEQ 5
+#endif
+#ifndef MAXLATE
+#define MAXLATE 1
 #endif
 #ifndef MAXLAPSES
 #define MAXLAPSES 1
@@ -55,23 +58,26 @@
 byte sent[4];
 #define SENT(o, w) sent[(o) * WORKERS + (w)]
 
-chan net = [2] of { byte, byte, byte, byte, byte, byte };
-chan replies[OWNERS] = [1] of { byte, byte, byte, byte, byte };
+chan net = [2] of { byte, byte, byte, byte, byte };
+byte late = 0;
 
 #define OTHER(o) (1 - (o))
 
 /* The guards. */
 #ifdef NO_SEQUENCE
-#define NEWER_SEQUENCE(s, w) true
-#define NEWEST_REPLY(s, q) true
+#define NEWER(s, w) true
 #else
-#define NEWER_SEQUENCE(s, w) ((s) > seenSeq[w])
-#define NEWEST_REPLY(s, q) ((s) == (q))
+#define NEWER(s, w) ((s) > seenSeq[w])
 #endif
 #ifdef NO_WORKER_EPOCH
 #define OBEYS(e, s, w) true
 #else
-#define OBEYS(e, s, w) ((e) > seenEpoch[w] || ((e) == seenEpoch[w] && NEWER_SEQUENCE(s, w)))
+#define OBEYS(e, s, w) ((e) > seenEpoch[w] || ((e) == seenEpoch[w] && NEWER(s, w)))
+#endif
+#ifdef NO_STAMP
+#define FRESH(p, w) true
+#else
+#define FRESH(p, w) ((p) == period[w])
 #endif
 #ifdef NO_FENCE
 #define FENCED_WRITE(e) true
@@ -94,37 +100,29 @@
   running[w] = attempt;
 }
 
+/* The worker obeys one exchange: WorkerModel::Sync. */
+inline obey(w, e, s, p, a) {
+  if
+  :: OBEYS(e, s, w) ->
+       seenEpoch[w] = e;
+       seenSeq[w] = s;
+       if
+       :: a > 0 && FRESH(p, w) && running[w] != a && done[w] != a -> begin_task(w, a)
+       :: else -> skip
+       fi
+  :: else -> skip
+  fi
+}
+
 proctype Worker(byte w) {
-  byte from, e, s, p, a;
-  bool fresh;
+  byte e, s, p, a;
 end:
   do
-  :: atomic { net??eval(w), from, e, s, p, a ->
-       if
-       :: OBEYS(e, s, w) ->
-            seenEpoch[w] = e;
-            seenSeq[w] = s;
-#ifdef NO_STAMP
-            fresh = true;
-#else
-            fresh = (p == period[w]);
-#endif
-            if
-            :: a > 0 && fresh && running[w] != a && done[w] != a -> begin_task(w, a)
-            :: else -> skip
-            fi;
-            /* the reply may be lost */
-            if
-            :: nfull(replies[from]) ->
-                 replies[from]!w, s, period[w], running[w], done[w]
-            :: skip
-            fi
-       :: else -> skip
-       fi }
+  /* A message that was late; its reply reaches nobody any more. */
+  :: atomic { net??eval(w), e, s, p, a -> obey(w, e, s, p, a) }
   :: atomic { running[w] > 0 -> done[w] = running[w]; running[w] = 0 }
   /* Time passes: a lease on an older stamp has lapsed, and with it the task. */
   :: atomic { period[w] < MAXPERIOD -> period[w]++; running[w] = 0 }
-  :: atomic { net??eval(w), from, e, s, p, a -> skip } /* lost */
   od
 }
 
@@ -134,7 +132,8 @@
   byte worker = 0, attempt = 0;
   byte known[WORKERS];   /* stamp plus one; 0 means that there is none */
   bool unsent = false;   /* the start was recorded by this owner, not sent yet */
-  byte w, s, p, r, d, stamp, a;
+  byte w, p, a;
+  byte pending = 0;      /* worker plus one of a start that is not recorded yet */
   bool applied;
 end:
   do
@@ -159,21 +158,23 @@
   :: atomic { !holds[me] && lease[me] && rowEpoch < MAXEPOCH &&
               (rowOwner == NONE || rowOwner == me || !lease[rowOwner]) ->
        rowEpoch++; rowOwner = me; epoch = rowEpoch; seq = 0;
-       holds[me] = true; verified[me] = true; unsent = false;
+       holds[me] = true; verified[me] = true; unsent = false; pending = 0;
        phase = recPhase; worker = recWorker; attempt = recAttempt;
        known[0] = 0; known[1] = 0 }
 
   /* ShardStore::Release */
   :: atomic { holds[me] && rowEpoch == epoch -> rowOwner = NONE; holds[me] = false }
 
-  /* Shard::PlaceOne, then Ledger::NextEntry and ShardStore::Append */
+  /* Shard::PlaceOne decides; the write may leave much later. */
   :: atomic { holds[me] && lease[me] && verified[me] && phase == waiting &&
-              attempt < MAXATTEMPT ->
+              pending == 0 && attempt < MAXATTEMPT ->
        if
-       :: known[0] > 0 -> w = 0
-       :: known[1] > 0 -> w = 1
-       fi;
-       applied = false;
+       :: known[0] > 0 -> pending = 1
+       :: known[1] > 0 -> pending = 2
+       fi }
+  /* Ledger::NextEntry and ShardStore::Append */
+  :: atomic { holds[me] && pending > 0 ->
+       w = pending - 1; pending = 0; applied = false;
        if
        :: FENCED_WRITE(epoch) ->
             recPhase = starting; recWorker = w; recAttempt = attempt + 1;
@@ -189,42 +190,43 @@
        :: else -> holds[me] = false
        fi }
 
-  /* Shard::NextSync: what is sent is fixed here, and may arrive much later. */
-  :: atomic { holds[me] && grant[me] && verified[me] && seq < MAXSEQ && nfull(net) ->
+  /* Shard::NextSync; what is sent is fixed here. It arrives at once, and the
+   * reply too, or it arrives late, or never. */
+  :: atomic { holds[me] && grant[me] && verified[me] && seq < MAXSEQ ->
        if :: w = 0 :: w = 1 fi;
        seq++;
-       stamp = known[w];
        a = 0;
        if
-       :: stamp > 0 && phase == starting && worker == w && lease[me] ->
+       :: known[w] > 0 && phase == starting && worker == w && lease[me] ->
             a = attempt; unsent = false
        :: else -> skip
        fi;
        if
-       :: stamp > SENT(me, w) -> SENT(me, w) = stamp
+       :: known[w] > SENT(me, w) -> SENT(me, w) = known[w]
        :: else -> skip
        fi;
-       net!w, me, epoch, seq, (stamp > 0 -> stamp - 1 : 99), a }
-
-  /* Shard::OnReport: only the reply to the newest exchange counts. */
-  :: atomic { holds[me] && nempty(replies[me]) ->
-       replies[me]?w, s, p, r, d;
+       p = (known[w] > 0 -> known[w] - 1 : 99);
        if
-       :: NEWEST_REPLY(s, seq) ->
-            known[w] = p + 1;
-            if
-            :: phase == starting && worker == w && d == attempt && rowEpoch == epoch ->
-                 /* finish_recorded_once */
-                 assert(!finishRecorded);
-                 recPhase = finished; phase = finished; finishRecorded = true
-            :: phase == starting && worker == w && d != attempt && r != attempt &&
-               !unsent && rowEpoch == epoch ->
-                 recPhase = waiting; phase = waiting
-            :: else -> skip
-            fi
-       :: else -> skip
+       :: nfull(net) && late < MAXLATE -> late++; net!w, epoch, seq, p, a
+       :: obey(w, epoch, seq, p, a);
+          /* Shard::OnReport, if the worker obeyed and the reply came through */
+          if
+          :: seenEpoch[w] == epoch && seenSeq[w] == seq ->
+               known[w] = period[w] + 1;
+               if
+               :: phase == starting && worker == w && done[w] == attempt &&
+                  rowEpoch == epoch ->
+                    /* finish_recorded_once */
+                    assert(!finishRecorded);
+                    recPhase = finished; phase = finished; finishRecorded = true
+               :: phase == starting && worker == w && done[w] != attempt &&
+                  running[w] != attempt && !unsent && rowEpoch == epoch ->
+                    recPhase = waiting; phase = waiting
+               :: else -> skip
+               fi
+          :: true -> skip
+          fi
        fi }
-  :: atomic { !holds[me] && nempty(replies[me]) -> replies[me]?w, s, p, r, d }
 
   /* Shard::DropLapsedWorkers: the worker is silent, and no lease that anyone
    * may have given it can hold any more. */
