--- /dev/null
+++ b/daemon/tests/daemon_test.cpp
@@ -0,0 +1,205 @@
+// Settings, tokens, and the protocols over the table service.
+
+#include <fstream>
+
+#include <criterion/criterion.h>
+
+#include "claims.h"
+#include "documentstore.h"
+#include "memoryplatform.h"
+#include "settings.h"
+#include "shardstore.h"
+#include "tokens.h"
+
+using namespace gooseberry;
+
+namespace {
+
+// Loses the reply of the next commit, after or before its effect.
+class Forgetful : public MemoryTable
+{
+public:
+  auto Commit(const Transaction& aTransaction) -> CommitResult override
+  {
+    if (this->loseBefore) {
+      this->loseBefore = false;
+      return { StoreStatus::Unknown, 0 };
+    }
+    const auto result = MemoryTable::Commit(aTransaction);
+    if (this->loseAfter) {
+      this->loseAfter = false;
+      return { StoreStatus::Unknown, 0 };
+    }
+    return result;
+  }
+
+  bool loseBefore = false;
+  bool loseAfter = false;
+};
+
+auto
+NobodyLapsed(const InstanceId& /*aId*/) -> std::optional<std::uint64_t>
+{
+  return std::nullopt;
+}
+
+auto
+MakeEntry(const Claim& aClaim, std::uint64_t aSequence) -> JournalEntry
+{
+  auto task = Task{};
+  task.id.text = "t" + std::to_string(aSequence);
+  return { aSequence, aClaim.epoch, "me/" + std::to_string(aSequence),
+           { task },  {},           {} };
+}
+
+} // namespace
+
+Test(settings, defaults_are_what_the_printed_file_says)
+{
+  auto errors = std::vector<YamlError>{};
+  const auto parsed = ParseSettings("defaults", DefaultSettingsText(), errors);
+  cr_assert(parsed, "%s", errors.empty() ? "" : errors[0].Text().c_str());
+  cr_expect(*parsed == Settings{});
+}
+
+Test(settings, errors_name_the_line)
+{
+  auto errors = std::vector<YamlError>{};
+  cr_expect_not(ParseSettings("f.yaml", "domain: a\nshard: 3\n", errors));
+  cr_assert_eq(errors.size(), 1);
+  const auto text = errors[0].Text();
+  cr_expect_str_eq(text.c_str(),
+                   "f.yaml:2: shard: 'shard': is not a known key");
+}
+
+Test(tokens, belong_to_sections_and_a_bad_file_changes_nothing)
+{
+  const auto path = std::string{ "tokens-test.yaml" };
+  std::ofstream{ path } << "site: 0123456789abcdef\n";
+  auto tokens = Tokens{ path };
+  auto errors = std::vector<YamlError>{};
+  cr_assert(tokens.Reload(errors));
+  cr_expect(tokens.OwnerOf("0123456789abcdef") == "site");
+  cr_expect_not(tokens.OwnerOf("0123456789abcde"));
+  cr_expect_not(tokens.OwnerOf(""));
+  std::ofstream{ path } << "site: short\n";
+  cr_expect_not(tokens.Reload(errors));
+  cr_expect(tokens.OwnerOf("0123456789abcdef") == "site");
+  cr_expect_eq(errors[0].Text().find("short"), std::string::npos);
+  std::remove(path.c_str());
+}
+
+Test(document_store, an_edit_with_a_lost_reply_is_recognized)
+{
+  for (const auto after : { true, false }) {
+    auto table = Forgetful{};
+    auto store = DocumentStore{ table };
+    table.loseAfter = after;
+    table.loseBefore = !after;
+    const auto result = store.Apply({ "team", 0, "quota: {}\n", "edit-1" });
+    cr_expect_eq(result.status, EditStatus::Accepted);
+    cr_expect_eq(result.number, 1);
+    const auto again = store.Apply({ "team", 0, "quota: {}\n", "edit-2" });
+    cr_expect_eq(again.status, EditStatus::Conflict);
+    cr_expect_eq(again.number, 1);
+  }
+}
+
+Test(shard_store, an_old_owner_is_fenced_and_a_lost_reply_recognized)
+{
+  auto table = Forgetful{};
+  auto objects = MemoryObjects{};
+  auto store = ShardStore{ table, objects };
+  const auto first =
+    store.TakeOver(0, InstanceId{ "a" }, Millis{ 6000 }, NobodyLapsed);
+  cr_assert(first.claim);
+  table.loseAfter = true;
+  const auto entry = MakeEntry(*first.claim, 1);
+  cr_expect_eq(store.Append(0, *first.claim, entry, {}), AppendOutcome::Retry);
+  cr_expect_eq(store.Append(0, *first.claim, entry, {}),
+               AppendOutcome::Recorded);
+  // The owner's member row is absent, so its lease can't hold.
+  const auto second =
+    store.TakeOver(0, InstanceId{ "b" }, Millis{ 6000 }, NobodyLapsed);
+  cr_assert(second.claim);
+  cr_expect_eq(second.claim->epoch, 2);
+  cr_expect_eq(second.claim->previousLapse.count(), 6000);
+  cr_expect_eq(store.Append(0, *first.claim, MakeEntry(*first.claim, 2), {}),
+               AppendOutcome::Fenced);
+  auto reason = std::string{};
+  cr_expect_eq(store.Load(0, reason)->tasks.size(), 1);
+}
+
+Test(shard_store, a_living_owner_keeps_its_shard)
+{
+  auto table = MemoryTable{};
+  auto objects = MemoryObjects{};
+  auto store = ShardStore{ table, objects };
+  cr_assert(
+    store.TakeOver(0, InstanceId{ "a" }, Millis{ 0 }, NobodyLapsed).claim);
+  auto member = MemberRow{};
+  member.id.text = "a";
+  table.Commit(
+    { {}, { { MemberKey(member.id), nlohmann::json(member).dump() } } });
+  cr_expect_not(
+    store.TakeOver(0, InstanceId{ "b" }, Millis{ 0 }, NobodyLapsed).claim);
+}
+
+Test(shard_store, unreadable_rows_are_refused_with_a_reason)
+{
+  const std::vector<std::string> bad{
+    "not json",
+    R"({"sequence": 1})",
+    R"({"format": 99, "sequence": 1, "epoch": 1, "identity": "x",)"
+    R"( "changed": [], "removed": [], "transfers": []})",
+    R"({"format": 1, "sequence": 5, "epoch": 1, "identity": "x",)"
+    R"( "changed": [], "removed": [], "transfers": []})"
+  };
+  for (const auto& value : bad) {
+    auto table = MemoryTable{};
+    auto objects = MemoryObjects{};
+    auto store = ShardStore{ table, objects };
+    table.Commit({ {}, { { "journal/00000/000000000001", value } } });
+    auto reason = std::string{};
+    cr_expect_not(store.Load(0, reason));
+    cr_expect_neq(reason.find("journal/00000/000000000001"),
+                  std::string::npos,
+                  "%s",
+                  reason.c_str());
+  }
+}
+
+Test(shard_store, a_snapshot_trims_the_journal_and_replays_the_same)
+{
+  auto table = MemoryTable{};
+  auto objects = MemoryObjects{};
+  auto store = ShardStore{ table, objects };
+  const auto taken =
+    store.TakeOver(0, InstanceId{ "a" }, Millis{ 0 }, NobodyLapsed);
+  for (auto sequence = std::uint64_t{ 1 }; sequence <= 5; ++sequence) {
+    store.Append(0, *taken.claim, MakeEntry(*taken.claim, sequence), {});
+  }
+  auto reason = std::string{};
+  const auto before = store.Load(0, reason);
+  cr_assert(store.WriteSnapshot(0, *taken.claim, *before));
+  cr_expect_eq(table.Scan("journal/", "", 10).rows.size(), 0);
+  store.Append(0, *taken.claim, MakeEntry(*taken.claim, 6), {});
+  const auto after = store.Load(0, reason);
+  cr_assert(after);
+  cr_expect_eq(after->tasks.size(), 6);
+  cr_expect_eq(after->sequence, 6);
+}
+
+Test(claims, one_request_holds_a_key)
+{
+  auto table = Forgetful{};
+  auto claims = Claims{ table };
+  const auto service = ServiceId{ "s" };
+  table.loseAfter = true;
+  cr_expect_eq(claims.Take(service, "k", "one"), ClaimStatus::Taken);
+  cr_expect_eq(claims.Take(service, "k", "two"), ClaimStatus::Held);
+  claims.GiveBack(service, "k", "two");
+  cr_expect_eq(claims.Take(service, "k", "two"), ClaimStatus::Held);
+  claims.GiveBack(service, "k", "one");
+  cr_expect_eq(claims.Take(service, "k", "two"), ClaimStatus::Taken);
+}
--- /dev/null
+++ b/decisions/tests/decisions_test.cpp
@@ -0,0 +1,317 @@
+// The pure decisions: document, ledger, membership, placement, routing.
+
+#include <criterion/criterion.h>
+
+#include "admission.h"
+#include "interference.h"
+#include "ledger.h"
+#include "membership.h"
+#include "placement.h"
+#include "retry.h"
+#include "routing.h"
+#include "tunables.h"
+#include "verdict.h"
+
+using namespace gooseberry;
+
+namespace {
+
+constexpr Time kStart{ Micros{ 1000000 } };
+
+auto
+SiteAnd(const std::string& aTeam) -> Sections
+{
+  return { { "site",
+             { "site",
+               1,
+               "# kept\ndomains:\n  - name: north\n  - {name: south, state: "
+               "out}\n" } },
+           { "team", { "team", 2, aTeam } } };
+}
+
+auto
+FirstError(const std::string& aTeam) -> std::string
+{
+  auto errors = std::vector<YamlError>{};
+  BuildDocument(1, SiteAnd(aTeam), errors);
+  return errors.empty() ? "" : errors.front().Text();
+}
+
+auto
+MakeMembers(int aCount) -> std::vector<MemberRow>
+{
+  auto members = std::vector<MemberRow>{};
+  for (auto index = 0; index < aCount; ++index) {
+    auto row = MemberRow{};
+    row.id.text = "entry-" + std::to_string(index);
+    members.push_back(row);
+  }
+  return members;
+}
+
+auto
+MakeTask(const std::string& aName) -> Task
+{
+  auto task = Task{};
+  task.id.text = aName;
+  task.size = { 1000, 100, 0 };
+  return task;
+}
+
+} // namespace
+
+Test(document, merges_sections_and_closes_domains)
+{
+  auto errors = std::vector<YamlError>{};
+  const auto document = BuildDocument(
+    7,
+    SiteAnd("batch:\n  - {name: bill, cpu_millis: 5, run_time: 2s}\n"),
+    errors);
+  cr_assert(document);
+  cr_expect_eq(document->number, 7);
+  cr_expect(document->IsOpen(DomainId{ "north" }));
+  cr_expect_not(document->IsOpen(DomainId{ "south" }));
+  cr_expect_not(document->IsOpen(DomainId{ "nowhere" }));
+  cr_expect_eq(document->FindClass(ClassId{ "bill" })->runTime.count(), 2000);
+}
+
+Test(document, errors_name_section_line_value_and_rule)
+{
+  const auto text = FirstError("batch:\n  - name: bill\n    cpu_millis: many\n");
+  cr_expect_str_eq(text.c_str(),
+                   "section 'team':3: cpu_millis: 'many': an integer that must "
+                   "be from 0 to 1024000");
+}
+
+Test(document, refuses_nesting_bombs_and_long_texts)
+{
+  cr_expect_neq(FirstError(std::string(200, '[')).size(), 0);
+  cr_expect_neq(FirstError("a: " + std::string(2U << 20U, 'x')).size(), 0);
+  cr_expect_neq(FirstError("quota: {cpu_millis: 1, cpu_millis: 2}").size(), 0);
+}
+
+Test(document, a_domain_changes_state_and_the_text_keeps_its_layout)
+{
+  auto reason = std::string{};
+  const auto text = SiteAnd("").at("site").text;
+  const auto out = WithDomainState(text, DomainId{ "north" }, true, reason);
+  cr_assert(out);
+  cr_expect(out->starts_with("# kept\n"));
+  const auto in = WithDomainState(*out, DomainId{ "south" }, false, reason);
+  cr_assert(in);
+  auto errors = std::vector<YamlError>{};
+  const auto document =
+    BuildDocument(1, { { "site", { "site", 1, *in } } }, errors);
+  cr_assert(document);
+  cr_expect_not(document->IsOpen(DomainId{ "north" }));
+  cr_expect(document->IsOpen(DomainId{ "south" }));
+  cr_expect_not(WithDomainState(text, DomainId{ "west" }, true, reason));
+}
+
+Test(ledger, groups_changes_and_applies_them_once_recorded)
+{
+  auto ledger = Ledger{ "me", 3, 10, {} };
+  ledger.Stage(kStart, MakeTask("a"), Haste::Grouped);
+  ledger.Stage(kStart, MakeTask("b"), Haste::Grouped);
+  cr_expect_not(ledger.NextEntry(kStart));
+  const auto entry = ledger.NextEntry(kStart + kGroupCommitDelay);
+  cr_assert(entry);
+  cr_expect_eq(entry->changed.size(), 2);
+  cr_expect_eq(entry->sequence, 11);
+  cr_expect(ledger.Busy(TaskId{ "a" }));
+  cr_expect_null(ledger.Find(TaskId{ "a" }));
+  // An unknown outcome means the same entry again.
+  cr_expect(*ledger.NextEntry(kStart + kGroupCommitDelay) == *entry);
+  ledger.Committed();
+  cr_expect_not_null(ledger.Find(TaskId{ "a" }));
+  ledger.Stage(kStart, MakeTask("c"), Haste::Now);
+  ledger.Fence();
+  cr_expect_not(ledger.NextEntry(kStart + kGroupCommitDelay));
+}
+
+Test(ledger, records_survive_their_text)
+{
+  auto task = MakeTask("a");
+  task.phase = TaskPhase::Evicting;
+  task.attempt = 4;
+  task.checkpoint = 17;
+  auto json = nlohmann::json(task);
+  json["a_newer_field"] = 1;
+  cr_expect(json.get<Task>() == task);
+  json["phase"] = "dancing";
+  cr_expect_throw(json.get<Task>(), nlohmann::json::exception);
+}
+
+Test(membership, a_lease_lapses_for_others_only_after_it_ended_for_its_holder)
+{
+  auto lease = OwnLease{};
+  lease.OnRenewed(kStart, kStart);
+  auto others = Membership{};
+  others.OnRows(kStart, MakeMembers(1));
+  const auto id = InstanceId{ "entry-0" };
+  cr_expect_not(lease.Holds(kStart + kMemberLease));
+  cr_expect_not(others.Lapsed(id, kStart + kMemberLease));
+  cr_expect(others.Lapsed(id, kStart + WithDrift(kMemberLease) + Millis{ 1 }));
+}
+
+Test(membership, a_late_renewal_begins_a_new_term)
+{
+  auto lease = OwnLease{};
+  lease.OnRenewed(kStart, kStart);
+  const auto term = lease.Term();
+  lease.OnRenewed(kStart + Millis{ 10 }, kStart + Millis{ 20 });
+  cr_expect_eq(lease.Term(), term);
+  // Sent in time, but the reply came after the old end.
+  lease.OnRenewed(kStart + Millis{ 20 }, kStart + kMemberLease * 2);
+  cr_expect_gt(lease.Term(), term);
+}
+
+Test(membership, shards_are_even_and_move_little)
+{
+  constexpr ShardNumber kShards = 64;
+  const auto before = AssignShards(kShards, MakeMembers(8));
+  auto load = std::map<InstanceId, int>{};
+  for (const auto& owner : before) {
+    ++load[owner];
+  }
+  for (const auto& [owner, count] : load) {
+    cr_expect_leq(count, 8);
+  }
+  const auto after = AssignShards(kShards, MakeMembers(7));
+  auto moved = 0;
+  for (auto shard = std::size_t{ 0 }; shard < kShards; ++shard) {
+    moved += before[shard] == after[shard] ? 0 : 1;
+  }
+  cr_expect_leq(moved, 24);
+}
+
+Test(placement, impossible_sizes_are_named)
+{
+  auto task = MakeTask("a");
+  task.size.memoryMb = 5000;
+  const auto fleet =
+    FleetShape{ { DomainId{ "north" }, { Resources{ 4000, 1000, 0 } } } };
+  cr_expect(WhyNever(task, fleet));
+  task.size.memoryMb = 1000;
+  cr_expect_not(WhyNever(task, fleet));
+  // An empty fleet says nothing about what could run.
+  cr_expect_not(WhyNever(task, {}));
+}
+
+Test(interference, blames_the_pair_that_hurts)
+{
+  auto interference = Interference{};
+  const auto kiosk = ClassId{ "kiosk" };
+  for (auto round = 0; round < 200; ++round) {
+    const auto noisy = round % 2 == 0;
+    const auto beside = noisy ? std::vector{ ClassId{ "noisy" }, ClassId{ "calm" } }
+                              : std::vector{ ClassId{ "calm" } };
+    interference.Observe(kiosk, beside, noisy ? 2.0 : 1.0);
+  }
+  cr_expect_gt(interference.Harm(kiosk, ClassId{ "noisy" }), 0.6);
+  cr_expect_lt(interference.Harm(kiosk, ClassId{ "calm" }), 0.3);
+}
+
+Test(routing, places_divide_by_the_entries_and_leave_room_for_one_more)
+{
+  cr_expect_eq(PlacesPerBackend({ 8, 60, 1 }), 10);
+  cr_expect_eq(PlacesPerBackend({ 8, 60, 8 }), 2);
+  for (auto entries = 1; entries < 30; ++entries) {
+    cr_expect_leq(PlacesPerBackend({ 8, 60, entries }) * (entries + 1), 60);
+  }
+}
+
+Test(routing, ejected_and_leaving_servers_get_nothing_unless_too_few_are_left)
+{
+  auto random = std::mt19937_64{ 1 };
+  auto turn = std::atomic<std::uint64_t>{ 0 };
+  const auto now = kStart + Millis{ 60000 };
+  const auto context =
+    RoutingContext{ now, DomainId{ "north" }, 1000, &random, &turn };
+  auto route = Route{};
+  route.placesPerBackend = 100;
+  for (auto index = 0; index < 4; ++index) {
+    route.backends.push_back(std::make_shared<Backend>(
+      std::to_string(index), "a:1", DomainId{ "north" }, kStart));
+  }
+  for (auto failure = 0; failure < 5; ++failure) {
+    route.backends[0]->OnFailure(now);
+  }
+  route.backends[1]->SetListedLeaving(true);
+  for (auto policy = 0; policy < static_cast<int>(RoutingPolicy::RoutingPolicy_NB);
+       ++policy) {
+    for (auto round = 0; round < 20; ++round) {
+      const auto picked = PickBackend(
+        route, static_cast<RoutingPolicy>(policy), context, {});
+      cr_assert(picked);
+      cr_expect(picked->id == "2" || picked->id == "3");
+    }
+  }
+  for (auto failure = 0; failure < 5; ++failure) {
+    route.backends[2]->OnFailure(now);
+    route.backends[3]->OnFailure(now);
+  }
+  cr_expect(PickBackend(route, RoutingPolicy::LeastCost, context, {}));
+}
+
+Test(retry, the_budget_is_a_share_of_successes_with_a_floor)
+{
+  auto budget = RetryBudget{};
+  auto now = kStart + Millis{ 100000 };
+  auto taken = 0;
+  for (auto round = 0; round < 1000; ++round) {
+    taken += budget.Take(now) ? 1 : 0;
+  }
+  cr_expect_leq(taken, 11);
+  for (auto round = 0; round < 100; ++round) {
+    budget.OnSuccess();
+  }
+  taken = 0;
+  for (auto round = 0; round < 1000; ++round) {
+    taken += budget.Take(now) ? 1 : 0;
+  }
+  cr_expect_eq(taken, 10);
+  now += Millis{ 1001 };
+  cr_expect(budget.Take(now));
+}
+
+Test(admission, serves_by_rank_and_fairly_between_callers)
+{
+  auto line = WaitingLine{ 10 };
+  auto displaced = std::optional<std::uint64_t>{};
+  const auto late = kStart + Millis{ 1000 };
+  for (auto ticket = std::uint64_t{ 1 }; ticket <= 5; ++ticket) {
+    cr_assert(line.Join({ ticket, 5, "bulk", late }, displaced));
+  }
+  cr_assert(line.Join({ 6, 5, "other", late }, displaced));
+  cr_assert(line.Join({ 7, 0, "busker", late }, displaced));
+  const std::vector<std::uint64_t> expected{ 7, 1, 6, 2, 3, 4, 5 };
+  for (const auto ticket : expected) {
+    const auto first = line.First(kStart);
+    cr_assert(first);
+    cr_expect_eq(*first, ticket);
+    line.Serve(*first);
+  }
+}
+
+Test(admission, a_full_line_gives_way_to_an_earlier_rank_only)
+{
+  auto line = WaitingLine{ 1 };
+  auto displaced = std::optional<std::uint64_t>{};
+  const auto late = kStart + Millis{ 1000 };
+  cr_assert(line.Join({ 1, 5, "bulk", late }, displaced));
+  cr_expect_not(line.Join({ 2, 5, "bulk", late }, displaced));
+  cr_assert(line.Join({ 3, 0, "busker", late }, displaced));
+  cr_assert(displaced);
+  cr_expect_eq(*displaced, 1);
+}
+
+Test(verdict, only_a_failed_connect_proves_that_nothing_ran)
+{
+  for (auto index = 0; index < static_cast<int>(AttemptEnd::AttemptEnd_NB);
+       ++index) {
+    const auto end = static_cast<AttemptEnd>(index);
+    const auto notRun = VerdictOf(end) == Verdict::NotRun;
+    cr_expect_eq(notRun, end == AttemptEnd::ConnectFailed);
+  }
+}
--- a/peer/src/x.cpp
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "types.h"
