--- a/bench/src/benches.cpp
+++ b/bench/src/benches.cpp
@@ -6,6 +6,7 @@
 #include "benchoptions.h"
 #include "chaosbench.h"
 #include "log.h"
+#include "placementbench.h"
 
 namespace gooseberry {
 
@@ -18,10 +19,13 @@
   int (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<Bench, 1> kBenches{ {
+constexpr std::array<Bench, 2> kBenches{ {
   { "chaos",
     "--seed N --seeds N: worlds with drawn faults, judged",
     RunChaosBench },
+  { "placement",
+    "--seed N --seeds N --minutes N: placement against baselines",
+    RunPlacementBench },
 } };
 
 } // namespace
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -441,9 +441,7 @@
   const auto all =
     static_cast<double>(std::max<std::uint64_t>(1, this->samples));
   figures.brokenShare = static_cast<double>(this->brokenSamples) / all;
-  figures.utilization =
-    this->utilizationSum /
-    std::max(1.0, all / static_cast<double>(this->workers.size()));
+  figures.utilization = this->utilizationSum / all;
   for (const auto& event : this->events) {
     figures.signature = StableHash(event.what + event.worker + event.task +
                                      std::to_string(event.millis) + "/" +
@@ -504,8 +502,7 @@
         hasService && worker->model->Slowdown() > kSlowdownLimit ? 1 : 0;
       this->utilizationSum +=
         static_cast<double>(worker->model->Given().cpuMillis) /
-        static_cast<double>(this->options.workerCapacity.cpuMillis) /
-        static_cast<double>(this->workers.size());
+        static_cast<double>(this->options.workerCapacity.cpuMillis);
     }
   }
   this->queue.After(kWorkerStep, [this] { this->StepWorkers(); });
