--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -108,6 +108,8 @@
       return;
     }
     const auto answer = aAnswer(body, aResponse);
+    this->bytes += static_cast<std::int64_t>(aRequest.body.size()) +
+                   static_cast<std::int64_t>(answer.dump().size());
     const auto every = this->loseReplyEvery.load();
     if (aWrite && every > 0 && ++this->replies % every == 0) {
       aResponse.status = kGatewayTimeout;
@@ -240,7 +242,8 @@
                 [this](const httplib::Request&, httplib::Response& aResponse) {
                   const auto figures =
                     nlohmann::json{ { "writes", this->writes.Figures() },
-                                    { "reads", this->reads.Figures() } };
+                                    { "reads", this->reads.Figures() },
+                    { "bytes", this->bytes.load() } };
                   aResponse.set_content(figures.dump(), "application/json");
                 });
   }
@@ -256,6 +259,7 @@
   std::atomic<std::int64_t> slowMs = 0;
   std::atomic<std::int64_t> loseReplyEvery = 0;
   std::atomic<std::int64_t> replies = 0;
+  std::atomic<std::int64_t> bytes = 0;
   std::mutex mutex;
   std::map<std::string, nlohmann::json> instances;
   std::deque<std::pair<std::int64_t, nlohmann::json>> history;
--- a/standins/src/worker.cpp
+++ b/standins/src/worker.cpp
@@ -1,5 +1,6 @@
 // Stand-in of a worker: runs tasks as timers under a lease that it enforces.
 
+#include <atomic>
 #include <thread>
 
 #include <unistd.h>
@@ -110,15 +111,23 @@
 RunWorker(const Options& aOptions) -> int
 {
   auto worker = Worker{ aOptions };
+  auto bytes = std::atomic<std::int64_t>{ 0 };
   auto server = httplib::Server{};
   server.Post(
     "/sync",
     [&](const httplib::Request& aRequest, httplib::Response& aResponse) {
       const auto request =
         nlohmann::json::parse(aRequest.body).get<SyncRequest>();
-      aResponse.set_content(nlohmann::json(worker.Sync(request)).dump(),
-                            "application/json");
+      const auto answer = nlohmann::json(worker.Sync(request)).dump();
+      bytes += static_cast<std::int64_t>(aRequest.body.size() + answer.size());
+      aResponse.set_content(answer, "application/json");
     });
+  server.Get("/figures",
+             [&](const httplib::Request&, httplib::Response& aResponse) {
+               aResponse.set_content(
+                 nlohmann::json{ { "bytes", bytes.load() } }.dump(),
+                 "application/json");
+             });
   server.Post("/mode",
               [&](const httplib::Request& aRequest, httplib::Response&) {
                 worker.SetMode(nlohmann::json::parse(aRequest.body));
--- a/tests/src/chaos.cpp
+++ /dev/null
@@ -1,5 +0,0 @@
-auto
-main() -> int
-{
-  return 0;
-}
