--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr Millis kTickInterval{ 20 };
+constexpr Millis kTickInterval{ 50 };
 constexpr Millis kReportInterval{ 1000 };
 
 constexpr std::uint64_t kIdRange = 1000000;
--- a/daemon/src/controlroutes.cpp
+++ b/daemon/src/controlroutes.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr Millis kInstancesInterval{ 500 };
+constexpr Millis kInstancesInterval{ 1000 };
 
 } // namespace
 
--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -272,6 +272,11 @@
                                aOutcome == AppendOutcome::Recorded);
   switch (aOutcome) {
     case AppendOutcome::Recorded:
+      for (const auto& task : item.shard->Records().InFlight()->changed) {
+        if (HoldsRoom(task.phase)) {
+          item.nextSync[task.worker] = {};
+        }
+      }
       item.shard->OnRecorded(this->clock.Now());
       this->SettleAbsorbed(item);
       return;
--- a/decisions/src/tunables.h
+++ b/decisions/src/tunables.h
@@ -25,7 +25,8 @@
 inline constexpr Millis kDocumentFreshness{ 2000 };
 inline constexpr Millis kDocumentPollInterval{ 500 };
 
-inline constexpr Millis kSyncInterval{ 500 };
+// Exchanges with a worker; what was just recorded goes out at once.
+inline constexpr Millis kSyncInterval{ 1000 };
 inline constexpr Millis kInboxInterval{ 500 };
 
 // How often an owner reads its shards' rows, to learn that another took over.
--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -243,7 +243,7 @@
                   const auto figures =
                     nlohmann::json{ { "writes", this->writes.Figures() },
                                     { "reads", this->reads.Figures() },
-                    { "bytes", this->bytes.load() } };
+                                    { "bytes", this->bytes.load() } };
                   aResponse.set_content(figures.dump(), "application/json");
                 });
   }
--- a/standins/src/worker.cpp
+++ b/standins/src/worker.cpp
@@ -122,12 +122,11 @@
       bytes += static_cast<std::int64_t>(aRequest.body.size() + answer.size());
       aResponse.set_content(answer, "application/json");
     });
-  server.Get("/figures",
-             [&](const httplib::Request&, httplib::Response& aResponse) {
-               aResponse.set_content(
-                 nlohmann::json{ { "bytes", bytes.load() } }.dump(),
-                 "application/json");
-             });
+  server.Get(
+    "/figures", [&](const httplib::Request&, httplib::Response& aResponse) {
+      aResponse.set_content(nlohmann::json{ { "bytes", bytes.load() } }.dump(),
+                            "application/json");
+    });
   server.Post("/mode",
               [&](const httplib::Request& aRequest, httplib::Response&) {
                 worker.SetMode(nlohmann::json::parse(aRequest.body));
