Settings name only what exists

Cause: a port for other instances, certificates for callers and counters of peers could be set, but nothing used them. Change: removed; a certificate for the callers' port is refused with the reason.

--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -34,7 +34,6 @@
     aSettings.instance + "." + std::to_string(this->random() % kIdRange);
   this->own.id = this->self;
   this->own.domain = aSettings.domain;
-  this->own.peerAddress = aSettings.peers.address;
   this->own.adminAddress = aSettings.admin.address;
   this->identity.Set(std::make_shared<MemberRow>(this->own));
   this->routes.Set(std::make_shared<RouteTable>());
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -43,7 +43,7 @@
   -V, --version          print the version and end
 
 Environment: GOOSEBERRY_INSTANCE, GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS,
-GOOSEBERRY_ADMIN, GOOSEBERRY_PEERS and GOOSEBERRY_PLATFORM replace the settings
+GOOSEBERRY_ADMIN and GOOSEBERRY_PLATFORM replace the settings
 of these names.
 
 Signals: SIGTERM and SIGINT stop gracefully, SIGHUP reads the tokens again.
--- a/daemon/src/metrics.cpp
+++ b/daemon/src/metrics.cpp
@@ -108,11 +108,6 @@
                              registry,
                              "gooseberry_admin_refusals_total",
                              "Refused calls of the administration API"))
-  , peerRefusals(
-      MakeFamily(prometheus::BuildCounter(),
-                 registry,
-                 "gooseberry_peer_refusals_total",
-                 "Refused connections and messages between instances"))
   , shardEvents(MakeFamily(prometheus::BuildCounter(),
                            registry,
                            "gooseberry_shard_events_total",
@@ -182,12 +177,6 @@
   this->adminRefusals.Add({ { "reason", aReason } }).Increment();
 }
 
-auto
-Metrics::CountPeerRefusal(const char* aReason) -> void
-{
-  this->peerRefusals.Add({ { "reason", aReason } }).Increment();
-}
-
 auto
 Metrics::AddShardCounts(const ShardCounts& aBefore, const ShardCounts& aAfter)
   -> void
@@ -230,13 +219,6 @@
     .Set(static_cast<double>(aCount));
 }
 
-auto
-Metrics::SetControlBytes(std::uint64_t aPeerBytes) -> void
-{
-  this->gauges.Add({ { "what", "peer_bytes_sent" } })
-    .Set(static_cast<double>(aPeerBytes));
-}
-
 auto
 Metrics::Text() -> std::string
 {
--- a/daemon/src/metrics.h
+++ b/daemon/src/metrics.h
@@ -57,7 +57,6 @@
   auto CountStoreCall(StoreCall aCall, bool aSucceeded) -> void;
   auto CountSync(bool aSucceeded) -> void;
   auto CountAdminRefusal(const char* aReason) -> void;
-  auto CountPeerRefusal(const char* aReason) -> void;
   // Adds what the counts of a shard grew by.
   auto AddShardCounts(const ShardCounts& aBefore, const ShardCounts& aAfter)
     -> void;
@@ -65,7 +64,6 @@
   auto SetTasks(TaskPhase aPhase, std::size_t aCount) -> void;
   auto SetDocument(std::uint64_t aNumber) -> void;
   auto SetMembers(std::size_t aCount) -> void;
-  auto SetControlBytes(std::uint64_t aPeerBytes) -> void;
   auto Text() -> std::string;
 
 private:
@@ -78,7 +76,6 @@
   prometheus::Family<prometheus::Counter>& storeCalls;
   prometheus::Family<prometheus::Counter>& syncs;
   prometheus::Family<prometheus::Counter>& adminRefusals;
-  prometheus::Family<prometheus::Counter>& peerRefusals;
   prometheus::Family<prometheus::Counter>& shardEvents;
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& tasks;
--- a/daemon/src/settings.cpp
+++ b/daemon/src/settings.cpp
@@ -31,7 +31,6 @@
   CheckAddress(*map, "address", aPort.address);
   aPort.certificate = map->String("certificate", "");
   aPort.key = map->String("key", "");
-  aPort.authority = map->String("authority", "");
   if (aPort.certificate.empty() != aPort.key.empty()) {
     map->Report("certificate", "certificate and key belong together");
   }
@@ -77,8 +76,10 @@
     settings.domain.text = root.Name("domain");
   }
   ReadPort(root, "callers", settings.callers);
+  if (!settings.callers.certificate.empty()) {
+    root.Report("callers", "TLS is offered on the administration port only");
+  }
   ReadPort(root, "admin", settings.admin);
-  ReadPort(root, "peers", settings.peers);
   settings.tokensFile = root.String("tokens_file", "");
   settings.maxConnections =
     root.Integer("max_connections", settings.maxConnections, 1, 20000);
@@ -126,12 +127,11 @@
     std::string* value;
     bool address;
   };
-  const std::array<Override, 6> overrides{ {
+  const std::array<Override, 5> overrides{ {
     { "GOOSEBERRY_INSTANCE", &aSettings.instance, false },
     { "GOOSEBERRY_DOMAIN", &aSettings.domain.text, false },
     { "GOOSEBERRY_CALLERS", &aSettings.callers.address, true },
     { "GOOSEBERRY_ADMIN", &aSettings.admin.address, true },
-    { "GOOSEBERRY_PEERS", &aSettings.peers.address, true },
     { "GOOSEBERRY_PLATFORM", &aSettings.platform, true },
   } };
   for (const auto& item : overrides) {
@@ -157,15 +157,12 @@
 instance: entry
 domain: default
 
-# Ports: requests of callers, administration and metrics, other instances.
-# certificate and key (PEM files) switch TLS on; peers also need the authority
-# that signed the other instances' certificates.
+# Ports: requests of callers; administration and metrics, where certificate and
+# key (PEM files) switch TLS on.
 callers:
   address: 127.0.0.1:8080
 admin:
   address: 127.0.0.1:8081
-peers:
-  address: 127.0.0.1:8082
 
 # YAML file of bearer tokens, one per section of the document. Empty: the
 # administration port serves loopback addresses only, without tokens.
--- a/daemon/src/settings.h
+++ b/daemon/src/settings.h
@@ -20,8 +20,6 @@
   // Paths of PEM files; empty means no TLS.
   std::string certificate;
   std::string key;
-  // Authority that signs the other side's certificate (peer port only).
-  std::string authority;
 
   auto operator==(const PortSettings&) const -> bool = default;
 };
@@ -31,9 +29,8 @@
   std::string instance = "entry";
   DomainId domain{ "default" };
 
-  PortSettings callers{ "127.0.0.1:8080", "", "", "" };
-  PortSettings admin{ "127.0.0.1:8081", "", "", "" };
-  PortSettings peers{ "127.0.0.1:8082", "", "", "" };
+  PortSettings callers{ "127.0.0.1:8080", "", "" };
+  PortSettings admin{ "127.0.0.1:8081", "", "" };
   // YAML file with one bearer token per section; empty: loopback only.
   std::string tokensFile;
 
@@ -64,7 +61,7 @@
               std::vector<YamlError>& aErrors) -> std::optional<Settings>;
 
 // Replaces addresses, name and failure domain by GOOSEBERRY_INSTANCE,
-// GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS, GOOSEBERRY_ADMIN, GOOSEBERRY_PEERS and
+// GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS, GOOSEBERRY_ADMIN and
 // GOOSEBERRY_PLATFORM where they are set.
 auto
 ApplyEnvironment(Settings& aSettings, std::vector<YamlError>& aErrors) -> void;
--- a/decisions/src/membership.h
+++ b/decisions/src/membership.h
@@ -17,7 +17,6 @@
 struct MemberRow
 {
   InstanceId id;
-  std::string peerAddress;
   std::string adminAddress;
   DomainId domain;
   std::uint64_t counter = 0;
@@ -30,7 +29,6 @@
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberRow,
                                    id,
-                                   peerAddress,
                                    adminAddress,
                                    domain,
                                    counter,
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -333,7 +333,6 @@
   auto& node = this->instances[aOptions.id];
   node.port = FreePort();
   node.adminPort = FreePort();
-  const auto peers = FreePort();
   auto target = this->platform.port;
   if (aOptions.behindProxy) {
     this->AddProxy(node, target);
@@ -345,7 +344,6 @@
                               "GOOSEBERRY_DOMAIN=" + aOptions.domain,
                               "GOOSEBERRY_CALLERS=" + Address(node.port),
                               "GOOSEBERRY_ADMIN=" + Address(node.adminPort),
-                              "GOOSEBERRY_PEERS=" + Address(peers),
                               "GOOSEBERRY_PLATFORM=" + Address(target) },
     this->Path(aOptions.id + ".log"));
   WaitForPort(node.adminPort);
