A retry never takes an idle connection that may be silent too

Cause: with the idle connections of all backend servers silent at once, the attempt that raced a silent one took another that had proved itself within 1 s; the request then waited for its deadline. The scenario failed 4 times of 4. Change: before a second attempt, the idle connections to its target are closed. Ruled out: a longer race (each lost attempt costs a budgeted retry). Measured: one_silent_connection fails 4 of 4 before, passes 1 of 1 after.

--- a/daemon/src/requestsession.cpp
+++ b/daemon/src/requestsession.cpp
@@ -76,6 +76,10 @@
     }
     return false;
   }
+  if (this->attempts > 0) {
+    // What silenced one connection may have silenced the idle ones here too.
+    this->pools.Of(place.backend->address)->Suspect(this->clock.Now());
+  }
   ++this->attempts;
   this->tried.push_back(place.backend.get());
   this->triedOwners.push_back(place.backend);
