Clean-up: dead code out, one way to start a listed stand-in

Cause: re-reading the whole change found members and functions that nothing used, and the start of workers and backend servers written twice in the harness. Change: Document::FindService, BackendPool::IdleCount, Pipe::WaitForEnd, an unread atomic, an unread field and an unused parameter removed; Fleet::StartListed serves both. No behaviour changes.

--- a/daemon/src/backendpool.cpp
+++ b/daemon/src/backendpool.cpp
@@ -103,11 +103,4 @@
   });
 }
 
-auto
-BackendPool::IdleCount() -> std::size_t
-{
-  const auto lock = std::lock_guard{ this->mutex };
-  return this->idle.size();
-}
-
 } // namespace gooseberry
--- a/daemon/src/backendpool.h
+++ b/daemon/src/backendpool.h
@@ -38,7 +38,6 @@
   auto Suspect(Time aProvedAt) -> void;
   // Closes what was idle for too long.
   auto CloseIdle() -> void;
-  auto IdleCount() -> std::size_t;
 
 private:
   const HostPort address;
--- a/daemon/src/callerport.cpp
+++ b/daemon/src/callerport.cpp
@@ -226,7 +226,7 @@
   }
   if (outcome.winner) {
     plan.gate->Retries().OnSuccess();
-    this->PassOn(aRequest, aResponse, plan, outcome.winner);
+    PassOn(aRequest, aResponse, outcome.winner);
   } else {
     counters.Count(outcome.refusal);
     if (claims && outcome.verdict == Verdict::NotRun) {
@@ -407,7 +407,6 @@
 auto
 CallerPort::PassOn(const httplib::Request& aRequest,
                    httplib::Response& aResponse,
-                   const RequestPlan& /*aPlan*/,
                    const std::shared_ptr<Exchange>& aWinner) -> void
 {
   aResponse.status = aWinner->Status();
--- a/daemon/src/callerport.h
+++ b/daemon/src/callerport.h
@@ -66,10 +66,9 @@
                    OutgoingRequest aOutgoing,
                    const httplib::ContentReader& aReader) -> RequestOutcome;
   auto RunSession(const RequestPlan& aPlan) -> RequestOutcome;
-  auto PassOn(const httplib::Request& aRequest,
-              httplib::Response& aResponse,
-              const RequestPlan& aPlan,
-              const std::shared_ptr<Exchange>& aWinner) -> void;
+  static auto PassOn(const httplib::Request& aRequest,
+                     httplib::Response& aResponse,
+                     const std::shared_ptr<Exchange>& aWinner) -> void;
   auto GateOf(const ServiceSpec& aSpec) -> std::shared_ptr<Gate>;
   auto FindRoute(const httplib::Request& aRequest, const RouteTable& aTable)
     -> std::shared_ptr<const Route>;
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -163,7 +163,6 @@
 Control::Tick() -> void
 {
   const auto now = this->clock.Now();
-  this->leaseEndMs = MillisOf(this->lease.End());
   this->FixShardCount();
   this->RenewMembership();
   this->ReadMembers();
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -204,7 +204,6 @@
   // Any thread.
   std::atomic<ShardNumber> shardCount = 0;
   std::atomic<bool> hasDocument = false;
-  std::atomic<std::int64_t> leaseEndMs = 0;
   Published<RouteTable> routes;
   Published<LoadedDocument> current;
   Published<MemberRow> identity;
--- a/daemon/src/exchange.h
+++ b/daemon/src/exchange.h
@@ -29,7 +29,6 @@
   std::string method;
   std::string target;
   httplib::Headers headers;
-  std::string contentType;
   // The whole body, or nothing if upload is set.
   std::string body;
   std::shared_ptr<Pipe> upload;
--- a/daemon/src/pipe.cpp
+++ b/daemon/src/pipe.cpp
@@ -54,14 +54,4 @@
   return this->end;
 }
 
-auto
-Pipe::WaitForEnd(std::chrono::steady_clock::time_point aUntil) -> PipeEnd
-{
-  auto lock = std::unique_lock{ this->mutex };
-  this->changed.wait_until(lock, aUntil, [this] {
-    return this->end != PipeEnd::Open || this->bytes.size() >= this->mostBytes;
-  });
-  return this->end;
-}
-
 } // namespace gooseberry
--- a/daemon/src/pipe.h
+++ b/daemon/src/pipe.h
@@ -30,8 +30,6 @@
   // Waits for bytes; empty at the end, which End() then tells.
   auto Read() -> std::string;
   auto End() const -> PipeEnd;
-  // Waits until the writer has ended or more than the bound is stored.
-  auto WaitForEnd(std::chrono::steady_clock::time_point aUntil) -> PipeEnd;
 
 private:
   const std::size_t mostBytes;
--- a/decisions/src/document.cpp
+++ b/decisions/src/document.cpp
@@ -263,12 +263,6 @@
   return FindById(this->domains, aId);
 }
 
-auto
-Document::FindService(const ServiceId& aId) const -> const ServiceSpec*
-{
-  return FindById(this->services, aId);
-}
-
 auto
 Document::FindClass(const ClassId& aId) const -> const ClassSpec*
 {
--- a/decisions/src/document.h
+++ b/decisions/src/document.h
@@ -102,7 +102,6 @@
 
   auto operator==(const Document&) const -> bool = default;
   auto FindDomain(const DomainId& aId) const -> const DomainSpec*;
-  auto FindService(const ServiceId& aId) const -> const ServiceSpec*;
   auto FindClass(const ClassId& aId) const -> const ClassSpec*;
   auto FindTeam(const TeamId& aId) const -> const TeamSpec*;
   // Whether work may start there: declared and not taken out.
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -251,43 +251,51 @@
   WaitForPort(aNode.proxyControl);
 }
 
+// Starts a stand-in that registers with the platform, perhaps behind a proxy.
 auto
-Fleet::AddWorker(const WorkerOptions& aOptions) -> Node&
+Fleet::StartListed(Node& aNode, const ListedOptions& aOptions) -> void
 {
-  auto& node = this->workers[aOptions.id];
-  node.port = FreePort();
-  auto shown = node.port;
+  aNode.port = FreePort();
+  auto shown = aNode.port;
   if (aOptions.behindProxy) {
-    this->AddProxy(node, node.port);
-    shown = node.proxyPort;
+    this->AddProxy(aNode, aNode.port);
+    shown = aNode.proxyPort;
   }
-  node.process = std::make_unique<Process>(
-    std::vector<std::string>{ GOOSEBERRY_STANDIN_PATH,
-                              "worker",
-                              "--port",
-                              std::to_string(node.port),
-                              "--address",
-                              Address(shown),
-                              "--id",
-                              aOptions.id,
-                              "--platform",
-                              Address(this->platform.port),
-                              "--domain",
-                              aOptions.domain,
-                              "--rack",
-                              aOptions.rack,
-                              "--cpu",
-                              std::to_string(aOptions.cpuMillis),
-                              "--memory",
-                              std::to_string(aOptions.memoryMb),
-                              "--fail-all",
-                              aOptions.failAll ? "1" : "0",
-                              "--harm-percent",
-                              std::to_string(aOptions.harmPercent),
-                              "--record",
-                              this->Path("record") },
-    std::vector<std::string>{},
-    this->Path(aOptions.id + ".log"));
+  auto command =
+    std::vector<std::string>{ GOOSEBERRY_STANDIN_PATH, aOptions.kind };
+  const std::vector<std::pair<std::string, std::string>> common{
+    { "port", std::to_string(aNode.port) },
+    { "address", Address(shown) },
+    { "id", aOptions.id },
+    { "platform", Address(this->platform.port) },
+    { "domain", aOptions.domain },
+    { "record", this->Path("record") }
+  };
+  for (const auto* options : { &common, &aOptions.more }) {
+    for (const auto& [name, value] : *options) {
+      command.push_back("--" + name);
+      command.push_back(value);
+    }
+  }
+  aNode.process = std::make_unique<Process>(
+    command, std::vector<std::string>{}, this->Path(aOptions.id + ".log"));
+}
+
+auto
+Fleet::AddWorker(const WorkerOptions& aOptions) -> Node&
+{
+  auto& node = this->workers[aOptions.id];
+  this->StartListed(
+    node,
+    { "worker",
+      aOptions.id,
+      aOptions.domain,
+      aOptions.behindProxy,
+      { { "rack", aOptions.rack },
+        { "cpu", std::to_string(aOptions.cpuMillis) },
+        { "memory", std::to_string(aOptions.memoryMb) },
+        { "fail-all", aOptions.failAll ? "1" : "0" },
+        { "harm-percent", std::to_string(aOptions.harmPercent) } } });
   return node;
 }
 
@@ -295,35 +303,15 @@
 Fleet::AddBackend(const BackendOptions& aOptions) -> Node&
 {
   auto& node = this->backends[aOptions.id];
-  node.port = FreePort();
-  auto shown = node.port;
-  if (aOptions.behindProxy) {
-    this->AddProxy(node, node.port);
-    shown = node.proxyPort;
-  }
-  node.process = std::make_unique<Process>(
-    std::vector<std::string>{ GOOSEBERRY_STANDIN_PATH,
-                              "backend",
-                              "--port",
-                              std::to_string(node.port),
-                              "--address",
-                              Address(shown),
-                              "--id",
-                              aOptions.id,
-                              "--platform",
-                              Address(this->platform.port),
-                              "--domain",
-                              aOptions.domain,
-                              "--service",
-                              aOptions.service,
-                              "--work-ms",
-                              std::to_string(aOptions.workMs),
-                              "--body-bytes",
-                              std::to_string(aOptions.bodyBytes),
-                              "--record",
-                              this->Path("record") },
-    std::vector<std::string>{},
-    this->Path(aOptions.id + ".log"));
+  this->StartListed(
+    node,
+    { "backend",
+      aOptions.id,
+      aOptions.domain,
+      aOptions.behindProxy,
+      { { "service", aOptions.service },
+        { "work-ms", std::to_string(aOptions.workMs) },
+        { "body-bytes", std::to_string(aOptions.bodyBytes) } } });
   return node;
 }
 
--- a/tests/src/fleet.h
+++ b/tests/src/fleet.h
@@ -138,6 +138,17 @@
   Node platform;
 
 private:
+  // What workers and backend servers have in common; more: their own options.
+  struct ListedOptions
+  {
+    std::string kind;
+    std::string id;
+    std::string domain;
+    bool behindProxy = false;
+    std::vector<std::pair<std::string, std::string>> more;
+  };
+
+  auto StartListed(Node& aNode, const ListedOptions& aOptions) -> void;
   auto AddProxy(Node& aNode, int aTarget) -> void;
   auto Path(const std::string& aName) const -> std::string;
 
