Attempts say which connections they may use

Cause: the fix that keeps retries off silent connections closed the idle ones of the retry's target in the session, on top of a choice that the pool already makes by age. Change: ConnectionChoice (any, proved, new) goes from the session through the exchange to BackendPool::Borrow; retries take new. The special case is gone, and the idle connections of the target, which may be good, stay.

--- a/daemon/src/backendpool.cpp
+++ b/daemon/src/backendpool.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr Millis kMaxIdle{ 10000 };
+// A connection for a request that must not run twice proved itself this
+// recently.
+constexpr Millis kFreshlyProved{ 1000 };
 constexpr Millis kMaxAge{ 300000 };
 constexpr Millis kConnectTimeout{ 1000 };
 
@@ -48,17 +51,19 @@
 }
 
 auto
-BackendPool::Borrow(Millis aMaxIdle) -> std::unique_ptr<BackendConnection>
+BackendPool::Borrow(ConnectionChoice aChoice)
+  -> std::unique_ptr<BackendConnection>
 {
   const auto now = this->clock.Now();
-  {
+  const auto maxIdle =
+    aChoice == ConnectionChoice::Any ? kMaxIdle : kFreshlyProved;
+  if (aChoice != ConnectionChoice::New) {
     const auto lock = std::lock_guard{ this->mutex };
     while (!this->idle.empty()) {
       auto connection = std::move(this->idle.back());
       this->idle.pop_back();
-      const auto usable =
-        now - *connection->provedAt <= std::min(aMaxIdle, kMaxIdle) &&
-        now - connection->openedAt <= kMaxAge;
+      const auto usable = now - *connection->provedAt <= maxIdle &&
+                          now - connection->openedAt <= kMaxAge;
       if (usable) {
         return connection;
       }
--- a/daemon/src/backendpool.h
+++ b/daemon/src/backendpool.h
@@ -24,13 +24,21 @@
   Time openedAt{};
 };
 
+// Which connections a request may use.
+enum class ConnectionChoice
+{
+  Any,    // new or idle
+  Proved, // new, or one that carried a whole answer a moment ago
+  New
+};
+
 class BackendPool
 {
 public:
   BackendPool(HostPort aAddress, const Clock& aClock);
 
-  // An idle connection that proved itself within aMaxIdle, else a new one.
-  auto Borrow(Millis aMaxIdle) -> std::unique_ptr<BackendConnection>;
+  // An idle connection of the given kind, else a new one.
+  auto Borrow(ConnectionChoice aChoice) -> std::unique_ptr<BackendConnection>;
   // Takes back a connection that carried a whole answer.
   auto Return(std::unique_ptr<BackendConnection> aConnection) -> void;
   // A connection went silent: those that proved themselves no later than it
--- a/daemon/src/exchange.cpp
+++ b/daemon/src/exchange.cpp
@@ -9,10 +9,6 @@
 namespace {
 
 constexpr std::size_t kMostBufferedBytes = 262144;
-// A connection for a request that must not run twice proved itself this
-// recently.
-constexpr Millis kFreshlyProved{ 1000 };
-constexpr Millis kAnyIdle{ 10000 };
 
 constexpr int kServiceUnavailable = 503;
 
@@ -53,15 +49,15 @@
 auto
 Exchange::Start(ConnectionThreads& aThreads,
                 Millis aTimeout,
-                bool aFreshOnly,
+                ConnectionChoice aChoice,
                 std::function<void()> aOnEnd) -> void
 {
   this->timeout = aTimeout;
   aThreads.enqueue([self = this->shared_from_this(),
                     aTimeout,
-                    aFreshOnly,
+                    aChoice,
                     onEnd = std::move(aOnEnd)] {
-    self->Run(aTimeout, aFreshOnly);
+    self->Run(aTimeout, aChoice);
     self->backend->Leave();
     onEnd();
   });
@@ -128,9 +124,9 @@
 }
 
 auto
-Exchange::Run(Millis aTimeout, bool aFreshOnly) -> void
+Exchange::Run(Millis aTimeout, ConnectionChoice aChoice) -> void
 {
-  auto taken = this->pool->Borrow(aFreshOnly ? kFreshlyProved : kAnyIdle);
+  auto taken = this->pool->Borrow(aChoice);
   auto* client = taken->client.get();
   client->set_read_timeout(aTimeout);
   client->set_write_timeout(aTimeout);
--- a/daemon/src/exchange.h
+++ b/daemon/src/exchange.h
@@ -64,7 +64,7 @@
   // backend server is free again.
   auto Start(ConnectionThreads& aThreads,
              Millis aTimeout,
-             bool aFreshOnly,
+             ConnectionChoice aChoice,
              std::function<void()> aOnEnd) -> void;
   // Breaks the connection off; the outcome is then Cancelled.
   auto Cancel() -> void;
@@ -81,7 +81,7 @@
   auto StartedAt() const -> Time;
 
 private:
-  auto Run(Millis aTimeout, bool aFreshOnly) -> void;
+  auto Run(Millis aTimeout, ConnectionChoice aChoice) -> void;
   auto EndUnsent() -> void;
   auto Build() -> httplib::Request;
   auto OnHeaders(const httplib::Response& aResponse) -> bool;
--- a/daemon/src/requestsession.cpp
+++ b/daemon/src/requestsession.cpp
@@ -34,7 +34,8 @@
 auto
 RequestSession::Run() -> RequestOutcome
 {
-  if (!this->StartAttempt(!this->plan.repeatable)) {
+  if (!this->StartAttempt(this->plan.repeatable ? ConnectionChoice::Any
+                                                : ConnectionChoice::Proved)) {
     return this->outcome;
   }
   auto seen = std::uint64_t{ 0 };
@@ -46,7 +47,8 @@
       return this->outcome;
     }
     const auto again = this->DropEnded();
-    if (this->active.empty() && !(again && this->StartAttempt(true))) {
+    if (this->active.empty() &&
+        !(again && this->StartAttempt(ConnectionChoice::New))) {
       return this->outcome;
     }
     if (this->clock.Now() >= this->plan.deadline) {
@@ -61,7 +63,7 @@
 }
 
 auto
-RequestSession::StartAttempt(bool aFreshOnly) -> bool
+RequestSession::StartAttempt(ConnectionChoice aChoice) -> bool
 {
   auto place = this->plan.gate->Acquire({ this->plan.route,
                                           this->plan.rank,
@@ -76,10 +78,6 @@
     }
     return false;
   }
-  if (this->attempts > 0) {
-    // What silenced one connection may have silenced the idle ones here too.
-    this->pools.Of(place.backend->address)->Suspect(this->clock.Now());
-  }
   ++this->attempts;
   this->tried.push_back(place.backend.get());
   this->triedOwners.push_back(place.backend);
@@ -92,7 +90,7 @@
   this->active.push_back(exchange);
   exchange->Start(this->threads,
                   ToMillis(this->plan.deadline - this->clock.Now()),
-                  aFreshOnly,
+                  aChoice,
                   [gate = this->plan.gate] { gate->OnFreed(); });
   return true;
 }
@@ -126,7 +124,7 @@
     return false;
   }
   return !this->MayRetry(AttemptEnd::Broken, RetryReason::Unavailable) ||
-         !this->StartAttempt(true);
+         !this->StartAttempt(ConnectionChoice::New);
 }
 
 // Small answers are passed on only when they are whole.
@@ -205,7 +203,7 @@
   }
   this->raced = true;
   if (this->MayRetry(AttemptEnd::Broken, RetryReason::SilentConnection)) {
-    this->StartAttempt(true);
+    this->StartAttempt(ConnectionChoice::New);
   }
 }
 
--- a/daemon/src/requestsession.h
+++ b/daemon/src/requestsession.h
@@ -52,7 +52,7 @@
 
 private:
   // Starts one attempt; false with the refusal if none can be.
-  auto StartAttempt(bool aFreshOnly) -> bool;
+  auto StartAttempt(ConnectionChoice aChoice) -> bool;
   auto Winner() -> std::shared_ptr<Exchange>;
   // Drops attempts that ended without an answer; true if one may follow.
   auto DropEnded() -> bool;
