--- a/bench/src/world.h
+++ b/bench/src/world.h
@@ -28,6 +28,8 @@
   int harmPercent = 0;
   int usePercent = 80;
   PlacementPolicy placement = PlacementPolicy::BestFit;
+  // The service class whose slowdown is sampled.
+  ClassId sampled{ "kiosk" };
 };
 
 // Chances of faults per call, in parts of 1,000.
@@ -75,7 +77,7 @@
   std::uint64_t storeWrites = 0;
   std::uint64_t storeReads = 0;
   ShardCounts counts{};
-  // Share of the readings of services that were slower than the limit.
+  // Share of the readings of the sampled service slower than the limit.
   double brokenShare = 0.0;
   // Mean share of the workers' processors that running tasks were given.
   double utilization = 0.0;
