bench request: open load on running entries, and a comparison on real processes

Cause: nothing on the request path was measured under load. Ruled out: closed-loop callers (they hide a stall); a plotting library (PLplot and MathGL pull in 70 and 86 packages).

--- a/bench/src/benches.cpp
+++ b/bench/src/benches.cpp
@@ -7,6 +7,7 @@
 #include "chaosbench.h"
 #include "log.h"
 #include "placementbench.h"
+#include "requestbench.h"
 
 namespace gooseberry {
 
@@ -19,7 +20,7 @@
   int (*run)(const std::vector<std::string>&);
 };
 
-constexpr std::array<Bench, 2> kBenches{ {
+constexpr std::array<Bench, 3> kBenches{ {
   { "chaos",
     "--seed N --seeds N: worlds with drawn faults, judged",
     RunChaosBench },
@@ -27,6 +28,9 @@
     "--seed N --seeds N --minutes N --scenario NAME: placement against "
     "baselines",
     RunPlacementBench },
+  { "request",
+    "--experiment FILE [--output table|json]: open load on what runs",
+    RunRequestBench },
 } };
 
 } // namespace
--- a/standins/src/backend.cpp
+++ b/standins/src/backend.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <condition_variable>
+#include <mutex>
+#include <random>
 #include <thread>
 
 #include "httpplatform.h"
@@ -50,6 +52,8 @@
     , slots(Integer(aOptions, "slots", 8))
     , recorder(Text(aOptions, "record", ""))
     , workMs(Integer(aOptions, "work-ms", 2))
+    , randomMs(Integer(aOptions, "random-ms", 0))
+    , random(StableHash(this->id))
     , bodyBytes(Integer(aOptions, "body-bytes", 200))
   {
   }
@@ -70,10 +74,11 @@
       return;
     }
     this->slots.Take();
-    const auto work = aRequest.has_param("ms")
-                        ? std::stoll(aRequest.get_param_value("ms"))
-                        : this->workMs.load();
-    std::this_thread::sleep_for(std::chrono::milliseconds{ work });
+    const auto work =
+      aRequest.has_param("ms")
+        ? Micros{ Millis{ std::stoll(aRequest.get_param_value("ms")) } }
+        : this->DrawWork();
+    std::this_thread::sleep_for(work);
     this->slots.Give();
     auto body = request + "\n" + aRequest.body;
     body.resize(body.size() + static_cast<std::size_t>(this->bodyBytes), 'x');
@@ -84,6 +89,7 @@
   auto SetMode(const nlohmann::json& aMode) -> void
   {
     this->workMs = aMode.value("work_ms", this->workMs.load());
+    this->randomMs = aMode.value("random_ms", this->randomMs.load());
     this->leaving = aMode.value("leaving", this->leaving.load());
     this->refusing = aMode.value("refusing", this->refusing.load());
     this->cutEvery = aMode.value("cut_every", this->cutEvery.load());
@@ -93,6 +99,20 @@
   std::atomic<bool> leaving = false;
 
 private:
+  // The fixed part of the work and an exponentially distributed one.
+  auto DrawWork() -> Micros
+  {
+    const auto mean = static_cast<double>(this->randomMs);
+    auto work = Micros{ Millis{ this->workMs } };
+    if (mean > 0.0) {
+      const auto lock = std::lock_guard{ this->randomMutex };
+      auto draw = std::exponential_distribution<double>{ 1.0 / mean };
+      work += std::chrono::duration_cast<Micros>(
+        std::chrono::duration<double, std::milli>(draw(this->random)));
+    }
+    return work;
+  }
+
   auto Answer(const httplib::Request& aRequest,
               httplib::Response& aResponse,
               const std::string& aBody) -> void
@@ -130,6 +150,9 @@
   Slots slots;
   Recorder recorder;
   std::atomic<std::int64_t> workMs;
+  std::atomic<std::int64_t> randomMs;
+  std::mutex randomMutex;
+  std::mt19937_64 random;
   std::int64_t bodyBytes;
   std::atomic<bool> refusing = false;
   std::atomic<std::int64_t> cutEvery = 0;
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -269,7 +269,7 @@
     { "id", aOptions.id },
     { "platform", Address(this->platform.port) },
     { "domain", aOptions.domain },
-    { "record", this->Path("record") }
+    { "record", this->recording ? this->Path("record") : "" }
   };
   for (const auto* options : { &common, &aOptions.more }) {
     for (const auto& [name, value] : *options) {
@@ -311,6 +311,7 @@
       aOptions.behindProxy,
       { { "service", aOptions.service },
         { "work-ms", std::to_string(aOptions.workMs) },
+        { "random-ms", std::to_string(aOptions.randomMs) },
         { "body-bytes", std::to_string(aOptions.bodyBytes) } } });
   return node;
 }
@@ -326,8 +327,15 @@
     this->AddProxy(node, target);
     target = node.proxyPort;
   }
+  auto command = std::vector<std::string>{ GOOSEBERRY_DAEMON_PATH };
+  if (!aOptions.settings.empty()) {
+    const auto path = this->Path(aOptions.id + ".yaml");
+    std::ofstream{ path } << aOptions.settings;
+    command.emplace_back("--config");
+    command.push_back(path);
+  }
   node.process = std::make_unique<Process>(
-    std::vector<std::string>{ GOOSEBERRY_DAEMON_PATH },
+    command,
     std::vector<std::string>{ "GOOSEBERRY_INSTANCE=" + aOptions.id,
                               "GOOSEBERRY_DOMAIN=" + aOptions.domain,
                               "GOOSEBERRY_CALLERS=" + Address(node.port),
@@ -338,6 +346,12 @@
   return node;
 }
 
+auto
+Fleet::StopRecording() -> void
+{
+  this->recording = false;
+}
+
 auto
 Fleet::StopInstance(const std::string& aId) -> int
 {
--- a/tests/src/fleet.h
+++ b/tests/src/fleet.h
@@ -77,6 +77,8 @@
   std::string domain = "north";
   std::string service = "kiosk";
   int workMs = 2;
+  // Mean of an exponentially distributed part of the work.
+  int randomMs = 0;
   int bodyBytes = 200;
   bool behindProxy = false;
 };
@@ -87,6 +89,8 @@
   std::string domain = "north";
   // Whether it reaches the platform through a fault proxy.
   bool behindProxy = false;
+  // Text of its settings file; empty for none.
+  std::string settings{};
 };
 
 // One process with its ports and, perhaps, its proxy.
@@ -115,6 +119,8 @@
   auto AddWorker(const WorkerOptions& aOptions) -> Node&;
   auto AddBackend(const BackendOptions& aOptions) -> Node&;
   auto AddInstance(const InstanceOptions& aOptions) -> Node&;
+  // Keeps no record of what happens from here on.
+  auto StopRecording() -> void;
   auto StopInstance(const std::string& aId) -> int;
 
   auto PlatformFault(const nlohmann::json& aFault) const -> void;
@@ -153,6 +159,7 @@
   auto Path(const std::string& aName) const -> std::string;
 
   std::string directory;
+  bool recording = true;
 };
 
 // Milliseconds on the clock that all stand-ins record with.
