A waiting request is sent only while enough time is left for its answer

Cause: the line at an entry fills up to the deadline, so that every request was sent with next to no time left, timed out, and kept its slot busy for nothing; and each free place woke every waiting thread. Ruled out: a shorter line (it refuses work that there is time for); the places per backend server (unchanged).

--- a/daemon/src/gate.cpp
+++ b/daemon/src/gate.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A waiter looks again by itself this often, for routes that changed.
+// The first in line looks again by itself this often, for routes that changed.
 constexpr Millis kLookAgain{ 20 };
 constexpr Millis kLeastRetryAfter{ 100 };
 constexpr Millis kNoBackendRetryAfter{ 1000 };
@@ -78,6 +78,12 @@
   this->ServeLine();
 }
 
+auto
+Gate::OnLatency(Micros aLatency) -> void
+{
+  this->estimate.Observe(aLatency);
+}
+
 auto
 Gate::Retries() -> RetryBudget&
 {
@@ -100,38 +106,37 @@
   return PickBackend(*aRequest.route, this->policy, context, aRequest.tried);
 }
 
-// A request that would wait past its deadline is refused at once, with the time
-// after which the line is expected to be shorter.
+// A request that would wait until there is too little time for an answer is
+// refused at once, with the time after which the line is expected to be
+// shorter.
 auto
 Gate::Wait(const PlaceRequest& aRequest) -> Place
 {
   auto lock = std::unique_lock{ this->mutex };
+  const auto now = this->clock.Now();
   const auto expected = ExpectedWait(*aRequest.route, this->line.Size() + 1);
   const auto retryAfter = std::max(kLeastRetryAfter, ToMillis(expected));
+  const auto latest = LatestStart(now, aRequest.deadline, this->estimate);
   this->line.SetMost(static_cast<std::size_t>(aRequest.route->spec.maxQueue));
   const auto ticket = this->nextTicket++;
   auto displaced = std::optional<std::uint64_t>{};
-  const auto waiter =
-    Waiter{ ticket, aRequest.rank, aRequest.caller, aRequest.deadline };
-  const auto tooLate = this->clock.Now() + expected > aRequest.deadline;
+  const auto waiter = Waiter{ ticket, aRequest.rank, aRequest.caller, latest };
+  const auto tooLate = now + expected > latest;
   if (tooLate || !this->line.Join(waiter, displaced)) {
     const auto reason = tooLate ? Refusal::DeadlinePassed : Refusal::QueueFull;
     return { nullptr, reason, retryAfter };
   }
   if (displaced) {
-    this->waiting[*displaced].displaced = true;
-    this->changed.notify_all();
+    auto& loser = this->waiting.at(*displaced);
+    loser.displaced = true;
+    loser.news.notify_one();
   }
   auto& entry = this->waiting[ticket];
   entry.request = &aRequest;
   this->lineLength = this->line.Size();
   this->metrics.waiting->Increment();
   this->ServeLine();
-  while (!entry.granted && !entry.displaced &&
-         this->clock.Now() < aRequest.deadline) {
-    this->changed.wait_for(lock, kLookAgain);
-    this->ServeLine();
-  }
+  this->AwaitNews(lock, ticket, entry, latest);
   auto place = Place{ entry.granted, Refusal::DeadlinePassed, retryAfter };
   if (entry.displaced) {
     place.refusal = Refusal::QueueFull;
@@ -140,9 +145,31 @@
   this->waiting.erase(ticket);
   this->lineLength = this->line.Size();
   this->metrics.waiting->Decrement();
+  this->WakeFirst();
   return place;
 }
 
+// Returns when the waiter has a place, lost its own in line, or is too late.
+auto
+Gate::AwaitNews(std::unique_lock<std::mutex>& aLock,
+                std::uint64_t aTicket,
+                Waiting& aEntry,
+                Time aLatest) -> void
+{
+  for (;;) {
+    const auto now = this->clock.Now();
+    if (aEntry.granted || aEntry.displaced || now >= aLatest) {
+      return;
+    }
+    const auto first = this->line.First(now) == aTicket;
+    const auto until = first ? std::min(aLatest, now + kLookAgain) : aLatest;
+    aEntry.news.wait_until(aLock, until);
+    if (first) {
+      this->ServeLine();
+    }
+  }
+}
+
 // Hands free places to the first in line; the mutex is held.
 auto
 Gate::ServeLine() -> void
@@ -155,11 +182,20 @@
       break;
     }
     this->line.Serve(*ticket);
+    entry.news.notify_one();
     served = true;
   }
   if (served) {
     this->lineLength = this->line.Size();
-    this->changed.notify_all();
+    this->WakeFirst();
+  }
+}
+
+auto
+Gate::WakeFirst() -> void
+{
+  if (const auto first = this->line.First(this->clock.Now())) {
+    this->waiting.at(*first).news.notify_one();
   }
 }
 
--- a/daemon/src/gate.h
+++ b/daemon/src/gate.h
@@ -13,6 +13,7 @@
 #include <random>
 
 #include "admission.h"
+#include "estimate.h"
 #include "metrics.h"
 #include "retry.h"
 #include "routing.h"
@@ -51,6 +52,8 @@
   auto Acquire(const PlaceRequest& aRequest) -> Place;
   // A place became free somewhere.
   auto OnFreed() -> void;
+  // An attempt took so long until its answer, or until it was given up.
+  auto OnLatency(Micros aLatency) -> void;
   auto Retries() -> RetryBudget&;
   auto Counters() const -> const ServiceMetrics&;
 
@@ -60,11 +63,18 @@
     const PlaceRequest* request = nullptr;
     std::shared_ptr<Backend> granted;
     bool displaced = false;
+    std::condition_variable news;
   };
 
   auto Pick(const PlaceRequest& aRequest) -> std::shared_ptr<Backend>;
   auto Wait(const PlaceRequest& aRequest) -> Place;
+  auto AwaitNews(std::unique_lock<std::mutex>& aLock,
+                 std::uint64_t aTicket,
+                 Waiting& aEntry,
+                 Time aLatest) -> void;
   auto ServeLine() -> void;
+  // The first in line looks for places by itself.
+  auto WakeFirst() -> void;
   static auto ExpectedWait(const Route& aRoute, std::size_t aAhead) -> Micros;
 
   const Clock& clock;
@@ -73,11 +83,11 @@
   const std::int64_t hopMicros;
   const ServiceMetrics metrics;
   RetryBudget retries;
+  LatencyEstimate estimate;
   std::atomic<std::uint64_t> turn = 0;
 
   std::atomic<std::size_t> lineLength = 0;
   std::mutex mutex;
-  std::condition_variable changed;
   WaitingLine line{ 0 };
   std::map<std::uint64_t, Waiting> waiting;
   std::uint64_t nextTicket = 1;
--- a/daemon/src/requestsession.cpp
+++ b/daemon/src/requestsession.cpp
@@ -42,6 +42,7 @@
   for (;;) {
     if (auto winner = this->Winner()) {
       this->CancelOthers(winner.get());
+      this->plan.gate->OnLatency(this->clock.Now() - winner->StartedAt());
       this->outcome.winner = std::move(winner);
       this->outcome.verdict = Verdict::Ran;
       return this->outcome;
@@ -53,6 +54,8 @@
     }
     if (this->clock.Now() >= this->plan.deadline) {
       this->CancelOthers(nullptr);
+      this->plan.gate->OnLatency(this->clock.Now() -
+                                 this->active.front()->StartedAt());
       this->outcome.verdict = Verdict::MayHaveRun;
       this->outcome.refusal = Refusal::BackendTimeout;
       return this->outcome;
--- a/decisions/src/admission.cpp
+++ b/decisions/src/admission.cpp
@@ -59,7 +59,7 @@
 WaitingLine::First(Time aNow) const -> std::optional<std::uint64_t>
 {
   for (const auto& place : this->order) {
-    if (this->entries.at(place.ticket).waiter.deadline > aNow) {
+    if (this->entries.at(place.ticket).waiter.latest > aNow) {
       return place.ticket;
     }
   }
--- a/decisions/src/admission.h
+++ b/decisions/src/admission.h
@@ -19,7 +19,8 @@
   std::uint64_t ticket = 0;
   int rank = 0;
   std::string caller;
-  Time deadline;
+  // Not worth serving any more from then on.
+  Time latest;
 };
 
 class WaitingLine
@@ -34,8 +35,7 @@
   auto Join(const Waiter& aWaiter, std::optional<std::uint64_t>& aDisplaced)
     -> bool;
   auto Leave(std::uint64_t aTicket) -> void;
-  // The ticket to be served next, passing over waiters that cannot make their
-  // deadline any more.
+  // The ticket to be served next, passing over waiters that are too late.
   auto First(Time aNow) const -> std::optional<std::uint64_t>;
   // The ticket got its place; it leaves the line.
   auto Serve(std::uint64_t aTicket) -> void;
