A place stays taken while a backend server works on a request given up

Cause: a request that was cancelled or late gave its place back at once, while the backend server still worked on it: the next one waited behind it there. Change: the place stays taken for the time that requests usually take there, at most 1 s. Ruled out: asking the backend server (no protocol for it).

--- a/daemon/src/exchange.cpp
+++ b/daemon/src/exchange.cpp
@@ -1,6 +1,7 @@
 #include "exchange.h"
 
 #include <algorithm>
+#include <thread>
 
 #include "connectionthreads.h"
 
@@ -12,6 +13,8 @@
 
 constexpr int kServiceUnavailable = 503;
 
+constexpr Millis kMostAbandonedWait{ 1000 };
+
 } // namespace
 
 auto
@@ -58,6 +61,7 @@
                     aChoice,
                     onEnd = std::move(aOnEnd)] {
     self->Run(aTimeout, aChoice);
+    self->AwaitAbandoned();
     self->backend->Leave();
     onEnd();
   });
@@ -150,6 +154,19 @@
   this->Record(this->Judge(whole, error, sentAt), whole, sentAt);
 }
 
+// A backend server goes on with a request that was given up: its place stays
+// taken for the time that requests usually take there.
+auto
+Exchange::AwaitAbandoned() const -> void
+{
+  const auto ended = this->End();
+  if (ended != AttemptEnd::Cancelled && ended != AttemptEnd::Late) {
+    return;
+  }
+  const auto usual = Micros{ this->backend->LatencyMicros() };
+  std::this_thread::sleep_for(std::min<Micros>(usual, kMostAbandonedWait));
+}
+
 // Cancelled before anything was sent.
 auto
 Exchange::EndUnsent() -> void
--- a/daemon/src/exchange.h
+++ b/daemon/src/exchange.h
@@ -82,6 +82,7 @@
 
 private:
   auto Run(Millis aTimeout, ConnectionChoice aChoice) -> void;
+  auto AwaitAbandoned() const -> void;
   auto EndUnsent() -> void;
   auto Build() -> httplib::Request;
   auto OnHeaders(const httplib::Response& aResponse) -> bool;
