Servers listen with a deep backlog, and never share a port

Cause: the HTTP library listens with a backlog of five, so a burst of new connections lost its first packets and waited a second for the next; and its default socket option let two processes share one port without a word. Change: BindServer() sets its own options and deepens the backlog to 1,024; every port of ours and of the stand-ins is bound through it. Ruled out: fewer new connections (callers decide that).

--- a/daemon/src/adminport.cpp
+++ b/daemon/src/adminport.cpp
@@ -4,6 +4,7 @@
 
 #include "connectionthreads.h"
 #include "httpplatform.h"
+#include "listening.h"
 #include "log.h"
 
 namespace gooseberry {
@@ -126,7 +127,7 @@
   this->Add("GET", "/v1/services", &AdminPort::ListServices);
   this->Add("POST", "/v1/drain", &AdminPort::Drain);
   const auto address = ParseHostPort(port.address);
-  if (!address || !this->server->bind_to_port(address->host, address->port)) {
+  if (!address || !BindServer(*this->server, address->host, address->port)) {
     aReason = "cannot bind " + port.address;
     return false;
   }
--- a/daemon/src/callerport.cpp
+++ b/daemon/src/callerport.cpp
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "headers.h"
+#include "listening.h"
 
 namespace gooseberry {
 
@@ -133,7 +134,7 @@
   this->server.Patch("/.*", withBody);
   this->server.Delete("/.*", withBody);
   const auto address = ParseHostPort(this->settings.callers.address);
-  if (!address || !this->server.bind_to_port(address->host, address->port)) {
+  if (!address || !BindServer(this->server, address->host, address->port)) {
     aReason = "cannot bind " + this->settings.callers.address;
     return false;
   }
--- a/decisions/tests/decisions_test.cpp
+++ b/decisions/tests/decisions_test.cpp
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "admission.h"
+#include "estimate.h"
 #include "interference.h"
 #include "ledger.h"
 #include "membership.h"
@@ -318,3 +319,19 @@
     cr_expect_eq(notRun, end == AttemptEnd::ConnectFailed);
   }
 }
+
+Test(estimate, keeps_back_the_time_for_an_answer_but_at_most_half)
+{
+  auto estimate = LatencyEstimate{};
+  const auto soon = kStart + Millis{ 100 };
+  const auto later = kStart + Millis{ 1000 };
+  cr_expect(LatestStart(kStart, soon, estimate) == soon);
+  for (auto index = 0; index < 100; ++index) {
+    estimate.Observe(Millis{ 80 });
+  }
+  cr_expect(estimate.Generous() >= Millis{ 79 });
+  cr_expect(estimate.Generous() <= Millis{ 120 });
+  cr_expect(LatestStart(kStart, soon, estimate) == kStart + Millis{ 50 });
+  cr_expect(LatestStart(kStart, later, estimate) ==
+            later - estimate.Generous());
+}
--- a/standins/src/main.cpp
+++ b/standins/src/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "connectionthreads.h"
+#include "listening.h"
 #include "standin.h"
 
 namespace gooseberry::standin {
@@ -71,14 +72,12 @@
   aServer.set_tcp_nodelay(true);
   aServer.set_keep_alive_max_count(1000000);
   aServer.set_keep_alive_timeout(600);
-  const auto port = aPort == 0
-                      ? aServer.bind_to_any_port("127.0.0.1")
-                      : (aServer.bind_to_port("127.0.0.1", aPort) ? aPort : -1);
-  if (port < 0) {
+  const auto port = BindServer(aServer, "127.0.0.1", aPort);
+  if (!port) {
     std::cerr << "cannot bind port " << aPort << '\n';
     return EXIT_FAILURE;
   }
-  std::cout << "listening " << port << '\n' << std::flush;
+  std::cout << "listening " << *port << '\n' << std::flush;
   return aServer.listen_after_bind() ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
