A backend server much slower than the others gets probes only

Cause: when the faster servers had no place free, requests went to one that was five times slower, although waiting in line for another takes a fraction of that time. Change: least_cost passes over servers over three times slower than the median; one probe in five seconds shows whether they still are, and an estimate that is out of date is replaced by the probe's answer. The baselines keep their ways. Ruled out: ejection (nothing fails); a probe each second (with three entries its share would itself reach p99.9).

--- a/decisions/src/routing.cpp
+++ b/decisions/src/routing.cpp
@@ -20,6 +20,10 @@
 // just become free finds the next request waiting.
 constexpr double kSlotOvercommit = 1.25;
 constexpr std::int64_t kLatencyWeight = 8;
+// A server this many times slower than the median gets probes only: waiting in
+// line for another one is shorter.
+constexpr std::int64_t kSlowFactor = 3;
+constexpr std::int64_t kProbeIntervalMs = 5000;
 
 using Candidates = std::vector<std::shared_ptr<Backend>>;
 
@@ -87,14 +91,16 @@
 {
   const char* name;
   Order order;
+  // Whether servers much slower than the others are passed over.
+  bool avoidsSlow;
 };
 
 constexpr std::array<PolicyEntry,
                      static_cast<int>(RoutingPolicy::RoutingPolicy_NB)>
-  kPolicies{ { { "least_cost", OrderByCost },
-               { "two_choices", OrderByTwoChoices },
-               { "round_robin", OrderByTurn },
-               { "random", OrderAtRandom } } };
+  kPolicies{ { { "least_cost", OrderByCost, true },
+               { "two_choices", OrderByTwoChoices, false },
+               { "round_robin", OrderByTurn, false },
+               { "random", OrderAtRandom, false } } };
 
 // Healthy backend servers; ejected ones return when too few would be left.
 auto
@@ -119,6 +125,46 @@
   return static_cast<double>(healthy.size()) >= least ? healthy : open;
 }
 
+// Median of the known latencies; zero if none is known.
+auto
+MedianLatency(const Candidates& aCandidates) -> std::int64_t
+{
+  auto latencies = std::vector<std::int64_t>{};
+  latencies.reserve(aCandidates.size());
+  for (const auto& backend : aCandidates) {
+    if (const auto latency = backend->LatencyMicros(); latency > 0) {
+      latencies.push_back(latency);
+    }
+  }
+  if (latencies.empty()) {
+    return 0;
+  }
+  const auto middle =
+    latencies.begin() + static_cast<std::ptrdiff_t>(latencies.size() / 2);
+  std::nth_element(latencies.begin(), middle, latencies.end());
+  return *middle;
+}
+
+// Passes over servers that are much slower than the others. One that is due for
+// a probe, which shows whether it still is slow, is returned.
+auto
+DropSlow(Candidates& aCandidates, Time aNow) -> std::shared_ptr<Backend>
+{
+  auto probe = std::shared_ptr<Backend>{};
+  const auto limit = kSlowFactor * MedianLatency(aCandidates);
+  if (limit == 0) {
+    return probe;
+  }
+  std::erase_if(aCandidates, [&](const auto& aBackend) {
+    const auto slow = aBackend->LatencyMicros() > limit;
+    if (slow && aBackend->ProbeDue(aNow)) {
+      probe = aBackend;
+    }
+    return slow;
+  });
+  return probe;
+}
+
 } // namespace
 
 Backend::Backend(std::string aId,
@@ -164,17 +210,24 @@
 }
 
 auto
-Backend::Enter(int aMost) -> bool
+Backend::Enter(Time aNow, int aMost) -> bool
 {
   auto current = this->inFlight.load();
   while (current < aMost) {
     if (this->inFlight.compare_exchange_weak(current, current + 1)) {
+      this->lastEnteredMs = MillisOf(aNow);
       return true;
     }
   }
   return false;
 }
 
+auto
+Backend::ProbeDue(Time aNow) const -> bool
+{
+  return MillisOf(aNow) - this->lastEnteredMs >= kProbeIntervalMs;
+}
+
 auto
 Backend::Leave() -> void
 {
@@ -182,11 +235,13 @@
 }
 
 auto
-Backend::OnAnswer(Time /*aNow*/, std::int64_t aLatencyMicros) -> void
+Backend::OnAnswer(Time aNow, std::int64_t aLatencyMicros) -> void
 {
   this->failureStreak = 0;
   this->ejections = 0;
-  const auto old = this->latencyMicros.load();
+  const auto last = this->lastAnswerMs.exchange(MillisOf(aNow));
+  const auto stale = MillisOf(aNow) - last >= kProbeIntervalMs;
+  const auto old = stale ? 0 : this->latencyMicros.load();
   const auto next =
     old == 0 ? aLatencyMicros : old + (aLatencyMicros - old) / kLatencyWeight;
   this->latencyMicros = next;
@@ -242,9 +297,16 @@
   if (candidates.empty()) {
     return nullptr;
   }
-  kPolicies[static_cast<std::size_t>(aPolicy)].order(candidates, aContext);
+  const auto& policy = kPolicies[static_cast<std::size_t>(aPolicy)];
+  if (policy.avoidsSlow) {
+    const auto probe = DropSlow(candidates, aContext.now);
+    if (probe && probe->Enter(aContext.now, 1)) {
+      return probe;
+    }
+  }
+  policy.order(candidates, aContext);
   for (const auto& backend : candidates) {
-    if (backend->Enter(aRoute.placesPerBackend)) {
+    if (backend->Enter(aContext.now, aRoute.placesPerBackend)) {
       return backend;
     }
   }
--- a/decisions/src/routing.h
+++ b/decisions/src/routing.h
@@ -35,8 +35,11 @@
   auto Warmth(Time aNow) const -> double;
 
   // Takes one of at most aMost places.
-  auto Enter(int aMost) -> bool;
+  auto Enter(Time aNow, int aMost) -> bool;
+  // Whether it got no request for so long that its latency is out of date.
+  auto ProbeDue(Time aNow) const -> bool;
   auto Leave() -> void;
+  // An estimate that is out of date is replaced.
   auto OnAnswer(Time aNow, std::int64_t aLatencyMicros) -> void;
   // A failure on a connection that had proved itself does not count.
   auto OnFailure(Time aNow) -> void;
@@ -48,6 +51,8 @@
   const Time seen;
   std::atomic<int> inFlight = 0;
   std::atomic<std::int64_t> latencyMicros = 0;
+  std::atomic<std::int64_t> lastEnteredMs = 0;
+  std::atomic<std::int64_t> lastAnswerMs = 0;
   std::atomic<int> failureStreak = 0;
   std::atomic<int> ejections = 0;
   std::atomic<std::int64_t> ejectedUntilMs = 0;
--- a/decisions/tests/decisions_test.cpp
+++ b/decisions/tests/decisions_test.cpp
@@ -258,6 +258,35 @@
   cr_expect(PickBackend(route, RoutingPolicy::LeastCost, context, {}));
 }
 
+Test(routing, a_slow_server_gets_probes_only_and_returns_when_it_is_fast)
+{
+  auto random = std::mt19937_64{ 1 };
+  auto turn = std::atomic<std::uint64_t>{ 0 };
+  auto context = RoutingContext{
+    kStart + Millis{ 60000 }, DomainId{ "north" }, 1000, &random, &turn
+  };
+  auto route = Route{};
+  route.placesPerBackend = 1;
+  for (auto index = 0; index < 3; ++index) {
+    const auto& backend = route.backends.emplace_back(std::make_shared<Backend>(
+      std::to_string(index), "a:1", DomainId{ "north" }, kStart));
+    cr_assert(backend->Enter(context.now, 1));
+    backend->OnAnswer(context.now, index == 0 ? 300000 : 50000);
+    backend->Leave();
+  }
+  const auto pick = [&] {
+    return PickBackend(route, RoutingPolicy::LeastCost, context, {});
+  };
+  cr_expect_neq(pick(), route.backends[0]);
+  cr_expect_neq(pick(), route.backends[0]);
+  cr_expect_null(pick().get());
+  context.now += Millis{ 5000 };
+  cr_expect_eq(pick(), route.backends[0]);
+  route.backends[0]->OnAnswer(context.now, 50000);
+  route.backends[0]->Leave();
+  cr_expect_eq(pick(), route.backends[0]);
+}
+
 Test(retry, the_budget_is_a_share_of_successes_with_a_floor)
 {
   auto budget = RetryBudget{};
--- a/tests/src/requests.cpp
+++ b/tests/src/requests.cpp
@@ -139,7 +139,7 @@
 
 // The same load straight to one backend server and through one entry.
 auto
-MeasureAdded() -> void
+MeasureAdded(const std::string& /*aOnly*/) -> void
 {
   auto fleet = Fleet{};
   StartBackends(fleet, 1, 5, 0);
@@ -157,15 +157,19 @@
 }
 
 auto
-MeasurePolicies(int aInstances) -> void
+MeasurePolicies(const std::string& aOnly) -> void
 {
+  constexpr int kInstances = 3;
   constexpr std::array<double, 4> kLoads{ 0.5, 0.8, 0.95, 1.2 };
   constexpr double kSlowLoad = 0.8;
   PrintHead();
   for (const auto* policy : kPolicies) {
+    if (!aOnly.empty() && aOnly != policy) {
+      continue;
+    }
     auto fleet = Fleet{};
     StartBackends(fleet, kBackends, kWorkMs, kRandomMs);
-    StartInstances(fleet, aInstances, policy);
+    StartInstances(fleet, kInstances, policy);
     for (const auto load : kLoads) {
       const auto shape = ShapeFor(fleet, load * kCapacity);
       const auto name = std::string{ policy } + " load " +
@@ -195,7 +199,7 @@
 }
 
 auto
-MeasureOverload() -> void
+MeasureOverload(const std::string& /*aOnly*/) -> void
 {
   auto fleet = Fleet{};
   StartBackends(fleet, kBackends / 2, kWorkMs, kRandomMs);
@@ -213,7 +217,7 @@
 }
 
 auto
-MeasureCallers() -> void
+MeasureCallers(const std::string& /*aOnly*/) -> void
 {
   auto fleet = Fleet{};
   StartBackends(fleet, kBackends, 2, 0);
@@ -234,12 +238,12 @@
 struct Part
 {
   const char* name;
-  void (*run)();
+  // The second word of the command line, if any, narrows the part.
+  void (*run)(const std::string&);
 };
 
 constexpr std::array<Part, 4> kParts{ { { "added", MeasureAdded },
-                                        { "policies",
-                                          [] { MeasurePolicies(3); } },
+                                        { "policies", MeasurePolicies },
                                         { "overload", MeasureOverload },
                                         { "callers", MeasureCallers } } };
 
@@ -250,7 +254,7 @@
 {
   for (const auto& part : kParts) {
     if (aCount < 2 || std::strcmp(aArguments[1], part.name) == 0) {
-      part.run();
+      part.run(aCount > 2 ? aArguments[2] : "");
     }
   }
   return 0;
