Connections of callers: no polling, and an end where one was announced

Cause: the HTTP library looks at every idle connection a hundred times a second; and it closes by the request's word alone, so a refusal that announced 'Connection: close' left the connection open, and the unread body behind it was the next request. A request that arrived together with another was left unanswered until more bytes came. Change: ConnectionServer blocks in the kernel while nothing arrives, ends a connection after an answer that announced it, reads on for a moment so that the answer is not lost, and answers what arrived together. HTTP itself stays the library's. The tests' ports come from outside the range of outgoing connections: a bound port is no longer shared in silence, and one run in two collided. Ruled out: fewer idle connections by a shorter idle time (callers would pay a new connection); reading unread bodies to their end (an upload may be long).

--- a/daemon/src/callerport.cpp
+++ b/daemon/src/callerport.cpp
@@ -17,7 +17,6 @@
 constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
-constexpr int kMillisPerSecond = 1000;
 constexpr std::size_t kMaxKeepAliveRequests = 1000000;
 constexpr std::size_t kMaxClaimKeyBytes = 200;
 constexpr std::size_t kMaxExchangeThreads = 8192;
@@ -73,15 +72,6 @@
   return aRefusal == Refusal::BackendTimeout ? kGatewayTimeout : kBadGateway;
 }
 
-// Makes the server announce and close the connection after this answer; an
-// unread body would else be taken for the next request.
-auto
-CloseAfter(httplib::Request& aRequest) -> void
-{
-  aRequest.headers.erase("Connection");
-  aRequest.headers.emplace("Connection", "close");
-}
-
 } // namespace
 
 CallerPort::CallerPort(const Settings& aSettings,
@@ -112,8 +102,7 @@
   this->server.new_task_queue = [most] { return new ConnectionThreads(most); };
   this->server.set_tcp_nodelay(true);
   this->server.set_keep_alive_max_count(kMaxKeepAliveRequests);
-  this->server.set_keep_alive_timeout(this->settings.callerIdle.count() /
-                                      kMillisPerSecond);
+  this->server.SetIdle(this->settings.callerIdle);
   this->server.set_read_timeout(this->settings.callerTimeout);
   this->server.set_write_timeout(this->settings.callerTimeout);
   this->server.set_payload_max_length(
@@ -198,12 +187,12 @@
   adjusted.ranges.clear();
   adjusted.headers.erase("Accept-Encoding");
   if (this->draining) {
-    CloseAfter(adjusted);
+    ConnectionServer::CloseAfterAnswer(adjusted);
   }
   if (!prepared) {
     (plan.gate ? plan.gate->Counters() : this->unknownService)
       .Count(failure.refusal);
-    CloseAfter(adjusted);
+    ConnectionServer::CloseAfterAnswer(adjusted);
     Fail(aResponse, failure);
     return;
   }
@@ -215,7 +204,7 @@
   const auto claims = plan.route->spec.claims && !plan.repeatable;
   if (claims && !this->TakeClaim(aRequest, plan, identity, failure)) {
     counters.Count(failure.refusal);
-    CloseAfter(adjusted);
+    ConnectionServer::CloseAfterAnswer(adjusted);
     Fail(aResponse, failure);
     return;
   }
@@ -223,7 +212,7 @@
   original.headers = headers;
   const auto outcome = this->Carry(original, plan, aReader);
   if (plan.bodyUnread) {
-    CloseAfter(adjusted);
+    ConnectionServer::CloseAfterAnswer(adjusted);
   }
   if (outcome.winner) {
     plan.gate->Retries().OnSuccess();
--- a/daemon/src/callerport.h
+++ b/daemon/src/callerport.h
@@ -14,6 +14,7 @@
 #include <oneapi/tbb/concurrent_hash_map.h>
 
 #include "claims.h"
+#include "connectionserver.h"
 #include "control.h"
 #include "requestsession.h"
 
@@ -90,7 +91,7 @@
   std::atomic<std::uint64_t> nextIdentity = 0;
   std::atomic<bool> draining = false;
   std::atomic<bool> stopped = false;
-  httplib::Server server;
+  ConnectionServer server;
   std::thread listener;
   std::thread sweeper;
 };
--- a/standins/src/backend.cpp
+++ b/standins/src/backend.cpp
@@ -189,7 +189,7 @@
 RunBackend(const Options& aOptions) -> int
 {
   auto backend = Backend{ aOptions };
-  auto server = httplib::Server{};
+  auto server = ConnectionServer{};
   server.Post("/mode",
               [&](const httplib::Request& aRequest, httplib::Response&) {
                 backend.SetMode(nlohmann::json::parse(aRequest.body));
--- a/standins/src/main.cpp
+++ b/standins/src/main.cpp
@@ -64,14 +64,14 @@
 }
 
 auto
-Serve(httplib::Server& aServer, int aPort) -> int
+Serve(ConnectionServer& aServer, int aPort) -> int
 {
   aServer.new_task_queue = [] {
     return new ConnectionThreads(kMaxServerThreads);
   };
   aServer.set_tcp_nodelay(true);
   aServer.set_keep_alive_max_count(1000000);
-  aServer.set_keep_alive_timeout(600);
+  aServer.SetIdle(std::chrono::minutes{ 10 });
   const auto port = BindServer(aServer, "127.0.0.1", aPort);
   if (!port) {
     std::cerr << "cannot bind port " << aPort << '\n';
--- a/standins/src/platform.cpp
+++ b/standins/src/platform.cpp
@@ -271,7 +271,7 @@
 RunPlatform(const Options& aOptions) -> int
 {
   auto platform = Platform{ aOptions };
-  auto server = httplib::Server{};
+  auto server = ConnectionServer{};
   platform.Register(server);
   return Serve(server, static_cast<int>(Integer(aOptions, "port", 0)));
 }
--- a/standins/src/proxy.cpp
+++ b/standins/src/proxy.cpp
@@ -213,7 +213,7 @@
   }
   auto faults = Faults{};
   std::thread([&] { AcceptAll(listener, *target, faults); }).detach();
-  auto server = httplib::Server{};
+  auto server = ConnectionServer{};
   server.Post("/fault",
               [&](const httplib::Request& aRequest, httplib::Response&) {
                 SetFaults(nlohmann::json::parse(aRequest.body), faults);
--- a/standins/src/standin.h
+++ b/standins/src/standin.h
@@ -11,6 +11,8 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "connectionserver.h"
+
 namespace gooseberry::standin {
 
 // Options of one command, --name value.
@@ -43,7 +45,7 @@
 
 // Binds 127.0.0.1, prints "listening PORT" and serves until the end.
 auto
-Serve(httplib::Server& aServer, int aPort) -> int;
+Serve(ConnectionServer& aServer, int aPort) -> int;
 
 auto
 RunPlatform(const Options& aOptions) -> int;
--- a/standins/src/worker.cpp
+++ b/standins/src/worker.cpp
@@ -112,7 +112,7 @@
 {
   auto worker = Worker{ aOptions };
   auto bytes = std::atomic<std::int64_t>{ 0 };
-  auto server = httplib::Server{};
+  auto server = ConnectionServer{};
   server.Post(
     "/sync",
     [&](const httplib::Request& aRequest, httplib::Response& aResponse) {
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -25,21 +25,40 @@
 
 constexpr std::chrono::milliseconds kPoll{ 50 };
 
-// A port that nobody listens on now.
+// Whether nobody listens on the port now.
 auto
-FreePort() -> int
+PortIsFree(int aPort) -> bool
 {
   const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  constexpr int kOn = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof kOn);
   auto address = sockaddr_in{};
   address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  auto size = socklen_t{ sizeof address };
-  if (::bind(socket, reinterpret_cast<sockaddr*>(&address), size) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  const auto bound =
+    ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
   ::close(socket);
-  return ntohs(address.sin_port);
+  return bound;
+}
+
+// A port that no other test takes: each process has its own part of the range,
+// which lies below the ports that the kernel gives to outgoing connections.
+auto
+FreePort() -> int
+{
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 20000;
+  constexpr int kPart = 100;
+  static auto next = static_cast<int>(::getpid()) * kPart % kCount;
+  for (auto tries = 0; tries < kCount; ++tries) {
+    const auto port = kFirst + next;
+    next = (next + 1) % kCount;
+    if (PortIsFree(port)) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no free port");
 }
 
 auto
