Blocking calls run on plain threads instead of an arena of oneTBB

Cause: a profile of the daemon with 55 workers and 770 tasks: over half of its time in sched_yield and in the arena's spinning, since its threads wait actively for a while after each of about 80 short blocking calls a second. Change: the executor runs blocking calls on the threads that the connections use; the loop's queue and the concurrent tables stay oneTBB's. Ruled out: fewer arena threads (they spin just as well).

--- a/daemon/src/threadedexecutor.cpp
+++ b/daemon/src/threadedexecutor.cpp
@@ -13,9 +13,7 @@
 } // namespace
 
 ThreadedExecutor::ThreadedExecutor(int aBlockingThreads)
-  : threads(oneapi::tbb::global_control::max_allowed_parallelism,
-            static_cast<std::size_t>(aBlockingThreads) + 1)
-  , arena(aBlockingThreads, 0)
+  : blocking(static_cast<std::size_t>(aBlockingThreads))
 {
 }
 
@@ -55,7 +53,7 @@
 ThreadedExecutor::Run(BlockingCall aCall) -> void
 {
   ++this->calls;
-  this->arena.enqueue([this, call = std::move(aCall)] {
+  this->blocking.enqueue([this, call = std::move(aCall)] {
     this->Post(call());
     --this->calls;
   });
--- a/daemon/src/threadedexecutor.h
+++ b/daemon/src/threadedexecutor.h
@@ -1,16 +1,16 @@
 #ifndef GOOSEBERRY_THREADEDEXECUTOR_H
 #define GOOSEBERRY_THREADEDEXECUTOR_H
 
-// The daemon's executor: a loop thread, and an arena of oneTBB for calls that
-// block.
+// The daemon's executor: a loop thread with a queue of oneTBB, and threads for
+// calls that block. An arena of oneTBB does not fit those: its threads spin for
+// a while after each call, which costs more than the calls.
 
 #include <atomic>
 #include <thread>
 
 #include <oneapi/tbb/concurrent_queue.h>
-#include <oneapi/tbb/global_control.h>
-#include <oneapi/tbb/task_arena.h>
 
+#include "connectionthreads.h"
 #include "executor.h"
 
 namespace gooseberry {
@@ -32,9 +32,7 @@
 private:
   auto Loop(Millis aInterval, const Work& aTick) -> void;
 
-  // Blocking calls need more threads than there are processors.
-  oneapi::tbb::global_control threads;
-  oneapi::tbb::task_arena arena;
+  ConnectionThreads blocking;
   oneapi::tbb::concurrent_bounded_queue<Work> queue;
   std::atomic<int> calls = 0;
   std::atomic<bool> stopping = false;
