--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -212,6 +212,20 @@
   Call("POST", this->proxyControl, "/fault", aFaults.dump());
 }
 
+auto
+Node::Pause() -> void
+{
+  this->paused = true;
+  this->process->Signal(SIGSTOP);
+}
+
+auto
+Node::Resume() -> void
+{
+  this->paused = false;
+  this->process->Signal(SIGCONT);
+}
+
 Fleet::Fleet()
 {
   auto pattern =
@@ -339,13 +353,16 @@
 Fleet::AddInstance(const InstanceOptions& aOptions) -> Node&
 {
   auto& node = this->instances[aOptions.id];
-  node.port = FreePort();
-  node.adminPort = FreePort();
-  auto target = this->platform.port;
-  if (aOptions.behindProxy) {
-    this->AddProxy(node, target);
-    target = node.proxyPort;
+  if (node.port == 0) {
+    node.port = FreePort();
+    node.adminPort = FreePort();
+  }
+  if (aOptions.behindProxy && !node.proxy) {
+    this->AddProxy(node, this->platform.port);
   }
+  const auto target =
+    aOptions.behindProxy ? node.proxyPort : this->platform.port;
+  node.paused = false;
   auto command = std::vector<std::string>{ GOOSEBERRY_DAEMON_PATH };
   if (!aOptions.settings.empty()) {
     const auto path = this->Path(aOptions.id + ".yaml");
@@ -468,7 +485,7 @@
 Fleet::AnyInstance() -> Node&
 {
   for (auto& [id, node] : this->instances) {
-    if (node.process->Running()) {
+    if (node.process->Running() && !node.paused) {
       return node;
     }
   }
--- a/tests/src/fleet.h
+++ b/tests/src/fleet.h
@@ -102,7 +102,11 @@
   int adminPort = 0;
   int proxyPort = 0;
   int proxyControl = 0;
+  bool paused = false;
 
+  // Stops the process without its knowledge, and lets it go on.
+  auto Pause() -> void;
+  auto Resume() -> void;
   // Sets faults of the proxy.
   auto Fault(const nlohmann::json& aFaults) const -> void;
 };
@@ -118,6 +122,7 @@
   auto StartPlatform(const std::vector<std::string>& aOptions = {}) -> void;
   auto AddWorker(const WorkerOptions& aOptions) -> Node&;
   auto AddBackend(const BackendOptions& aOptions) -> Node&;
+  // One that ended and is added again keeps its ports.
   auto AddInstance(const InstanceOptions& aOptions) -> Node&;
   // Keeps no record of what happens from here on.
   auto StopRecording() -> void;
@@ -135,7 +140,7 @@
   auto CountPhase(const std::string& aPrefix, const std::string& aPhase) -> int;
   // The record of the stand-ins so far, by time.
   auto Record() const -> std::vector<nlohmann::json>;
-  // Some instance that runs.
+  // Some instance that runs and is not paused.
   auto AnyInstance() -> Node&;
 
   std::map<std::string, Node> workers;
--- a/tests/src/load.cpp
+++ b/tests/src/load.cpp
@@ -88,6 +88,12 @@
   *this->usable.at(static_cast<std::size_t>(aEntry)) = false;
 }
 
+auto
+Load::PutBack(int aEntry) -> void
+{
+  *this->usable.at(static_cast<std::size_t>(aEntry)) = true;
+}
+
 auto
 Load::RunCaller(int aIndex) -> void
 {
--- a/tests/src/load.h
+++ b/tests/src/load.h
@@ -39,6 +39,7 @@
   auto Sent() const -> int;
   // The balancer stops choosing this entry.
   auto TakeOut(int aEntry) -> void;
+  auto PutBack(int aEntry) -> void;
 
 private:
   auto RunCaller(int aIndex) -> void;
