Link between instances: hints over nghttp2 streams

Cause: every instance polls the table service for the document and for each of its shards' inboxes: 21.6 reads/s for one instance at rest; at the target's 368 daemons the inboxes and the document alone would take all reads there are. Change: a package of its own. A hint names the newest document number and the shards with something new; it only makes the receiver read sooner, so a lost, late or false one does harm to nothing. One HTTP/2 connection per pair, a stream per hint, MessagePack bodies of at most 4 KB, a sending thread that never blocks its caller, a rest for peers that do not answer, counted events. Ruled out: our own frames over TCP; the administration port (tokens, JSON). Tests: every cut of a hint is refused, a newer key is passed over, a restarted peer is found again, a peer that is gone is counted, garbage on the port ends only its own connection. Not wired in yet.

--- /dev/null
+++ b/peerlink/src/peerconnection.cpp
@@ -0,0 +1,255 @@
+#include "peerconnection.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstring>
+#include <string_view>
+
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "hint.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::uint32_t kMaxStreams = 16;
+constexpr std::size_t kReadBytes = 8192;
+constexpr Millis kWriteTimeout{ 1000 };
+
+auto
+Ready(int aSocket, short aEvents, Millis aTimeout) -> bool
+{
+  auto waiting = pollfd{ aSocket, aEvents, 0 };
+  return ::poll(&waiting, 1, static_cast<int>(aTimeout.count())) > 0;
+}
+
+// The library copies names and values when a message is submitted; until then
+// both must live.
+auto
+Field(std::string_view aName, std::string_view aValue) -> nghttp2_nv
+{
+  const auto bytes = [](std::string_view aText) {
+    return reinterpret_cast<std::uint8_t*>(const_cast<char*>(aText.data()));
+  };
+  return { bytes(aName),
+           bytes(aValue),
+           aName.size(),
+           aValue.size(),
+           NGHTTP2_NV_FLAG_NONE };
+}
+
+} // namespace
+
+PeerConnection::PeerConnection(int aSocket, Handler aHandler)
+  : socket(aSocket)
+  , handler(std::move(aHandler))
+{
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, OnFrame);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, OnClose);
+  if (this->handler) {
+    nghttp2_session_server_new(&this->session, callbacks, this);
+  } else {
+    nghttp2_session_client_new(&this->session, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+  const auto limit =
+    nghttp2_settings_entry{ NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS,
+                            kMaxStreams };
+  nghttp2_submit_settings(this->session, NGHTTP2_FLAG_NONE, &limit, 1);
+}
+
+PeerConnection::~PeerConnection()
+{
+  nghttp2_session_del(this->session);
+  ::close(this->socket);
+}
+
+auto
+PeerConnection::Post(const std::string& aBody, Millis aTimeout) -> bool
+{
+  const std::array<nghttp2_nv, 4> headers{ Field(":method", "POST"),
+                                           Field(":scheme", "http"),
+                                           Field(":authority", "peer"),
+                                           Field(":path", "/hint") };
+  auto provider = nghttp2_data_provider{};
+  provider.read_callback = ReadBody;
+  const auto id = nghttp2_submit_request(
+    this->session, nullptr, headers.data(), headers.size(), &provider, nullptr);
+  if (id < 0) {
+    return false;
+  }
+  this->streams[id].body = aBody;
+  const auto until = std::chrono::steady_clock::now() + aTimeout;
+  while (!this->streams[id].ended) {
+    const auto left =
+      std::chrono::ceil<Millis>(until - std::chrono::steady_clock::now());
+    if (left <= Millis{ 0 } || !this->Pump(left)) {
+      return false;
+    }
+  }
+  const auto taken = this->streams[id].status == "204";
+  this->streams.erase(id);
+  return taken;
+}
+
+auto
+PeerConnection::Pump(Millis aTimeout) -> bool
+{
+  if (!this->Flush()) {
+    return false;
+  }
+  if (Ready(this->socket, POLLIN, aTimeout)) {
+    auto bytes = std::array<std::uint8_t, kReadBytes>{};
+    const auto count = ::recv(this->socket, bytes.data(), bytes.size(), 0);
+    if (count <= 0) {
+      return false;
+    }
+    const auto size = static_cast<std::size_t>(count);
+    if (nghttp2_session_mem_recv(this->session, bytes.data(), size) != count) {
+      return false;
+    }
+  }
+  return this->Flush() && (nghttp2_session_want_read(this->session) != 0 ||
+                           nghttp2_session_want_write(this->session) != 0);
+}
+
+auto
+PeerConnection::Self(void* aUser) -> PeerConnection&
+{
+  return *static_cast<PeerConnection*>(aUser);
+}
+
+auto
+PeerConnection::OnHeader(nghttp2_session* /*aSession*/,
+                         const nghttp2_frame* aFrame,
+                         const std::uint8_t* aName,
+                         std::size_t aNameSize,
+                         const std::uint8_t* aValue,
+                         std::size_t aValueSize,
+                         std::uint8_t /*aFlags*/,
+                         void* aUser) -> int
+{
+  const auto text = [](const std::uint8_t* aBytes, std::size_t aSize) {
+    return std::string{ reinterpret_cast<const char*>(aBytes), aSize };
+  };
+  if (text(aName, aNameSize) == ":status") {
+    Self(aUser).streams[aFrame->hd.stream_id].status = text(aValue, aValueSize);
+  }
+  return 0;
+}
+
+auto
+PeerConnection::OnData(nghttp2_session* /*aSession*/,
+                       std::uint8_t /*aFlags*/,
+                       std::int32_t aStream,
+                       const std::uint8_t* aBytes,
+                       std::size_t aSize,
+                       void* aUser) -> int
+{
+  auto& self = Self(aUser);
+  if (!self.handler) {
+    return 0;
+  }
+  auto& stream = self.streams[aStream];
+  if (stream.body.size() + aSize > kMaxHintBytes) {
+    stream.tooLong = true;
+    return 0;
+  }
+  stream.body.append(reinterpret_cast<const char*>(aBytes), aSize);
+  return 0;
+}
+
+auto
+PeerConnection::OnFrame(nghttp2_session* /*aSession*/,
+                        const nghttp2_frame* aFrame,
+                        void* aUser) -> int
+{
+  auto& self = Self(aUser);
+  const auto message =
+    aFrame->hd.type == NGHTTP2_DATA || aFrame->hd.type == NGHTTP2_HEADERS;
+  const auto last = (aFrame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  if (self.handler && message && last) {
+    self.Answer(aFrame->hd.stream_id);
+  }
+  return 0;
+}
+
+auto
+PeerConnection::OnClose(nghttp2_session* /*aSession*/,
+                        std::int32_t aStream,
+                        std::uint32_t /*aError*/,
+                        void* aUser) -> int
+{
+  auto& self = Self(aUser);
+  if (self.handler) {
+    self.streams.erase(aStream);
+  } else {
+    self.streams[aStream].ended = true;
+  }
+  return 0;
+}
+
+auto
+PeerConnection::ReadBody(nghttp2_session* /*aSession*/,
+                         std::int32_t aStream,
+                         std::uint8_t* aBuffer,
+                         std::size_t aSize,
+                         std::uint32_t* aFlags,
+                         nghttp2_data_source* /*aSource*/,
+                         void* aUser) -> ssize_t
+{
+  auto& stream = Self(aUser).streams[aStream];
+  const auto count = std::min(aSize, stream.body.size() - stream.sent);
+  std::memcpy(aBuffer, stream.body.data() + stream.sent, count);
+  stream.sent += count;
+  if (stream.sent == stream.body.size()) {
+    *aFlags |= NGHTTP2_DATA_FLAG_EOF;
+  }
+  return static_cast<ssize_t>(count);
+}
+
+auto
+PeerConnection::Answer(std::int32_t aStream) -> void
+{
+  const auto& stream = this->streams[aStream];
+  const auto taken = !stream.tooLong && this->handler(stream.body);
+  const auto header = Field(":status", taken ? "204" : "400");
+  nghttp2_submit_response(this->session, aStream, &header, 1, nullptr);
+}
+
+auto
+PeerConnection::Flush() -> bool
+{
+  for (;;) {
+    const std::uint8_t* bytes = nullptr;
+    auto left = nghttp2_session_mem_send(this->session, &bytes);
+    if (left < 0) {
+      return false;
+    }
+    if (left == 0) {
+      return true;
+    }
+    while (left > 0) {
+      if (!Ready(this->socket, POLLOUT, kWriteTimeout)) {
+        return false;
+      }
+      const auto sent = ::send(
+        this->socket, bytes, static_cast<std::size_t>(left), MSG_NOSIGNAL);
+      if (sent <= 0) {
+        return false;
+      }
+      bytes += sent;
+      left -= sent;
+    }
+  }
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/peerlink/src/peerlink.cpp
@@ -0,0 +1,234 @@
+#include "peerlink.h"
+
+#include <algorithm>
+#include <array>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "httpplatform.h"
+
+namespace gooseberry {
+
+namespace {
+
+// Connections that are served at once; more wait.
+constexpr std::size_t kMaxConnections = 64;
+constexpr int kBacklog = 64;
+constexpr Millis kLookAround{ 500 };
+constexpr Millis kConnectTimeout{ 300 };
+constexpr Millis kPostTimeout{ 500 };
+// A peer that failed gets nothing for so long.
+constexpr std::chrono::seconds kRest{ 2 };
+constexpr std::size_t kMaxPeers = 64;
+
+constexpr std::array<const char*,
+                     static_cast<std::size_t>(PeerEvent::PeerEvent_NB)>
+  kEventTexts{ "sent", "unreachable", "received", "refused" };
+
+auto
+AddressOf(const HostPort& aAddress) -> std::optional<sockaddr_in>
+{
+  auto address = sockaddr_in{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(aAddress.port));
+  if (::inet_pton(AF_INET, aAddress.host.c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
+// A connected socket, or -1.
+auto
+Connect(const std::string& aAddress) -> int
+{
+  const auto parsed = ParseHostPort(aAddress);
+  const auto address = parsed ? AddressOf(*parsed) : std::nullopt;
+  if (!address) {
+    return -1;
+  }
+  const auto socket = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  constexpr int kOn = 1;
+  ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &kOn, sizeof kOn);
+  ::connect(
+    socket, reinterpret_cast<const sockaddr*>(&*address), sizeof *address);
+  auto waiting = pollfd{ socket, POLLOUT, 0 };
+  auto fault = 0;
+  auto size = socklen_t{ sizeof fault };
+  const auto timeout = static_cast<int>(kConnectTimeout.count());
+  if (::poll(&waiting, 1, timeout) <= 0 ||
+      ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &fault, &size) != 0 ||
+      fault != 0) {
+    ::close(socket);
+    return -1;
+  }
+  ::fcntl(socket, F_SETFL, ::fcntl(socket, F_GETFL) & ~O_NONBLOCK);
+  return socket;
+}
+
+auto
+Merge(Hint& aInto, const Hint& aHint) -> void
+{
+  aInto.document = std::max(aInto.document, aHint.document);
+  for (const auto shard : aHint.inboxes) {
+    const auto known =
+      std::find(aInto.inboxes.begin(), aInto.inboxes.end(), shard);
+    if (known == aInto.inboxes.end()) {
+      aInto.inboxes.push_back(shard);
+    }
+  }
+}
+
+} // namespace
+
+auto
+ToText(PeerEvent aEvent) -> const char*
+{
+  return kEventTexts[static_cast<std::size_t>(aEvent)];
+}
+
+PeerLink::PeerLink(OnHint aOnHint, OnEvent aOnEvent)
+  : onHint(std::move(aOnHint))
+  , onEvent(std::move(aOnEvent))
+  , serving(kMaxConnections)
+{
+}
+
+PeerLink::~PeerLink()
+{
+  this->Stop();
+}
+
+auto
+PeerLink::Start(const std::string& aAddress, std::string& aReason) -> bool
+{
+  const auto parsed = ParseHostPort(aAddress);
+  const auto address = parsed ? AddressOf(*parsed) : std::nullopt;
+  this->listener = ::socket(AF_INET, SOCK_STREAM, 0);
+  constexpr int kOn = 1;
+  ::setsockopt(this->listener, SOL_SOCKET, SO_REUSEADDR, &kOn, sizeof kOn);
+  if (!address ||
+      ::bind(this->listener,
+             reinterpret_cast<const sockaddr*>(&*address),
+             sizeof *address) != 0 ||
+      ::listen(this->listener, kBacklog) != 0) {
+    ::close(this->listener);
+    this->listener = -1;
+    aReason = "cannot bind " + aAddress;
+    return false;
+  }
+  this->accepting = std::thread([this] { this->AcceptAll(); });
+  this->sending = std::thread([this] { this->SendAll(); });
+  return true;
+}
+
+auto
+PeerLink::Stop() -> void
+{
+  if (this->stopping.exchange(true) || this->listener < 0) {
+    return;
+  }
+  this->queued.notify_all();
+  this->accepting.join();
+  this->sending.join();
+  this->serving.shutdown();
+  ::close(this->listener);
+}
+
+auto
+PeerLink::Send(const std::string& aAddress, const Hint& aHint) -> void
+{
+  const auto lock = std::lock_guard{ this->mutex };
+  Merge(this->queue[aAddress], aHint);
+  this->queued.notify_one();
+}
+
+auto
+PeerLink::AcceptAll() -> void
+{
+  while (!this->stopping) {
+    auto waiting = pollfd{ this->listener, POLLIN, 0 };
+    if (::poll(&waiting, 1, static_cast<int>(kLookAround.count())) <= 0) {
+      continue;
+    }
+    const auto socket = ::accept(this->listener, nullptr, nullptr);
+    if (socket >= 0) {
+      this->serving.enqueue([this, socket] { this->Serve(socket); });
+    }
+  }
+}
+
+auto
+PeerLink::Serve(int aSocket) -> void
+{
+  auto connection = PeerConnection{ aSocket, [this](const std::string& aBody) {
+                                     auto reason = std::string{};
+                                     const auto hint =
+                                       DecodeHint(aBody, reason);
+                                     this->onEvent(hint ? PeerEvent::Received
+                                                        : PeerEvent::Refused);
+                                     if (hint) {
+                                       this->onHint(*hint);
+                                     }
+                                     return hint.has_value();
+                                   } };
+  while (!this->stopping && connection.Pump(kLookAround)) {
+  }
+}
+
+auto
+PeerLink::SendAll() -> void
+{
+  for (;;) {
+    auto due = std::map<std::string, Hint>{};
+    {
+      auto lock = std::unique_lock{ this->mutex };
+      this->queued.wait(
+        lock, [this] { return this->stopping || !this->queue.empty(); });
+      if (this->stopping) {
+        return;
+      }
+      due.swap(this->queue);
+    }
+    for (const auto& [address, hint] : due) {
+      const auto sent = this->SendOne(address, hint);
+      this->onEvent(sent ? PeerEvent::Sent : PeerEvent::Unreachable);
+    }
+  }
+}
+
+auto
+PeerLink::SendOne(const std::string& aAddress, const Hint& aHint) -> bool
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (this->peers.size() > kMaxPeers) {
+    this->peers.clear();
+  }
+  auto& peer = this->peers[aAddress];
+  if (now < peer.notBefore) {
+    return false;
+  }
+  const auto body = EncodeHint(aHint);
+  // A connection that lay idle may have ended meanwhile: one new try.
+  if (peer.connection && peer.connection->Post(body, kPostTimeout)) {
+    return true;
+  }
+  peer.connection.reset();
+  const auto socket = Connect(aAddress);
+  if (socket >= 0) {
+    peer.connection = std::make_unique<PeerConnection>(socket, nullptr);
+  }
+  if (peer.connection && peer.connection->Post(body, kPostTimeout)) {
+    return true;
+  }
+  peer.connection.reset();
+  peer.notBefore = now + kRest;
+  return false;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/peerlink/tests/peerlink_test.cpp
@@ -0,0 +1,160 @@
+// Hints between instances.
+
+#include <algorithm>
+#include <array>
+#include <condition_variable>
+#include <mutex>
+
+#include <criterion/criterion.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "peerlink.h"
+
+using namespace gooseberry;
+
+namespace {
+
+auto
+FreePort() -> int
+{
+  const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  auto address = sockaddr_in{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto size = socklen_t{ sizeof address };
+  ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+  ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(socket);
+  return ntohs(address.sin_port);
+}
+
+// Collects what a link reports until it was told often enough.
+class Collector
+{
+public:
+  auto OnHint(const Hint& aHint) -> void
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    this->hints.push_back(aHint);
+    this->news.notify_all();
+  }
+
+  auto OnEvent(PeerEvent aEvent) -> void
+  {
+    const auto lock = std::lock_guard{ this->mutex };
+    this->events.push_back(aEvent);
+    this->news.notify_all();
+  }
+
+  auto Await(PeerEvent aEvent, int aCount) -> void
+  {
+    auto lock = std::unique_lock{ this->mutex };
+    this->news.wait(lock, [&] {
+      return std::count(this->events.begin(), this->events.end(), aEvent) >=
+             aCount;
+    });
+  }
+
+  std::vector<Hint> hints;
+
+private:
+  std::mutex mutex;
+  std::condition_variable news;
+  std::vector<PeerEvent> events;
+};
+
+auto
+MakeLink(Collector& aCollector) -> std::unique_ptr<PeerLink>
+{
+  return std::make_unique<PeerLink>(
+    [&aCollector](const Hint& aHint) { aCollector.OnHint(aHint); },
+    [&aCollector](PeerEvent aEvent) { aCollector.OnEvent(aEvent); });
+}
+
+} // namespace
+
+Test(hint, survives_its_bytes_and_refuses_others)
+{
+  const auto hint = Hint{ 7, { 1, 300 } };
+  auto reason = std::string{};
+  const auto bytes = EncodeHint(hint);
+  cr_expect(DecodeHint(bytes, reason) == hint);
+  for (auto size = std::size_t{ 0 }; size < bytes.size(); ++size) {
+    cr_expect_not(DecodeHint(bytes.substr(0, size), reason), "%zu", size);
+    cr_expect_neq(reason, "");
+  }
+  cr_expect_not(DecodeHint("\x93\x01\x02\x03", reason));
+  cr_expect_not(DecodeHint(std::string(5000, 'x'), reason));
+  // A key of a newer version is passed over.
+  cr_expect(DecodeHint("\x82\xa8"
+                       "document\x05\xa3new\x01",
+                       reason) == (Hint{ 5, {} }));
+}
+
+Test(peer_link, carries_hints_over_one_connection_and_again_after_a_restart)
+{
+  auto here = Collector{};
+  auto there = Collector{};
+  auto reason = std::string{};
+  const auto address = "127.0.0.1:" + std::to_string(FreePort());
+  const auto sender = MakeLink(here);
+  cr_assert(sender->Start("127.0.0.1:" + std::to_string(FreePort()), reason));
+  auto receiver = MakeLink(there);
+  cr_assert(receiver->Start(address, reason));
+  for (auto round = 1; round <= 3; ++round) {
+    sender->Send(address, { static_cast<std::uint64_t>(round), {} });
+    here.Await(PeerEvent::Sent, round);
+    cr_assert_eq(there.hints.size(), static_cast<std::size_t>(round));
+    cr_expect_eq(there.hints.back().document, round);
+  }
+  receiver->Stop();
+  receiver = MakeLink(there);
+  cr_assert(receiver->Start(address, reason));
+  sender->Send(address, { 4, { 9 } });
+  here.Await(PeerEvent::Sent, 4);
+  cr_expect(there.hints.back() == (Hint{ 4, { 9 } }));
+}
+
+Test(peer_link, a_peer_that_is_gone_is_counted_and_rested)
+{
+  auto here = Collector{};
+  auto reason = std::string{};
+  const auto sender = MakeLink(here);
+  cr_assert(sender->Start("127.0.0.1:" + std::to_string(FreePort()), reason));
+  sender->Send("127.0.0.1:" + std::to_string(FreePort()), { 1, {} });
+  here.Await(PeerEvent::Unreachable, 1);
+  sender->Send("not an address", { 1, {} });
+  here.Await(PeerEvent::Unreachable, 2);
+}
+
+Test(peer_link, garbage_on_the_port_ends_only_its_own_connection)
+{
+  auto here = Collector{};
+  auto there = Collector{};
+  auto reason = std::string{};
+  const auto port = FreePort();
+  const auto receiver = MakeLink(there);
+  cr_assert(receiver->Start("127.0.0.1:" + std::to_string(port), reason));
+  auto address = sockaddr_in{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(port));
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  cr_assert_eq(
+    ::connect(socket, reinterpret_cast<sockaddr*>(&address), sizeof address),
+    0);
+  const std::string garbage = "GET / HTTP/1.1\r\n\r\n\xff\xff\xff\xff";
+  ::send(socket, garbage.data(), garbage.size(), MSG_NOSIGNAL);
+  auto buffer = std::array<char, 256>{};
+  while (::recv(socket, buffer.data(), buffer.size(), 0) > 0) {
+  }
+  ::close(socket);
+  const auto sender = MakeLink(here);
+  cr_assert(sender->Start("127.0.0.1:" + std::to_string(FreePort()), reason));
+  sender->Send("127.0.0.1:" + std::to_string(port), { 2, {} });
+  here.Await(PeerEvent::Sent, 1);
+  cr_expect_eq(there.hints.size(), 1);
+}
