Instances hint each other: documents and inboxes spread, polling only backs up

With a link (settings: peers), inboxes are polled every 3 s instead of 0.5 s and the document every 1 s; without one everything is as before. Member rows carry the link's address; rows of an older version lack it and are read all the same. Ruled out: a tree of members (a dead inner node cuts off its branch); slower document polling (a start needs a document confirmed within 2 s).

--- a/bench/src/chaosbench.cpp
+++ b/bench/src/chaosbench.cpp
@@ -96,6 +96,7 @@
     options.instances = 3 + static_cast<int>(aSeed % 3);
     options.workers = 9 + static_cast<int>(aSeed % 4);
     options.harmPercent = static_cast<int>(aSeed % 5) * 10;
+    options.linked = aSeed % 2 == 1;
     return options;
   }
 
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -9,6 +9,7 @@
 constexpr int kPerMille = 1000;
 constexpr Micros kStoreLatency{ 5000 };
 constexpr Millis kWorkerStep{ 100 };
+constexpr Millis kHintLatency{ 2 };
 constexpr Millis kSampleInterval{ 500 };
 constexpr Millis kMostDelay{ 12000 };
 constexpr std::int64_t kMostDrift = 4;
@@ -156,6 +157,30 @@
   World& world;
 };
 
+// One instance's way to the others.
+class World::Link : public HintSender
+{
+public:
+  explicit Link(World& aWorld)
+    : world(aWorld)
+  {
+  }
+
+  auto Send(const std::string& aAddress, const Hint& aHint) -> void override
+  {
+    constexpr std::uint64_t kLostOf = 10;
+    if (this->world.random() % kLostOf == 0) {
+      return;
+    }
+    this->world.queue.After(kHintLatency, [this, aAddress, aHint] {
+      this->world.DeliverHint(aAddress, aHint);
+    });
+  }
+
+private:
+  World& world;
+};
+
 struct World::FakeInstance
 {
   FakeInstance(World& aWorld, std::int64_t aDrift, int aNumber)
@@ -163,10 +188,12 @@
     , executor(aWorld.queue, kStoreLatency)
     , table(aWorld.table, aWorld.queue, aWorld.random, aWorld.rates)
     , workers(aWorld)
+    , link(aWorld)
   {
     this->settings.instance = "entry-" + std::to_string(aNumber);
     this->settings.shards = aWorld.options.shards;
     this->settings.placement = aWorld.options.placement;
+    this->settings.peers.address = "peer-" + std::to_string(aNumber);
     this->control = std::make_unique<Control>(
       this->settings,
       this->clock,
@@ -174,7 +201,8 @@
         this->table, aWorld.objects, aWorld.instancesList, this->workers },
       this->metrics,
       this->executor,
-      aWorld.random());
+      aWorld.random(),
+      aWorld.options.linked ? &this->link : nullptr);
   }
 
   Settings settings;
@@ -182,6 +210,7 @@
   VirtualExecutor executor;
   FaultyTable table;
   Workers workers;
+  Link link;
   Metrics metrics;
   std::unique_ptr<Control> control;
 };
@@ -277,6 +306,17 @@
   }
   auto store = ShardStore{ this->table, this->objects };
   store.Submit(tasks, static_cast<ShardNumber>(this->options.shards));
+  auto shards = std::set<ShardNumber>{};
+  for (const auto& task : tasks) {
+    shards.insert(
+      ShardOf(task.id.text, static_cast<ShardNumber>(this->options.shards)));
+  }
+  for (const auto& instance : this->instances) {
+    if (instance->executor.Alive()) {
+      instance->control->NotifyInboxes(shards);
+      return;
+    }
+  }
 }
 
 auto
@@ -458,8 +498,8 @@
   const auto drift =
     static_cast<std::int64_t>(this->random() % (2 * kMostDrift + 1)) -
     kMostDrift;
-  const auto number = static_cast<int>(this->graveyard.size());
-  auto instance = std::make_unique<FakeInstance>(*this, drift, number);
+  auto instance =
+    std::make_unique<FakeInstance>(*this, drift, this->instanceNumber++);
   instance->control->Start();
   return instance;
 }
@@ -523,6 +563,17 @@
   this->instancesList.Set(listing);
 }
 
+auto
+World::DeliverHint(const std::string& aAddress, const Hint& aHint) -> void
+{
+  for (const auto& instance : this->instances) {
+    if (instance->settings.peers.address == aAddress &&
+        instance->executor.Alive()) {
+      instance->control->OnHint(aHint);
+    }
+  }
+}
+
 auto
 World::Deliver(FakeWorker& aWorker, const SyncRequest& aRequest)
   -> std::optional<WorkerReport>
--- a/bench/src/world.h
+++ b/bench/src/world.h
@@ -28,6 +28,8 @@
   int harmPercent = 0;
   int usePercent = 80;
   PlacementPolicy placement = PlacementPolicy::BestFit;
+  // Whether the instances exchange hints; one in ten is lost.
+  bool linked = false;
   // The service class whose slowdown is sampled.
   ClassId sampled{ "kiosk" };
 };
@@ -129,11 +131,13 @@
   struct FakeInstance;
   struct FakeWorker;
   class Workers;
+  class Link;
 
   auto AddInstance() -> std::unique_ptr<FakeInstance>;
   auto BootWorker(FakeWorker& aWorker) -> void;
   auto StepWorkers() -> void;
   auto ListWorkers() -> void;
+  auto DeliverHint(const std::string& aAddress, const Hint& aHint) -> void;
   auto Deliver(FakeWorker& aWorker, const SyncRequest& aRequest)
     -> std::optional<WorkerReport>;
 
@@ -150,6 +154,7 @@
   std::vector<std::unique_ptr<FakeInstance>> graveyard;
   std::vector<TaskEvent> events;
   std::uint64_t editNumber = 0;
+  int instanceNumber = 0;
   std::uint64_t samples = 0;
   std::uint64_t serviceSamples = 0;
   std::uint64_t brokenSamples = 0;
--- a/daemon/src/adminport.cpp
+++ b/daemon/src/adminport.cpp
@@ -437,6 +437,11 @@
       "some tasks may be submitted; repeat with the same submission");
     return;
   }
+  auto shards = std::set<ShardNumber>{};
+  for (const auto& task : tasks) {
+    shards.insert(ShardOf(task.id.text, shardCount));
+  }
+  this->control.NotifyInboxes(shards);
   Reply(aCall, { { "tasks", names } });
 }
 
@@ -465,11 +470,12 @@
     return;
   }
   const auto shardCount = this->control.ShardCount();
-  if (shardCount == 0 ||
-      !this->shards.SubmitOrder(aKind, id, ShardOf(id.text, shardCount))) {
+  const auto shard = shardCount == 0 ? 0 : ShardOf(id.text, shardCount);
+  if (shardCount == 0 || !this->shards.SubmitOrder(aKind, id, shard)) {
     this->Refuse(aCall, kUnavailable, "store_unavailable", "repeat the call");
     return;
   }
+  this->control.NotifyInboxes({ shard });
   Reply(aCall, { { aWord, id } });
 }
 
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -20,7 +20,8 @@
                  PlatformServices aPlatform,
                  Metrics& aMetrics,
                  Executor& aExecutor,
-                 std::uint64_t aSeed)
+                 std::uint64_t aSeed,
+                 HintSender* aPeers)
   : settings(aSettings)
   , clock(aClock)
   , platform(aPlatform)
@@ -28,6 +29,7 @@
   , documents(aPlatform.table)
   , shards(aPlatform.table, aPlatform.objects)
   , random(aSeed)
+  , peers(aPeers)
   , executor(aExecutor)
 {
   this->self.text =
@@ -35,6 +37,7 @@
   this->own.id = this->self;
   this->own.domain = aSettings.domain;
   this->own.adminAddress = aSettings.admin.address;
+  this->own.peerAddress = aPeers == nullptr ? "" : aSettings.peers.address;
   this->identity.Set(std::make_shared<MemberRow>(this->own));
   this->routes.Set(std::make_shared<RouteTable>());
   this->current.Set(std::make_shared<LoadedDocument>());
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -17,6 +17,7 @@
 #include "executor.h"
 #include "membership.h"
 #include "metrics.h"
+#include "peerlink.h"
 #include "published.h"
 #include "routing.h"
 #include "settings.h"
@@ -71,7 +72,9 @@
           PlatformServices aPlatform,
           Metrics& aMetrics,
           Executor& aExecutor,
-          std::uint64_t aSeed);
+          std::uint64_t aSeed,
+          // Null: what is new is found by polling alone.
+          HintSender* aPeers = nullptr);
 
   auto Start() -> void;
   // Gives the shards up and leaves the membership; returns when done or when
@@ -92,6 +95,9 @@
   auto Explain(const TaskId& aTask) -> Explanation;
   // A peer knows of this document number: read the store at once.
   auto OnDocumentHint(std::uint64_t aNumber) -> void;
+  auto OnHint(const Hint& aHint) -> void;
+  // Something was put into the inboxes of these shards.
+  auto NotifyInboxes(const std::set<ShardNumber>& aShards) -> void;
 
 private:
   // One shard on its way to, in, or out of this instance's hands.
@@ -139,11 +145,15 @@
   auto PublishRoutes() -> void;
   auto GiveWorkers(Held& aHeld, ShardNumber aShard) -> void;
 
+  // Other instances (controlpeers.cpp).
+  auto SpreadDocument() -> void;
+  auto Tell(const InstanceId& aPeer, const Hint& aHint) -> void;
+
   // Shards (controlshards.cpp).
   auto FixShardCount() -> void;
   auto BalanceShards() -> void;
   // Gives up shards that takeovers without a known outcome may have left here.
-  auto DropStrays(const std::vector<InstanceId>& aOwners) -> void;
+  auto DropStrays() -> void;
   auto TakeShard(ShardNumber aShard) -> void;
   // Reads the shard's row: an owner that appends nothing would not notice that
   // another has taken over.
@@ -152,6 +162,7 @@
   auto RunShard(ShardNumber aShard, Held& aHeld) -> void;
   auto AppendNext(ShardNumber aShard, Held& aHeld) -> void;
   auto OnAppended(ShardNumber aShard, AppendOutcome aOutcome) -> void;
+  auto NotifyTargets(const JournalEntry& aEntry) -> void;
   auto AbsorbInbox(ShardNumber aShard, Held& aHeld) -> void;
   auto OnInbox(Held& aHeld, const std::vector<InboxItem>& aItems) -> void;
   auto SettleAbsorbed(Held& aHeld) -> void;
@@ -169,8 +180,11 @@
   ShardStore shards;
   std::mt19937_64 random;
   InstanceId self;
+  HintSender* const peers;
 
   // Loop thread only.
+  // Owners of the shards, as the members were last seen.
+  std::vector<InstanceId> owners;
   OwnLease lease;
   Membership membership;
   std::uint64_t memberVersion = 0;
--- a/daemon/src/controlroutes.cpp
+++ b/daemon/src/controlroutes.cpp
@@ -24,7 +24,9 @@
     return;
   }
   this->pollingDocument = true;
-  this->nextDocument = now + kDocumentPollInterval;
+  this->nextDocument =
+    now + (this->peers == nullptr ? kDocumentPollInterval
+                                  : kLinkedDocumentPollInterval);
   this->executor.Call(
     [this, known = this->loaded] { return this->documents.Load(known); },
     [this, now](const LoadResult& aResult) {
@@ -43,6 +45,7 @@
           "document_in_force",
           { { "number", std::to_string(this->loaded.document->number) } });
         this->PublishRoutes();
+        this->SpreadDocument();
       }
       this->documentConfirmed = now;
       this->hasDocument = true;
--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -34,10 +34,9 @@
       !this->loaded.document || !this->lease.Holds(now)) {
     return;
   }
-  const auto owners =
-    AssignShards(this->shardCount, this->membership.Live(now));
+  this->owners = AssignShards(this->shardCount, this->membership.Live(now));
   for (auto shard = ShardNumber{ 0 }; shard < this->shardCount; ++shard) {
-    const auto mine = owners[shard] == this->self && !this->leaving;
+    const auto mine = this->owners[shard] == this->self && !this->leaving;
     const auto item = this->held.find(shard);
     if (item == this->held.end()) {
       if (mine && !this->taking[shard]) {
@@ -47,11 +46,11 @@
       item->second.releasing = true;
     }
   }
-  this->DropStrays(owners);
+  this->DropStrays();
 }
 
 auto
-Control::DropStrays(const std::vector<InstanceId>& aOwners) -> void
+Control::DropStrays() -> void
 {
   const auto now = this->clock.Now();
   if (now < this->nextStrays) {
@@ -61,7 +60,7 @@
   for (const auto& [stray, tried] : this->strays) {
     const auto shard = stray;
     if (this->held.contains(shard) || this->taking[shard] ||
-        aOwners[shard] == this->self) {
+        this->owners[shard] == this->self) {
       continue;
     }
     this->executor.Call(
@@ -277,6 +276,7 @@
           item.nextSync[task.worker] = {};
         }
       }
+      this->NotifyTargets(*item.shard->Records().InFlight());
       item.shard->OnRecorded(this->clock.Now());
       this->SettleAbsorbed(item);
       return;
@@ -290,6 +290,18 @@
   }
 }
 
+auto
+Control::NotifyTargets(const JournalEntry& aEntry) -> void
+{
+  auto targets = std::set<ShardNumber>{};
+  for (const auto& transfer : aEntry.transfers) {
+    targets.insert(transfer.target);
+  }
+  if (!targets.empty()) {
+    this->NotifyInboxes(targets);
+  }
+}
+
 auto
 Control::AbsorbInbox(ShardNumber aShard, Held& aHeld) -> void
 {
@@ -298,7 +310,8 @@
     return;
   }
   aHeld.readingInbox = true;
-  aHeld.nextInbox = now + kInboxInterval;
+  aHeld.nextInbox =
+    now + (this->peers == nullptr ? kInboxInterval : kLinkedInboxInterval);
   const auto done = std::exchange(aHeld.absorbed, {});
   this->executor.Call(
     [this, aShard, done] {
--- a/daemon/src/instance.cpp
+++ b/daemon/src/instance.cpp
@@ -30,13 +30,19 @@
     objects = this->platform.get();
     instances = this->platform.get();
   }
+  if (!this->settings.peers.address.empty()) {
+    this->peers = std::make_unique<PeerLink>(
+      [this](const Hint& aHint) { this->control->OnHint(aHint); },
+      [this](PeerEvent aEvent) { this->metrics.CountPeerEvent(aEvent); });
+  }
   this->control = std::make_unique<Control>(
     this->settings,
     this->clock,
     PlatformServices{ *table, *objects, *instances, this->workers },
     this->metrics,
     this->executor,
-    std::random_device{}());
+    std::random_device{}(),
+    this->peers.get());
   this->callers = std::make_unique<CallerPort>(
     this->settings, this->clock, *this->control, *table, this->metrics);
   this->admin = std::make_unique<AdminPort>(
@@ -55,6 +61,10 @@
   if (!this->admin->Start(aReason) || !this->callers->Start(aReason)) {
     return false;
   }
+  if (this->peers &&
+      !this->peers->Start(this->settings.peers.address, aReason)) {
+    return false;
+  }
   this->control->Start();
   LogInfo("started",
           { { "instance", this->control->Self().text },
@@ -90,6 +100,9 @@
   this->callers->Stop();
   handover.join();
   this->admin->Stop();
+  if (this->peers) {
+    this->peers->Stop();
+  }
   this->control->Stop();
   LogInfo("stopped", {});
 }
--- a/daemon/src/instance.h
+++ b/daemon/src/instance.h
@@ -39,6 +39,7 @@
   std::unique_ptr<HttpPlatform> platform;
   HttpWorkers workers;
   ThreadedExecutor executor;
+  std::unique_ptr<PeerLink> peers;
   std::unique_ptr<Control> control;
   std::unique_ptr<CallerPort> callers;
   std::unique_ptr<AdminPort> admin;
--- a/daemon/src/metrics.cpp
+++ b/daemon/src/metrics.cpp
@@ -108,6 +108,10 @@
                              registry,
                              "gooseberry_admin_refusals_total",
                              "Refused calls of the administration API"))
+  , peerEvents(MakeFamily(prometheus::BuildCounter(),
+                          registry,
+                          "gooseberry_peer_hints_total",
+                          "Hints exchanged with other instances"))
   , shardEvents(MakeFamily(prometheus::BuildCounter(),
                            registry,
                            "gooseberry_shard_events_total",
@@ -171,6 +175,12 @@
   this->syncs.Add({ { "result", aSucceeded ? "ok" : "failed" } }).Increment();
 }
 
+auto
+Metrics::CountPeerEvent(PeerEvent aEvent) -> void
+{
+  this->peerEvents.Add({ { "event", ToText(aEvent) } }).Increment();
+}
+
 auto
 Metrics::CountAdminRefusal(const char* aReason) -> void
 {
--- a/daemon/src/metrics.h
+++ b/daemon/src/metrics.h
@@ -13,6 +13,7 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "peerlink.h"
 #include "shard.h"
 #include "tableservice.h"
 #include "verdict.h"
@@ -60,6 +61,7 @@
   // Adds what the counts of a shard grew by.
   auto AddShardCounts(const ShardCounts& aBefore, const ShardCounts& aAfter)
     -> void;
+  auto CountPeerEvent(PeerEvent aEvent) -> void;
   auto SetShards(std::size_t aCount) -> void;
   auto SetTasks(TaskPhase aPhase, std::size_t aCount) -> void;
   auto SetDocument(std::uint64_t aNumber) -> void;
@@ -76,6 +78,7 @@
   prometheus::Family<prometheus::Counter>& storeCalls;
   prometheus::Family<prometheus::Counter>& syncs;
   prometheus::Family<prometheus::Counter>& adminRefusals;
+  prometheus::Family<prometheus::Counter>& peerEvents;
   prometheus::Family<prometheus::Counter>& shardEvents;
   prometheus::Family<prometheus::Gauge>& gauges;
   prometheus::Family<prometheus::Gauge>& tasks;
--- a/daemon/src/settings.cpp
+++ b/daemon/src/settings.cpp
@@ -28,7 +28,9 @@
     return;
   }
   aPort.address = map->String("address", aPort.address);
-  CheckAddress(*map, "address", aPort.address);
+  if (!aPort.address.empty()) {
+    CheckAddress(*map, "address", aPort.address);
+  }
   aPort.certificate = map->String("certificate", "");
   aPort.key = map->String("key", "");
   if (aPort.certificate.empty() != aPort.key.empty()) {
@@ -80,6 +82,18 @@
     root.Report("callers", "TLS is offered on the administration port only");
   }
   ReadPort(root, "admin", settings.admin);
+  ReadPort(root, "peers", settings.peers);
+  for (const auto* port : { "callers", "admin" }) {
+    const auto& address = std::string{ "callers" } == port
+                            ? settings.callers.address
+                            : settings.admin.address;
+    if (address.empty()) {
+      root.Report(port, "must have an address");
+    }
+  }
+  if (!settings.peers.certificate.empty()) {
+    root.Report("peers", "TLS is offered on the administration port only");
+  }
   settings.tokensFile = root.String("tokens_file", "");
   settings.maxConnections =
     root.Integer("max_connections", settings.maxConnections, 1, 20000);
@@ -127,11 +141,12 @@
     std::string* value;
     bool address;
   };
-  const std::array<Override, 5> overrides{ {
+  const std::array<Override, 6> overrides{ {
     { "GOOSEBERRY_INSTANCE", &aSettings.instance, false },
     { "GOOSEBERRY_DOMAIN", &aSettings.domain.text, false },
     { "GOOSEBERRY_CALLERS", &aSettings.callers.address, true },
     { "GOOSEBERRY_ADMIN", &aSettings.admin.address, true },
+    { "GOOSEBERRY_PEERS", &aSettings.peers.address, true },
     { "GOOSEBERRY_PLATFORM", &aSettings.platform, true },
   } };
   for (const auto& item : overrides) {
@@ -164,6 +179,11 @@
 admin:
   address: 127.0.0.1:8081
 
+# Port on which other instances say where something is new (HTTP/2, IPv4).
+# Hints decide nothing; without an address, what is new is found by polling.
+peers:
+  address: ""
+
 # YAML file of bearer tokens, one per section of the document. Empty: the
 # administration port serves loopback addresses only, without tokens.
 tokens_file: ""
--- a/daemon/src/settings.h
+++ b/daemon/src/settings.h
@@ -31,6 +31,8 @@
 
   PortSettings callers{ "127.0.0.1:8080", "", "" };
   PortSettings admin{ "127.0.0.1:8081", "", "" };
+  // Hints of other instances; an empty address: none are exchanged.
+  PortSettings peers{ "", "", "" };
   // YAML file with one bearer token per section; empty: loopback only.
   std::string tokensFile;
 
@@ -61,8 +63,8 @@
               std::vector<YamlError>& aErrors) -> std::optional<Settings>;
 
 // Replaces addresses, name and failure domain by GOOSEBERRY_INSTANCE,
-// GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS, GOOSEBERRY_ADMIN and
-// GOOSEBERRY_PLATFORM where they are set.
+// GOOSEBERRY_DOMAIN, GOOSEBERRY_CALLERS, GOOSEBERRY_ADMIN, GOOSEBERRY_PEERS
+// and GOOSEBERRY_PLATFORM where they are set.
 auto
 ApplyEnvironment(Settings& aSettings, std::vector<YamlError>& aErrors) -> void;
 
--- a/decisions/src/membership.h
+++ b/decisions/src/membership.h
@@ -18,6 +18,8 @@
 {
   InstanceId id;
   std::string adminAddress;
+  // Empty if it takes no hints.
+  std::string peerAddress;
   DomainId domain;
   std::uint64_t counter = 0;
   // The document's number that it has in force.
@@ -27,13 +29,15 @@
   auto operator==(const MemberRow&) const -> bool = default;
 };
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(MemberRow,
-                                   id,
-                                   adminAddress,
-                                   domain,
-                                   counter,
-                                   document,
-                                   leaving)
+// Keys that a row lacks have their defaults: it may be of an older version.
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE_WITH_DEFAULT(MemberRow,
+                                                id,
+                                                adminAddress,
+                                                peerAddress,
+                                                domain,
+                                                counter,
+                                                document,
+                                                leaving)
 
 class Membership
 {
--- a/decisions/src/tunables.h
+++ b/decisions/src/tunables.h
@@ -25,6 +25,11 @@
 inline constexpr Millis kDocumentFreshness{ 2000 };
 inline constexpr Millis kDocumentPollInterval{ 500 };
 
+// The same for instances that get hints of what is new from others; polling
+// then only covers hints that were lost.
+inline constexpr Millis kLinkedDocumentPollInterval{ 1000 };
+inline constexpr Millis kLinkedInboxInterval{ 3000 };
+
 // Exchanges with a worker; what was just recorded goes out at once.
 inline constexpr Millis kSyncInterval{ 1000 };
 inline constexpr Millis kInboxInterval{ 500 };
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -356,6 +356,7 @@
   if (node.port == 0) {
     node.port = FreePort();
     node.adminPort = FreePort();
+    node.peerPort = FreePort();
   }
   if (aOptions.behindProxy && !node.proxy) {
     this->AddProxy(node, this->platform.port);
@@ -370,14 +371,17 @@
     command.emplace_back("--config");
     command.push_back(path);
   }
-  node.process = std::make_unique<Process>(
-    command,
+  auto environment =
     std::vector<std::string>{ "GOOSEBERRY_INSTANCE=" + aOptions.id,
                               "GOOSEBERRY_DOMAIN=" + aOptions.domain,
                               "GOOSEBERRY_CALLERS=" + Address(node.port),
                               "GOOSEBERRY_ADMIN=" + Address(node.adminPort),
-                              "GOOSEBERRY_PLATFORM=" + Address(target) },
-    this->Path(aOptions.id + ".log"));
+                              "GOOSEBERRY_PLATFORM=" + Address(target) };
+  if (aOptions.linked) {
+    environment.push_back("GOOSEBERRY_PEERS=" + Address(node.peerPort));
+  }
+  node.process = std::make_unique<Process>(
+    command, environment, this->Path(aOptions.id + ".log"));
   WaitForPort(node.adminPort);
   return node;
 }
--- a/tests/src/fleet.h
+++ b/tests/src/fleet.h
@@ -89,6 +89,8 @@
   std::string domain = "north";
   // Whether it reaches the platform through a fault proxy.
   bool behindProxy = false;
+  // Whether it exchanges hints with the others.
+  bool linked = true;
   // Text of its settings file; empty for none.
   std::string settings{};
 };
@@ -100,6 +102,7 @@
   std::unique_ptr<Process> proxy;
   int port = 0;
   int adminPort = 0;
+  int peerPort = 0;
   int proxyPort = 0;
   int proxyControl = 0;
   bool paused = false;
