Relief throttles one noisy task after the other; what throttles hide is learnt

Cause: on a worker whose services suffered, one task was throttled and the next answer was an eviction ten seconds later; and a throttled task's class looked as harmless as its throttled self, so that more of it was placed there. Change: the ladder throttles another task every third suffering report before it evicts; an estimate counts a neighbour by the share of its speed that it had (least mean squares); throttles of tasks that ended are forgotten.

--- a/decisions/src/interference.cpp
+++ b/decisions/src/interference.cpp
@@ -22,24 +22,27 @@
 
 } // namespace
 
+// Least mean squares: the part of the slowdown that the estimates do not
+// explain is divided among the neighbours by their shares.
 auto
 Interference::Observe(const ClassId& aService,
-                      const std::vector<ClassId>& aNeighbours,
+                      const std::vector<Neighbour>& aNeighbours,
                       double aSlowdown) -> void
 {
-  if (aNeighbours.empty()) {
-    return;
-  }
   auto explained = 0.0;
-  for (const auto& batch : aNeighbours) {
-    explained += this->Harm(aService, batch);
+  auto squares = 0.0;
+  for (const auto& neighbour : aNeighbours) {
+    explained += neighbour.share * this->Harm(aService, neighbour.classId);
+    squares += neighbour.share * neighbour.share;
+  }
+  if (squares <= 0.0) {
+    return;
   }
-  const auto extra = std::max(0.0, aSlowdown - 1.0);
-  const auto share =
-    (extra - explained) / static_cast<double>(aNeighbours.size());
-  for (const auto& batch : aNeighbours) {
-    auto& estimate = this->pairs[{ aService, batch }];
-    const auto sample = std::max(0.0, estimate.mean + share);
+  const auto rest = std::max(0.0, aSlowdown - 1.0) - explained;
+  for (const auto& neighbour : aNeighbours) {
+    auto& estimate = this->pairs[{ aService, neighbour.classId }];
+    const auto sample =
+      std::max(0.0, estimate.mean + rest * neighbour.share / squares);
     estimate.weight = estimate.weight * kKeep + 1.0;
     estimate.mean += (sample - estimate.mean) / estimate.weight;
   }
@@ -62,7 +65,10 @@
 {
   this->suffering = aWorstSlowdown > kSlowdownLimit ? this->suffering + 1 : 0;
   this->calm = aWorstSlowdown < kCalmLimit ? this->calm + 1 : 0;
-  if (this->suffering >= kReportsBeforeThrottle && !this->throttled) {
+  const auto due = this->suffering > 0 &&
+                   this->suffering % kReportsBeforeThrottle == 0 &&
+                   this->suffering < kReportsBeforeEviction;
+  if (due) {
     this->throttled = true;
     return Relief::Throttle;
   }
--- a/decisions/src/interference.h
+++ b/decisions/src/interference.h
@@ -15,15 +15,24 @@
 // Services slower than this times their answer time alone are suffering.
 inline constexpr double kSlowdownLimit = 1.5;
 
+// A batch task beside a service, and the share of its speed that it may use.
+struct Neighbour
+{
+  ClassId classId;
+  double share = 1.0;
+};
+
 class Interference
 {
 public:
-  // One report of a service that ran beside these batch classes.
+  // One report of a service that ran beside these batch tasks. What a
+  // throttled one does counts for as much as it was allowed.
   auto Observe(const ClassId& aService,
-               const std::vector<ClassId>& aNeighbours,
+               const std::vector<Neighbour>& aNeighbours,
                double aSlowdown) -> void;
 
-  // Expected extra slowdown of the pair; a small one while nothing is known.
+  // Expected extra slowdown of the pair at full speed; a small one while
+  // nothing is known.
   auto Harm(const ClassId& aService, const ClassId& aBatch) const -> double;
 
 private:
@@ -44,7 +53,8 @@
   Restore
 };
 
-// Answers one worker's suffering in steps, with hysteresis: first throttle,
+// Answers one worker's suffering in steps, with hysteresis: throttles one task
+// after the other,
 // evict only if the throttle did not help, restore only after a calm time.
 class ReliefLadder
 {
--- a/decisions/src/shardreport.cpp
+++ b/decisions/src/shardreport.cpp
@@ -245,6 +245,7 @@
   aView.services.clear();
   aView.batches.clear();
   auto running = std::vector<Task>{};
+  auto neighbours = std::vector<Neighbour>{};
   for (const auto& [id, task] : this->ledger.Tasks()) {
     if (task.worker != aView.info.id || !HoldsRoom(task.phase)) {
       continue;
@@ -253,8 +254,17 @@
     (service ? aView.services : aView.batches).push_back(task.classId);
     if (task.kind == TaskKind::Batch && task.phase == TaskPhase::Running) {
       running.push_back(task);
+      const auto throttle = aView.throttles.find(id);
+      const auto percent =
+        throttle == aView.throttles.end() ? 100 : throttle->second;
+      neighbours.push_back({ task.classId, percent / 100.0 });
     }
   }
+  std::erase_if(aView.throttles, [&](const auto& aThrottle) {
+    return std::none_of(running.begin(), running.end(), [&](const Task& aTask) {
+      return aTask.id == aThrottle.first;
+    });
+  });
   auto worst = 1.0;
   auto suffering = ClassId{};
   for (const auto& attempt : aReport.attempts) {
@@ -262,7 +272,7 @@
     if (task == nullptr || task->kind != TaskKind::Service) {
       continue;
     }
-    this->interference.Observe(task->classId, aView.batches, attempt.slowdown);
+    this->interference.Observe(task->classId, neighbours, attempt.slowdown);
     if (attempt.slowdown > worst) {
       worst = attempt.slowdown;
       suffering = task->classId;
@@ -278,6 +288,13 @@
     }
     return;
   }
+  if (relief == Relief::Throttle) {
+    std::erase_if(running, [&](const Task& aTask) {
+      const auto known = aView.throttles.find(aTask.id);
+      return known != aView.throttles.end() &&
+             known->second == kThrottlePercent;
+    });
+  }
   const auto harm = [&](const Task& aTask) {
     return this->interference.Harm(suffering, aTask.classId) +
            (aTask.checkpoints ? 0.01 : 0.0);
--- a/decisions/tests/decisions_test.cpp
+++ b/decisions/tests/decisions_test.cpp
@@ -206,15 +206,43 @@
   const auto kiosk = ClassId{ "kiosk" };
   for (auto round = 0; round < 200; ++round) {
     const auto noisy = round % 2 == 0;
-    const auto beside = noisy
-                          ? std::vector{ ClassId{ "noisy" }, ClassId{ "calm" } }
-                          : std::vector{ ClassId{ "calm" } };
+    const auto beside = noisy ? std::vector<Neighbour>{ { { "noisy" }, 1.0 },
+                                                        { { "calm" }, 1.0 } }
+                              : std::vector<Neighbour>{ { { "calm" }, 1.0 } };
     interference.Observe(kiosk, beside, noisy ? 2.0 : 1.0);
   }
   cr_expect_gt(interference.Harm(kiosk, ClassId{ "noisy" }), 0.6);
   cr_expect_lt(interference.Harm(kiosk, ClassId{ "calm" }), 0.3);
 }
 
+Test(interference, a_throttled_task_does_not_make_its_class_look_harmless)
+{
+  auto interference = Interference{};
+  const auto kiosk = ClassId{ "kiosk" };
+  const auto noisy = ClassId{ "noisy" };
+  for (auto round = 0; round < 100; ++round) {
+    interference.Observe(kiosk, { { noisy, 0.4 } }, 1.4);
+  }
+  cr_expect_gt(interference.Harm(kiosk, noisy), 0.9);
+  cr_expect_lt(interference.Harm(kiosk, noisy), 1.1);
+}
+
+Test(interference, relief_throttles_one_after_the_other_before_it_evicts)
+{
+  auto ladder = ReliefLadder{};
+  auto steps = std::vector<int>{};
+  auto now = kStart;
+  for (auto report = 1; report <= 12; ++report) {
+    now += Millis{ 1000 };
+    const auto relief = ladder.Next(now, 2.0);
+    if (relief == Relief::Throttle) {
+      steps.push_back(report);
+    }
+    cr_expect_eq(relief == Relief::Evict, report == 12);
+  }
+  cr_expect(steps == (std::vector{ 3, 6, 9 }));
+}
+
 Test(routing, places_divide_by_the_entries_and_leave_room_for_one_more)
 {
   cr_expect_eq(PlacesPerBackend({ 8, 60, 1 }), 10);
