--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -14,76 +14,8 @@
 constexpr Millis kMostDelay{ 12000 };
 constexpr std::int64_t kMostDrift = 4;
 
-auto
-MillisText(Time aTime) -> std::int64_t
-{
-  return MillisOf(aTime);
-}
-
 } // namespace
 
-FaultyTable::FaultyTable(TableService& aTable,
-                         EventQueue& aQueue,
-                         std::mt19937_64& aRandom,
-                         const FaultRates& aRates)
-  : table(aTable)
-  , queue(aQueue)
-  , random(aRandom)
-  , rates(aRates)
-{
-}
-
-auto
-FaultyTable::Draw(int aPerMille) -> bool
-{
-  return aPerMille > 0 &&
-         static_cast<int>(this->random() % kPerMille) < aPerMille;
-}
-
-auto
-FaultyTable::Read(const std::string& aKey) -> ReadResult
-{
-  ++this->reads;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
-    return {};
-  }
-  return this->table.Read(aKey);
-}
-
-auto
-FaultyTable::Scan(const std::string& aPrefix,
-                  const std::string& aAfter,
-                  std::size_t aLimit) -> ScanResult
-{
-  ++this->reads;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
-    return {};
-  }
-  return this->table.Scan(aPrefix, aAfter, aLimit);
-}
-
-// A write may be refused, take effect without a reply, or take effect late.
-auto
-FaultyTable::Commit(const Transaction& aTransaction) -> CommitResult
-{
-  ++this->writes;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
-    return { StoreStatus::Unavailable, 0 };
-  }
-  if (this->Draw(this->rates.storeWriteDelayed)) {
-    const auto delay = Millis{ static_cast<std::int64_t>(
-      this->random() % static_cast<std::uint64_t>(kMostDelay.count())) };
-    this->queue.After(
-      delay, [this, aTransaction] { this->table.Commit(aTransaction); });
-    return { StoreStatus::Unknown, 0 };
-  }
-  const auto result = this->table.Commit(aTransaction);
-  if (this->Draw(this->rates.storeReplyLost)) {
-    return { StoreStatus::Unknown, 0 };
-  }
-  return result;
-}
-
 struct World::FakeWorker
 {
   FakeWorker(const EventQueue& aQueue, std::int64_t aDrift)
@@ -302,7 +234,7 @@
   for (auto index = 0; index < aCount; ++index) {
     tasks.push_back(NewTask(TaskId{ prefix + std::to_string(index) }, *spec));
     tasks.back().order =
-      static_cast<std::uint64_t>(MillisText(this->queue.Now()));
+      static_cast<std::uint64_t>(MillisOf(this->queue.Now()));
   }
   auto store = ShardStore{ this->table, this->objects };
   store.Submit(tasks, static_cast<ShardNumber>(this->options.shards));
@@ -373,7 +305,7 @@
   worker->paused = true;
   this->queue.After(aFor, [this, worker] {
     worker->paused = false;
-    worker->model->Step(MillisText(worker->clock.Now()));
+    worker->model->Step(MillisOf(worker->clock.Now()));
     for (const auto& request : std::exchange(worker->heldBack, {})) {
       this->Deliver(*worker, request);
     }
@@ -388,8 +320,8 @@
     return;
   }
   // What ran until now has ended; its progress beyond the checkpoint is lost.
-  worker->model->Step(MillisText(worker->clock.Now()));
-  worker->model->EndAll(MillisText(worker->clock.Now()));
+  worker->model->Step(MillisOf(worker->clock.Now()));
+  worker->model->EndAll(MillisOf(worker->clock.Now()));
   worker->dead = true;
   this->queue.After(aAfter, [this, worker] {
     worker->dead = false;
@@ -515,7 +447,7 @@
   model.usePercent = this->options.usePercent;
   aWorker.model = std::make_unique<WorkerModel>(
     model,
-    MillisText(aWorker.clock.Now()),
+    MillisOf(aWorker.clock.Now()),
     [this, &aWorker](const WorkerEvent& aEvent) {
       this->events.push_back({ aWorker.clock.WorldMillis(aEvent.millis),
                                aEvent.what,
@@ -529,13 +461,13 @@
 auto
 World::StepWorkers() -> void
 {
-  const auto sample = MillisText(this->queue.Now()) % kSampleInterval.count() <
+  const auto sample = MillisOf(this->queue.Now()) % kSampleInterval.count() <
                       kWorkerStep.count();
   for (auto& worker : this->workers) {
     if (worker->dead || worker->paused) {
       continue;
     }
-    worker->model->Step(MillisText(worker->clock.Now()));
+    worker->model->Step(MillisOf(worker->clock.Now()));
     if (sample) {
       const auto services = static_cast<std::uint64_t>(
         worker->model->CountRunning(this->options.sampled));
@@ -585,7 +517,7 @@
     aWorker.heldBack.push_back(aRequest);
     return std::nullopt;
   }
-  return aWorker.model->Sync(MillisText(aWorker.clock.Now()), aRequest);
+  return aWorker.model->Sync(MillisOf(aWorker.clock.Now()), aRequest);
 }
 
 } // namespace gooseberry
--- a/bench/src/world.h
+++ b/bench/src/world.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "control.h"
+#include "faultytable.h"
 #include "memoryplatform.h"
 #include "taskjudge.h"
 #include "virtualtime.h"
@@ -34,45 +35,6 @@
   ClassId sampled{ "kiosk" };
 };
 
-// Chances of faults per call, in parts of 1,000.
-struct FaultRates
-{
-  int storeReplyLost = 0;
-  int storeWriteDelayed = 0;
-  int storeRefused = 0;
-  int syncLost = 0;
-  int syncReplyLost = 0;
-  int syncDelayed = 0;
-};
-
-// The table service with faults; each instance calls it through its own.
-class FaultyTable : public TableService
-{
-public:
-  FaultyTable(TableService& aTable,
-              EventQueue& aQueue,
-              std::mt19937_64& aRandom,
-              const FaultRates& aRates);
-
-  auto Read(const std::string& aKey) -> ReadResult override;
-  auto Scan(const std::string& aPrefix,
-            const std::string& aAfter,
-            std::size_t aLimit) -> ScanResult override;
-  auto Commit(const Transaction& aTransaction) -> CommitResult override;
-
-  bool down = false;
-  std::uint64_t writes = 0;
-  std::uint64_t reads = 0;
-
-private:
-  auto Draw(int aPerMille) -> bool;
-
-  TableService& table;
-  EventQueue& queue;
-  std::mt19937_64& random;
-  const FaultRates& rates;
-};
-
 struct WorldFigures
 {
   TaskVerdicts tasks;
--- /dev/null
+++ b/daemon/src/admindocument.cpp
@@ -0,0 +1,159 @@
+// Part of AdminPort that reads and edits the document.
+
+#include "adminport.h"
+#include "httpstatus.h"
+#include "log.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr std::size_t kMaxHistory = 100;
+constexpr int kDomainEditAttempts = 10;
+
+auto
+ErrorList(const std::vector<YamlError>& aErrors) -> nlohmann::json
+{
+  auto list = nlohmann::json::array();
+  for (const auto& error : aErrors) {
+    list.push_back(error.Text());
+  }
+  return list;
+}
+
+} // namespace
+
+auto
+AdminPort::GetDocument(const Call& aCall) -> void
+{
+  const auto current = this->control.CurrentDocument();
+  auto sections = nlohmann::json::array();
+  for (const auto& [name, section] : current->sections) {
+    sections.push_back(section);
+  }
+  const auto number = current->document ? current->document->number : 0;
+  Reply(aCall, { { "number", number }, { "sections", sections } });
+}
+
+auto
+AdminPort::GetHistory(const Call& aCall) -> void
+{
+  const auto history = this->documents.History(kMaxHistory);
+  if (!history) {
+    this->Refuse(aCall, kUnavailable, "store_unavailable", nullptr);
+    return;
+  }
+  Reply(aCall, { { "changes", *history } });
+}
+
+auto
+AdminPort::PutSection(const Call& aCall) -> void
+{
+  const auto section = aCall.request.matches[1].str();
+  if (!this->Allowed(aCall, section)) {
+    return;
+  }
+  const auto base = aCall.request.get_param_value("base");
+  char* end = nullptr;
+  const auto version = std::strtoull(base.c_str(), &end, 10);
+  if (base.empty() || *end != '\0') {
+    this->Refuse(aCall,
+                 kBadRequest,
+                 "bad_base",
+                 "base must be the version that the edit started from");
+    return;
+  }
+  this->ReplyToEdit(
+    aCall,
+    this->documents.Apply(
+      { section, version, aCall.request.body, this->EditIdentity() }));
+}
+
+auto
+AdminPort::ReplyToEdit(const Call& aCall, const EditResult& aResult) -> void
+{
+  switch (aResult.status) {
+    case EditStatus::Accepted:
+      LogInfo("document_accepted",
+              { { "number", std::to_string(aResult.number) } });
+      this->control.OnDocumentHint(aResult.number);
+      Reply(aCall, { { "number", aResult.number } });
+      return;
+    case EditStatus::Invalid:
+      this->Refuse(aCall, kInvalid, "invalid", ErrorList(aResult.errors));
+      return;
+    case EditStatus::Conflict:
+      this->Refuse(aCall,
+                   kConflict,
+                   "section_changed",
+                   { { "current_version", aResult.number } });
+      return;
+    case EditStatus::Unavailable:
+      this->Refuse(aCall, kUnavailable, "store_unavailable", "not accepted");
+      return;
+    case EditStatus::Unknown:
+      this->Refuse(
+        aCall, kGatewayTimeout, "outcome_unknown", "read the section again");
+      return;
+  }
+}
+
+auto
+AdminPort::EditIdentity() -> std::string
+{
+  return this->control.Self().text + "/edit/" +
+         std::to_string(this->nextEdit.fetch_add(1));
+}
+
+auto
+AdminPort::ValidateSection(const Call& aCall) -> void
+{
+  const auto section = aCall.request.matches[1].str();
+  auto sections = this->control.CurrentDocument()->sections;
+  sections[section] = Section{ section, 0, aCall.request.body };
+  auto errors = std::vector<YamlError>{};
+  BuildDocument(0, sections, errors);
+  if (!errors.empty()) {
+    this->Refuse(aCall, kInvalid, "invalid", ErrorList(errors));
+    return;
+  }
+  Reply(aCall, { { "valid", true } });
+}
+
+// Another edit of the site section in the meantime is met by trying again:
+// the state of one domain does not depend on the rest of the section.
+auto
+AdminPort::SetDomain(const Call& aCall) -> void
+{
+  if (!this->Allowed(aCall, kSiteSection)) {
+    return;
+  }
+  const auto domain = DomainId{ aCall.request.matches[1].str() };
+  const auto out = aCall.request.matches[2].str() == "out";
+  const auto identity = this->EditIdentity();
+  auto result = EditResult{ EditStatus::Conflict, 0, {} };
+  for (auto attempt = 0;
+       attempt < kDomainEditAttempts && result.status == EditStatus::Conflict;
+       ++attempt) {
+    const auto newest = this->documents.Load({});
+    if (newest.status != LoadStatus::Newer) {
+      this->Refuse(aCall, kUnavailable, "store_unavailable", newest.reason);
+      return;
+    }
+    const auto site = newest.loaded.sections.find(kSiteSection);
+    auto reason = std::string{ "there is no section 'site'" };
+    const auto text =
+      site == newest.loaded.sections.end()
+        ? std::nullopt
+        : WithDomainState(site->second.text, domain, out, reason);
+    if (!text) {
+      this->Refuse(aCall, kNotFound, "unknown_domain", reason);
+      return;
+    }
+    result = this->documents.Apply(
+      { kSiteSection, site->second.version, *text, identity });
+  }
+  this->ReplyToEdit(aCall, result);
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/daemon/src/admintasks.cpp
@@ -0,0 +1,163 @@
+// Part of AdminPort that submits, cancels and shows tasks.
+
+#include <chrono>
+
+#include "adminport.h"
+#include "httpstatus.h"
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kMaxJobsPerCall = 100000;
+
+auto
+UnixMillis() -> std::uint64_t
+{
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<Millis>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+}
+
+} // namespace
+
+// The submission's name makes a repeated call harmless: its tasks have the
+// same names and are taken once.
+auto
+AdminPort::SubmitJobs(const Call& aCall) -> void
+{
+  const auto body = nlohmann::json::parse(aCall.request.body);
+  const auto classId = body.at("class").get<ClassId>();
+  const auto count = body.value("count", 1);
+  const auto submission = body.at("submission").get<std::string>();
+  const auto current = this->control.CurrentDocument();
+  const auto* spec =
+    current->document ? current->document->FindClass(classId) : nullptr;
+  if (spec == nullptr || spec->kind != TaskKind::Batch) {
+    this->Refuse(aCall,
+                 kNotFound,
+                 "unknown_class",
+                 "no batch class '" + classId.text + "' in the document");
+    return;
+  }
+  if (!this->Allowed(aCall, spec->team.text)) {
+    return;
+  }
+  const auto plain =
+    submission.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") ==
+    std::string::npos;
+  if (count < 1 || count > kMaxJobsPerCall || submission.empty() ||
+      submission.size() > 63 || !plain) {
+    this->Refuse(aCall,
+                 kBadRequest,
+                 "bad_submission",
+                 "count must be 1 to 100000 and submission 1 to 63 of a-z, "
+                 "0-9 and '-'");
+    return;
+  }
+  auto tasks = std::vector<Task>{};
+  auto names = nlohmann::json::array();
+  for (auto index = 0; index < count; ++index) {
+    const auto id =
+      TaskId{ classId.text + "." + submission + "." + std::to_string(index) };
+    tasks.push_back(NewTask(id, *spec));
+    tasks.back().order = UnixMillis();
+    names.push_back(id);
+  }
+  const auto shardCount = this->control.ShardCount();
+  if (shardCount == 0 || !this->shards.Submit(tasks, shardCount)) {
+    this->Refuse(
+      aCall,
+      kUnavailable,
+      "store_unavailable",
+      "some tasks may be submitted; repeat with the same submission");
+    return;
+  }
+  auto shards = std::set<ShardNumber>{};
+  for (const auto& task : tasks) {
+    shards.insert(ShardOf(task.id.text, shardCount));
+  }
+  this->control.NotifyInboxes(shards);
+  Reply(aCall, { { "tasks", names } });
+}
+
+auto
+AdminPort::CancelTask(const Call& aCall) -> void
+{
+  this->SendOrder(aCall, InboxKind::Cancel, "cancelling");
+}
+
+auto
+AdminPort::RetryTask(const Call& aCall) -> void
+{
+  this->SendOrder(aCall, InboxKind::Retry, "retrying");
+}
+
+auto
+AdminPort::SendOrder(const Call& aCall, InboxKind aKind, const char* aWord)
+  -> void
+{
+  const auto id = TaskId{ aCall.request.matches[1].str() };
+  const auto classId = ClassId{ id.text.substr(0, id.text.find('.')) };
+  const auto current = this->control.CurrentDocument();
+  const auto* spec =
+    current->document ? current->document->FindClass(classId) : nullptr;
+  if (!this->Allowed(aCall, spec == nullptr ? kSiteSection : spec->team.text)) {
+    return;
+  }
+  const auto shardCount = this->control.ShardCount();
+  const auto shard = shardCount == 0 ? 0 : ShardOf(id.text, shardCount);
+  if (shardCount == 0 || !this->shards.SubmitOrder(aKind, id, shard)) {
+    this->Refuse(aCall, kUnavailable, "store_unavailable", "repeat the call");
+    return;
+  }
+  this->control.NotifyInboxes({ shard });
+  Reply(aCall, { { aWord, id } });
+}
+
+// Read from the store, so that each instance gives the same answer.
+auto
+AdminPort::ListTasks(const Call& aCall) -> void
+{
+  const auto phase = aCall.request.get_param_value("phase");
+  const auto prefix = aCall.request.get_param_value("prefix");
+  auto tasks = nlohmann::json::array();
+  for (auto shard = ShardNumber{ 0 }; shard < this->control.ShardCount();
+       ++shard) {
+    auto reason = std::string{};
+    const auto stored = this->shards.Load(shard, reason);
+    if (!stored) {
+      this->Refuse(aCall, kUnavailable, "store_unavailable", reason);
+      return;
+    }
+    for (const auto& [id, task] : stored->tasks) {
+      if (task.phase != TaskPhase::Moved && id.text.starts_with(prefix) &&
+          (phase.empty() || phase == ToText(task.phase))) {
+        tasks.push_back(task);
+      }
+    }
+  }
+  Reply(aCall, { { "tasks", tasks } });
+}
+
+// Only the owner knows why a task waits; other instances say where to ask.
+auto
+AdminPort::ExplainTask(const Call& aCall) -> void
+{
+  const auto id = TaskId{ aCall.request.matches[1].str() };
+  const auto explanation = this->control.Explain(id);
+  if (explanation.known) {
+    Reply(aCall, { { "task", id }, { "why", explanation.text } });
+    return;
+  }
+  auto owners = nlohmann::json::array();
+  for (const auto& member : this->control.Members()) {
+    if (member.id != this->control.Self()) {
+      owners.push_back(member.adminAddress);
+    }
+  }
+  this->Refuse(aCall, kNotFound, "not_owned_here", { { "ask", owners } });
+}
+
+} // namespace gooseberry
--- a/daemon/src/callerport.h
+++ b/daemon/src/callerport.h
@@ -13,6 +13,7 @@
 #include <httplib.h>
 #include <oneapi/tbb/concurrent_hash_map.h>
 
+#include "answers.h"
 #include "claims.h"
 #include "connectionserver.h"
 #include "control.h"
@@ -41,15 +42,6 @@
   auto Draining() const -> bool;
 
 private:
-  struct Failure
-  {
-    int status = 0;
-    Verdict verdict = Verdict::NotRun;
-    Refusal refusal = Refusal::BadRequest;
-    Millis retryAfter{ 0 };
-    std::string text;
-  };
-
   auto Handle(const httplib::Request& aRequest,
               httplib::Response& aResponse,
               const httplib::ContentReader* aReader) -> void;
@@ -67,14 +59,9 @@
                    OutgoingRequest aOutgoing,
                    const httplib::ContentReader& aReader) -> RequestOutcome;
   auto RunSession(const RequestPlan& aPlan) -> RequestOutcome;
-  static auto PassOn(const httplib::Request& aRequest,
-                     httplib::Response& aResponse,
-                     const std::shared_ptr<Exchange>& aWinner) -> void;
   auto GateOf(const ServiceSpec& aSpec) -> std::shared_ptr<Gate>;
   auto FindRoute(const httplib::Request& aRequest, const RouteTable& aTable)
     -> std::shared_ptr<const Route>;
-  static auto Fail(httplib::Response& aResponse, const Failure& aFailure)
-    -> void;
 
   using Gates =
     oneapi::tbb::concurrent_hash_map<std::string, std::shared_ptr<Gate>>;
--- /dev/null
+++ b/daemon/src/httpstatus.h
@@ -0,0 +1,20 @@
+#ifndef GOOSEBERRY_HTTPSTATUS_H
+#define GOOSEBERRY_HTTPSTATUS_H
+
+// Status codes that this product's ports answer with.
+
+namespace gooseberry {
+
+inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kForbidden = 403;
+inline constexpr int kNotFound = 404;
+inline constexpr int kConflict = 409;
+inline constexpr int kInvalid = 422;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+
+} // namespace gooseberry
+
+#endif
--- a/decisions/src/interference.h
+++ b/decisions/src/interference.h
@@ -53,9 +53,9 @@
   Restore
 };
 
-// Answers one worker's suffering in steps, with hysteresis: throttles one task
-// after the other,
-// evict only if the throttle did not help, restore only after a calm time.
+// Answers the suffering on one worker in steps, with hysteresis: it throttles
+// one task after the other, evicts only if that did not help, and restores only
+// after a calm time.
 class ReliefLadder
 {
 public:
