--- a/decisions/tests/decisions_test.cpp
+++ b/decisions/tests/decisions_test.cpp
@@ -168,6 +168,21 @@
   cr_expect_gt(lease.Term(), term);
 }
 
+Test(membership, rows_of_older_and_newer_versions_are_read)
+{
+  const auto older = nlohmann::json::parse(
+    R"({"id":"entry-1.7","adminAddress":"10.0.0.1:8081","domain":"north",)"
+    R"("counter":3,"document":2,"leaving":false})");
+  auto row = older.get<MemberRow>();
+  cr_expect_eq(row.counter, 3);
+  cr_expect(row.peerAddress.empty());
+  auto newer = older;
+  newer["peerAddress"] = "10.0.0.1:8082";
+  newer["unheard"] = 1;
+  row = newer.get<MemberRow>();
+  cr_expect(row.peerAddress == "10.0.0.1:8082");
+}
+
 Test(membership, shards_are_even_and_move_little)
 {
   constexpr ShardNumber kShards = 64;
