--- a/daemon/tests/daemon_test.cpp
+++ b/daemon/tests/daemon_test.cpp
@@ -6,6 +6,7 @@
 
 #include "claims.h"
 #include "documentstore.h"
+#include "gate.h"
 #include "memoryplatform.h"
 #include "settings.h"
 #include "shardstore.h"
@@ -15,6 +16,20 @@
 
 namespace {
 
+// Goes on by a step with each look at it.
+class SteppingClock : public Clock
+{
+public:
+  auto Now() const -> Time override
+  {
+    this->now += Millis{ 5 };
+    return this->now;
+  }
+
+private:
+  mutable Time now{ Millis{ 1 } };
+};
+
 // Loses the reply of the next commit, after or before its effect.
 class Forgetful : public MemoryTable
 {
@@ -203,3 +218,32 @@
   claims.GiveBack(service, "k", "one");
   cr_expect_eq(claims.Take(service, "k", "two"), ClaimStatus::Taken);
 }
+
+Test(gate, a_waiting_request_is_refused_while_time_for_an_answer_is_left)
+{
+  auto clock = SteppingClock{};
+  auto metrics = Metrics{};
+  auto gate = Gate{ clock,
+                    RoutingPolicy::LeastCost,
+                    DomainId{ "north" },
+                    Millis{ 1 },
+                    metrics.ForService(ServiceId{ "kiosk" }) };
+  auto route = std::make_shared<Route>();
+  route->spec.maxQueue = 10;
+  const auto& backend = route->backends.emplace_back(std::make_shared<Backend>(
+    "backend", "127.0.0.1:1", DomainId{ "north" }, clock.Now()));
+  cr_assert(backend->Enter(clock.Now(), 1));
+  for (auto index = 0; index < 50; ++index) {
+    gate.OnLatency(Millis{ 200 });
+  }
+  const auto deadline = clock.Now() + Millis{ 2000 };
+  const auto place = gate.Acquire({ route, 0, "caller", deadline, {} });
+  cr_expect_null(place.backend.get());
+  cr_expect_eq(place.refusal, Refusal::DeadlinePassed);
+  cr_expect_gt(place.retryAfter.count(), 0);
+  cr_expect(clock.Now() < deadline - Millis{ 150 });
+  backend->Leave();
+  const auto next =
+    gate.Acquire({ route, 0, "caller", clock.Now() + Millis{ 2000 }, {} });
+  cr_expect_eq(next.backend, backend);
+}
--- a/tests/src/chaos.cpp
+++ b/tests/src/chaos.cpp
@@ -418,19 +418,17 @@
 {
   auto& fleet = aStorm.fleet;
   fleet.StartPlatform();
+  const auto optionsFor = [](auto aOptions, const char* aKind, int aIndex) {
+    aOptions.id = aKind + std::to_string(aIndex);
+    aOptions.domain = DomainOf(aIndex);
+    aOptions.behindProxy = true;
+    return aOptions;
+  };
   for (auto index = 0; index < kWorkers; ++index) {
-    auto options = WorkerOptions{};
-    options.id = "worker-" + std::to_string(index);
-    options.domain = DomainOf(index);
-    options.behindProxy = true;
-    fleet.AddWorker(options);
+    fleet.AddWorker(optionsFor(WorkerOptions{}, "worker-", index));
   }
   for (auto index = 0; index < kBackends; ++index) {
-    auto options = BackendOptions{};
-    options.id = "backend-" + std::to_string(index);
-    options.domain = DomainOf(index);
-    options.behindProxy = true;
-    fleet.AddBackend(options);
+    fleet.AddBackend(optionsFor(BackendOptions{}, "backend-", index));
   }
   for (auto index = 0; index < kInstances; ++index) {
     StartInstance(aStorm, index);
