A planned stop no longer takes itself for lost

Cause: a renewal crossed the removal of the own member row at a stop; the instance warned 'membership_lost' and joined again for a moment, and 'members_changed live=0' was logged again and again. Change: renewals end before the row is removed; no members counts as one. Ruled out: leaving the row to lapse (others would wait a lease for the shards). Before: membership_lost at the stop of a single instance. After: not seen.

--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -61,6 +61,12 @@
     }
     std::this_thread::sleep_for(kTickInterval);
   }
+  // No renewal may cross the removal of the row.
+  this->executor.Post([this] { this->left = true; });
+  while (this->clock.Now() < end &&
+         this->executor.Ask([this] { return this->renewing; })) {
+    std::this_thread::sleep_for(kTickInterval);
+  }
   const auto version =
     this->executor.Ask([this] { return this->memberVersion; });
   if (version != 0) {
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -195,6 +195,8 @@
   bool pollingInstances = false;
   bool fixingShards = false;
   bool leaving = false;
+  // Its member row is being removed.
+  bool left = false;
   Time nextRenewal{};
   Time nextMembers{};
   Time nextDocument{};
--- a/daemon/src/controlmembers.cpp
+++ b/daemon/src/controlmembers.cpp
@@ -16,7 +16,7 @@
 Control::RenewMembership() -> void
 {
   const auto now = this->clock.Now();
-  if (this->renewing || now < this->nextRenewal) {
+  if (this->renewing || this->left || now < this->nextRenewal) {
     return;
   }
   this->renewing = true;
@@ -143,9 +143,10 @@
         }
       }
       this->membership.OnRows(this->clock.Now(), rows);
-      const auto live = this->membership.Live(this->clock.Now()).size();
-      if (static_cast<int>(live) != this->liveEntries) {
-        this->liveEntries = std::max(1, static_cast<int>(live));
+      const auto count = this->membership.Live(this->clock.Now()).size();
+      const auto live = std::max(1, static_cast<int>(count));
+      if (live != this->liveEntries) {
+        this->liveEntries = live;
         LogInfo("members_changed", { { "live", std::to_string(live) } });
         this->PublishRoutes();
       }
