An outage no longer makes an owner give up its own shards

Cause: an instance judged itself by its member row as last read. In an outage that row looks lapsed up to 2 s before the lease ends, so the owner began to release its shards, granted nothing any more, and its workers stopped their tasks. And a shard taken before the first document had promised no allowance. Seen as running_work_outlives_a_store_outage: 2 watchers stopped. Change: an instance whose lease holds counts itself among the members; no shard is taken before the first document.

--- a/daemon/src/controlshards.cpp
+++ b/daemon/src/controlshards.cpp
@@ -26,15 +26,26 @@
 }
 
 // Takes the shards that fall to this instance and gives up those that do not.
+// A takeover promises how long workers may obey this owner without the store,
+// so it waits for the first document, which says so.
 auto
 Control::BalanceShards() -> void
 {
   const auto now = this->clock.Now();
   if (this->shardCount == 0 || !this->membership.Known() ||
-      !this->loaded.document || !this->lease.Holds(now)) {
+      !this->loaded.document || this->loaded.document->number == 0 ||
+      !this->lease.Holds(now)) {
     return;
   }
-  this->owners = AssignShards(this->shardCount, this->membership.Live(now));
+  // The own lease is known better by its renewals than by the row as last read:
+  // in an outage the row looks lapsed some seconds before the lease ends.
+  auto live = this->membership.Live(now);
+  if (std::none_of(live.begin(), live.end(), [this](const MemberRow& aRow) {
+        return aRow.id == this->self;
+      })) {
+    live.push_back(this->own);
+  }
+  this->owners = AssignShards(this->shardCount, live);
   for (auto shard = ShardNumber{ 0 }; shard < this->shardCount; ++shard) {
     const auto mine = this->owners[shard] == this->self && !this->leaving;
     const auto item = this->held.find(shard);
