Said once what stood twice: rows, polls, files, draws, names, port rules

Cause: a reading of the whole change. Change: ReadVersioned, MayServe, SaysUnavailable, SocketReady, ReadFile, UnixMillis, ShardsOf, DrawPerMille and DrawDelay, NewName, PortRules. A comment spoke of an arena that is gone; 'left' beside 'leaving' is now 'renewalsEnded'. No behaviour changes.

--- a/bench/src/faultytable.cpp
+++ b/bench/src/faultytable.cpp
@@ -9,6 +9,19 @@
 
 } // namespace
 
+auto
+DrawPerMille(std::mt19937_64& aRandom, int aPerMille) -> bool
+{
+  return aPerMille > 0 && static_cast<int>(aRandom() % kPerMille) < aPerMille;
+}
+
+auto
+DrawDelay(std::mt19937_64& aRandom) -> Millis
+{
+  return Millis{ static_cast<std::int64_t>(
+    aRandom() % static_cast<std::uint64_t>(kMostDelay.count())) };
+}
+
 FaultyTable::FaultyTable(TableService& aTable,
                          EventQueue& aQueue,
                          std::mt19937_64& aRandom,
@@ -20,18 +33,11 @@
 {
 }
 
-auto
-FaultyTable::Draw(int aPerMille) -> bool
-{
-  return aPerMille > 0 &&
-         static_cast<int>(this->random() % kPerMille) < aPerMille;
-}
-
 auto
 FaultyTable::Read(const std::string& aKey) -> ReadResult
 {
   ++this->reads;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
+  if (this->down || DrawPerMille(this->random, this->rates.storeRefused)) {
     return {};
   }
   return this->table.Read(aKey);
@@ -43,7 +49,7 @@
                   std::size_t aLimit) -> ScanResult
 {
   ++this->reads;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
+  if (this->down || DrawPerMille(this->random, this->rates.storeRefused)) {
     return {};
   }
   return this->table.Scan(aPrefix, aAfter, aLimit);
@@ -54,18 +60,17 @@
 FaultyTable::Commit(const Transaction& aTransaction) -> CommitResult
 {
   ++this->writes;
-  if (this->down || this->Draw(this->rates.storeRefused)) {
+  if (this->down || DrawPerMille(this->random, this->rates.storeRefused)) {
     return { StoreStatus::Unavailable, 0 };
   }
-  if (this->Draw(this->rates.storeWriteDelayed)) {
-    const auto delay = Millis{ static_cast<std::int64_t>(
-      this->random() % static_cast<std::uint64_t>(kMostDelay.count())) };
-    this->queue.After(
-      delay, [this, aTransaction] { this->table.Commit(aTransaction); });
+  if (DrawPerMille(this->random, this->rates.storeWriteDelayed)) {
+    this->queue.After(DrawDelay(this->random), [this, aTransaction] {
+      this->table.Commit(aTransaction);
+    });
     return { StoreStatus::Unknown, 0 };
   }
   const auto result = this->table.Commit(aTransaction);
-  if (this->Draw(this->rates.storeReplyLost)) {
+  if (DrawPerMille(this->random, this->rates.storeReplyLost)) {
     return { StoreStatus::Unknown, 0 };
   }
   return result;
--- a/bench/src/faultytable.h
+++ b/bench/src/faultytable.h
@@ -21,6 +21,14 @@
   int syncDelayed = 0;
 };
 
+// Whether something happens that has so many chances in 1,000.
+auto
+DrawPerMille(std::mt19937_64& aRandom, int aPerMille) -> bool;
+
+// How late a delayed message takes effect.
+auto
+DrawDelay(std::mt19937_64& aRandom) -> Millis;
+
 // The table service with faults; each instance calls it through its own.
 class FaultyTable : public TableService
 {
@@ -41,8 +49,6 @@
   std::uint64_t reads = 0;
 
 private:
-  auto Draw(int aPerMille) -> bool;
-
   TableService& table;
   EventQueue& queue;
   std::mt19937_64& random;
--- a/bench/src/requestbench.cpp
+++ b/bench/src/requestbench.cpp
@@ -1,12 +1,11 @@
 #include "requestbench.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 #include <thread>
 
 #include "benchoptions.h"
+#include "readfile.h"
 #include "requestload.h"
 #include "yamlreader.h"
 
@@ -195,18 +194,6 @@
   }
 }
 
-auto
-ReadFile(const std::string& aPath) -> std::optional<std::string>
-{
-  auto file = std::ifstream{ aPath };
-  if (!file) {
-    return std::nullopt;
-  }
-  auto text = std::stringstream{};
-  text << file.rdbuf();
-  return text.str();
-}
-
 } // namespace
 
 auto
--- a/bench/src/world.cpp
+++ b/bench/src/world.cpp
@@ -6,12 +6,10 @@
 
 namespace {
 
-constexpr int kPerMille = 1000;
 constexpr Micros kStoreLatency{ 5000 };
 constexpr Millis kWorkerStep{ 100 };
 constexpr Millis kHintLatency{ 2 };
 constexpr Millis kSampleInterval{ 500 };
-constexpr Millis kMostDelay{ 12000 };
 constexpr std::int64_t kMostDrift = 4;
 
 } // namespace
@@ -48,20 +46,17 @@
     aReason = "no answer";
     auto* worker = this->Find(aWorker.id);
     if (worker == nullptr || this->cut ||
-        this->Draw(this->world.rates.syncLost)) {
+        DrawPerMille(this->world.random, this->world.rates.syncLost)) {
       return std::nullopt;
     }
-    if (this->Draw(this->world.rates.syncDelayed)) {
-      const auto delay = Millis{ static_cast<std::int64_t>(
-        this->world.random() %
-        static_cast<std::uint64_t>(kMostDelay.count())) };
-      this->world.queue.After(delay, [this, worker, aRequest] {
-        this->world.Deliver(*worker, aRequest);
-      });
+    if (DrawPerMille(this->world.random, this->world.rates.syncDelayed)) {
+      this->world.queue.After(
+        DrawDelay(this->world.random),
+        [this, worker, aRequest] { this->world.Deliver(*worker, aRequest); });
       return std::nullopt;
     }
     auto report = this->world.Deliver(*worker, aRequest);
-    if (this->Draw(this->world.rates.syncReplyLost)) {
+    if (DrawPerMille(this->world.random, this->world.rates.syncReplyLost)) {
       return std::nullopt;
     }
     return report;
@@ -80,12 +75,6 @@
     return nullptr;
   }
 
-  auto Draw(int aPerMille) -> bool
-  {
-    return aPerMille > 0 &&
-           static_cast<int>(this->world.random() % kPerMille) < aPerMille;
-  }
-
   World& world;
 };
 
@@ -237,15 +226,11 @@
       static_cast<std::uint64_t>(MillisOf(this->queue.Now()));
   }
   auto store = ShardStore{ this->table, this->objects };
-  store.Submit(tasks, static_cast<ShardNumber>(this->options.shards));
-  auto shards = std::set<ShardNumber>{};
-  for (const auto& task : tasks) {
-    shards.insert(
-      ShardOf(task.id.text, static_cast<ShardNumber>(this->options.shards)));
-  }
+  const auto shardCount = static_cast<ShardNumber>(this->options.shards);
+  store.Submit(tasks, shardCount);
   for (const auto& instance : this->instances) {
     if (instance->executor.Alive()) {
-      instance->control->NotifyInboxes(shards);
+      instance->control->NotifyInboxes(ShardsOf(tasks, shardCount));
       return;
     }
   }
--- a/ctl/src/commands.cpp
+++ b/ctl/src/commands.cpp
@@ -1,12 +1,11 @@
 #include "commands.h"
 
 #include <cstdio>
-#include <fstream>
 #include <iostream>
 #include <optional>
-#include <sstream>
 #include <thread>
 
+#include "readfile.h"
 #include "table.h"
 
 namespace gooseberry {
@@ -22,17 +21,15 @@
   return aReply.status == 0 ? ExitCode::Failure : ExitCode::Refused;
 }
 
+// The file that a command was given; says so if it can't be read.
 auto
-ReadFile(const std::string& aPath) -> std::optional<std::string>
+ReadArgument(const std::string& aPath) -> std::optional<std::string>
 {
-  auto file = std::ifstream{ aPath };
-  if (!file) {
+  auto text = ReadFile(aPath);
+  if (!text) {
     std::cerr << "gooseberryctl: cannot read " << aPath << '\n';
-    return std::nullopt;
   }
-  auto text = std::ostringstream{};
-  text << file.rdbuf();
-  return text.str();
+  return text;
 }
 
 // Shows one list of an answer, as a table or as it came.
@@ -164,7 +161,7 @@
 auto
 ApplySection(CommandContext& aContext) -> ExitCode
 {
-  const auto text = ReadFile(aContext.arguments[1]);
+  const auto text = ReadArgument(aContext.arguments[1]);
   if (!text) {
     return ExitCode::Failure;
   }
@@ -186,7 +183,7 @@
 auto
 ValidateSection(CommandContext& aContext) -> ExitCode
 {
-  const auto text = ReadFile(aContext.arguments[1]);
+  const auto text = ReadArgument(aContext.arguments[1]);
   if (!text) {
     return ExitCode::Failure;
   }
@@ -215,7 +212,7 @@
 auto
 DiffSection(CommandContext& aContext) -> ExitCode
 {
-  const auto text = ReadFile(aContext.arguments[1]);
+  const auto text = ReadArgument(aContext.arguments[1]);
   auto reply = ApiReply{};
   const auto found = FindSection(aContext, aContext.arguments[0], reply);
   if (!text || !reply.Good()) {
--- a/daemon/src/admintasks.cpp
+++ b/daemon/src/admintasks.cpp
@@ -1,9 +1,8 @@
 // Part of AdminPort that submits, cancels and shows tasks.
 
-#include <chrono>
-
 #include "adminport.h"
 #include "httpstatus.h"
+#include "wallclock.h"
 
 namespace gooseberry {
 
@@ -11,15 +10,6 @@
 
 constexpr int kMaxJobsPerCall = 100000;
 
-auto
-UnixMillis() -> std::uint64_t
-{
-  return static_cast<std::uint64_t>(
-    std::chrono::duration_cast<Millis>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
-}
-
 } // namespace
 
 // The submission's name makes a repeated call harmless: its tasks have the
@@ -62,7 +52,7 @@
     const auto id =
       TaskId{ classId.text + "." + submission + "." + std::to_string(index) };
     tasks.push_back(NewTask(id, *spec));
-    tasks.back().order = UnixMillis();
+    tasks.back().order = static_cast<std::uint64_t>(UnixMillis());
     names.push_back(id);
   }
   const auto shardCount = this->control.ShardCount();
@@ -74,11 +64,7 @@
       "some tasks may be submitted; repeat with the same submission");
     return;
   }
-  auto shards = std::set<ShardNumber>{};
-  for (const auto& task : tasks) {
-    shards.insert(ShardOf(task.id.text, shardCount));
-  }
-  this->control.NotifyInboxes(shards);
+  this->control.NotifyInboxes(ShardsOf(tasks, shardCount));
   Reply(aCall, { { "tasks", names } });
 }
 
--- a/daemon/src/control.cpp
+++ b/daemon/src/control.cpp
@@ -32,8 +32,7 @@
   , peers(aPeers)
   , executor(aExecutor)
 {
-  this->self.text =
-    aSettings.instance + "." + std::to_string(this->random() % kIdRange);
+  this->self.text = this->NewName();
   this->own.id = this->self;
   this->own.domain = aSettings.domain;
   this->own.adminAddress = aSettings.admin.address;
@@ -62,7 +61,7 @@
     std::this_thread::sleep_for(kTickInterval);
   }
   // No renewal may cross the removal of the row.
-  this->executor.Post([this] { this->left = true; });
+  this->executor.Post([this] { this->renewalsEnded = true; });
   while (this->clock.Now() < end &&
          this->executor.Ask([this] { return this->renewing; })) {
     std::this_thread::sleep_for(kTickInterval);
@@ -166,7 +165,14 @@
   });
 }
 
-// One step of everything that is due. Calls to the platform run in the arena,
+auto
+Control::NewName() -> std::string
+{
+  return this->settings.instance + "." +
+         std::to_string(this->random() % kIdRange);
+}
+
+// One step of everything that is due. Calls to the platform run off the loop,
 // so that no slow reply holds up a lease.
 auto
 Control::Tick() -> void
--- a/daemon/src/control.h
+++ b/daemon/src/control.h
@@ -126,6 +126,8 @@
     ShardCounts counted{};
   };
 
+  // A name that no earlier life of this instance had.
+  auto NewName() -> std::string;
   auto Tick() -> void;
   auto MayAct(const Held& aHeld) const -> Authority;
 
@@ -196,7 +198,7 @@
   bool fixingShards = false;
   bool leaving = false;
   // Its member row is being removed.
-  bool left = false;
+  bool renewalsEnded = false;
   Time nextRenewal{};
   Time nextMembers{};
   Time nextDocument{};
--- a/daemon/src/controlmembers.cpp
+++ b/daemon/src/controlmembers.cpp
@@ -16,7 +16,7 @@
 Control::RenewMembership() -> void
 {
   const auto now = this->clock.Now();
-  if (this->renewing || this->left || now < this->nextRenewal) {
+  if (this->renewing || this->renewalsEnded || now < this->nextRenewal) {
     return;
   }
   this->renewing = true;
@@ -108,8 +108,7 @@
     item.released = !item.appending && !item.snapshotting;
   }
   this->memberVersion = 0;
-  this->self.text =
-    this->settings.instance + "." + std::to_string(this->random() % 1000000U);
+  this->self.text = this->NewName();
   this->own.id = this->self;
   this->own.counter = 0;
   this->identity.Set(std::make_shared<MemberRow>(this->own));
--- a/daemon/src/documentstore.cpp
+++ b/daemon/src/documentstore.cpp
@@ -1,9 +1,10 @@
 #include "documentstore.h"
 
-#include <chrono>
 #include <cstdio>
 #include <set>
 
+#include "wallclock.h"
+
 namespace gooseberry {
 
 namespace {
@@ -45,14 +46,6 @@
   }
 }
 
-auto
-UnixMillis() -> std::int64_t
-{
-  return std::chrono::duration_cast<Millis>(
-           std::chrono::system_clock::now().time_since_epoch())
-    .count();
-}
-
 } // namespace
 
 DocumentStore::DocumentStore(TableService& aTable)
--- a/daemon/src/exchange.cpp
+++ b/daemon/src/exchange.cpp
@@ -4,6 +4,7 @@
 #include <thread>
 
 #include "connectionthreads.h"
+#include "httpstatus.h"
 
 namespace gooseberry {
 
@@ -11,8 +12,6 @@
 
 constexpr std::size_t kMostBufferedBytes = 262144;
 
-constexpr int kServiceUnavailable = 503;
-
 constexpr Millis kMostAbandonedWait{ 1000 };
 
 } // namespace
@@ -56,15 +55,13 @@
                 std::function<void()> aOnEnd) -> void
 {
   this->timeout = aTimeout;
-  aThreads.enqueue([self = this->shared_from_this(),
-                    aTimeout,
-                    aChoice,
-                    onEnd = std::move(aOnEnd)] {
-    self->Run(aTimeout, aChoice);
-    self->AwaitAbandoned();
-    self->backend->Leave();
-    onEnd();
-  });
+  aThreads.enqueue(
+    [self = this->shared_from_this(), aChoice, onEnd = std::move(aOnEnd)] {
+      self->Run(aChoice);
+      self->AwaitAbandoned();
+      self->backend->Leave();
+      onEnd();
+    });
 }
 
 auto
@@ -102,6 +99,12 @@
   return this->body;
 }
 
+auto
+Exchange::SaysUnavailable() const -> bool
+{
+  return this->status == kUnavailable && this->headers.contains("Retry-After");
+}
+
 auto
 Exchange::End() const -> std::optional<AttemptEnd>
 {
@@ -128,12 +131,12 @@
 }
 
 auto
-Exchange::Run(Millis aTimeout, ConnectionChoice aChoice) -> void
+Exchange::Run(ConnectionChoice aChoice) -> void
 {
   auto taken = this->pool->Borrow(aChoice);
   auto* client = taken->client.get();
-  client->set_read_timeout(aTimeout);
-  client->set_write_timeout(aTimeout);
+  client->set_read_timeout(this->timeout);
+  client->set_write_timeout(this->timeout);
   this->reused = taken->provedAt.has_value();
   {
     const auto lock = std::lock_guard{ this->mutex };
@@ -266,9 +269,7 @@
     const auto header = this->headers.find("Connection");
     const auto closes =
       header != this->headers.end() && header->second == "close";
-    const auto refuses = this->status == kServiceUnavailable &&
-                         this->headers.contains("Retry-After");
-    if (closes || refuses) {
+    if (closes || this->SaysUnavailable()) {
       this->backend->OnLeavingNotice(now);
     } else {
       this->pool->Return(std::move(used));
--- a/daemon/src/exchange.h
+++ b/daemon/src/exchange.h
@@ -74,6 +74,9 @@
   auto Status() const -> int;
   auto Headers() const -> const httplib::Headers&;
   auto Body() -> Pipe&;
+  // Whether the answer says that the backend server takes nothing now and when
+  // to come back.
+  auto SaysUnavailable() const -> bool;
   // Set once the exchange has ended.
   auto End() const -> std::optional<AttemptEnd>;
   auto OnReusedConnection() const -> bool;
@@ -81,7 +84,7 @@
   auto StartedAt() const -> Time;
 
 private:
-  auto Run(Millis aTimeout, ConnectionChoice aChoice) -> void;
+  auto Run(ConnectionChoice aChoice) -> void;
   auto AwaitAbandoned() const -> void;
   auto EndUnsent() -> void;
   auto Build() -> httplib::Request;
--- a/daemon/src/gate.cpp
+++ b/daemon/src/gate.cpp
@@ -52,10 +52,7 @@
     std::any_of(aRequest.route->backends.begin(),
                 aRequest.route->backends.end(),
                 [&](const std::shared_ptr<Backend>& aBackend) {
-                  return !aBackend->Leaving(now) &&
-                         std::find(aRequest.tried.begin(),
-                                   aRequest.tried.end(),
-                                   aBackend.get()) == aRequest.tried.end();
+                  return MayServe(*aBackend, now, aRequest.tried);
                 });
   if (!usable) {
     return { nullptr, Refusal::NoBackend, kNoBackendRetryAfter };
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -3,14 +3,13 @@
 #include <array>
 #include <atomic>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 #include <getopt.h>
 
 #include "instance.h"
 #include "log.h"
+#include "readfile.h"
 #include "settings.h"
 
 namespace {
@@ -110,14 +109,12 @@
 {
   auto settings = std::optional<Settings>{ Settings{} };
   if (!aPath.empty()) {
-    auto file = std::ifstream{ aPath };
-    if (!file) {
+    const auto text = ReadFile(aPath);
+    if (!text) {
       aErrors.push_back({ aPath, 0, "", "", "cannot be read" });
       return std::nullopt;
     }
-    auto text = std::ostringstream{};
-    text << file.rdbuf();
-    settings = ParseSettings(aPath, text.str(), aErrors);
+    settings = ParseSettings(aPath, *text, aErrors);
   }
   if (settings) {
     ApplyEnvironment(*settings, aErrors);
--- a/daemon/src/requestsession.cpp
+++ b/daemon/src/requestsession.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr int kMaxAttempts = 3;
-constexpr int kServiceUnavailable = 503;
 // Answers up to this length are read whole before they are passed on, so that
 // a cut one can still be replaced by another attempt.
 constexpr std::size_t kSmallAnswerBytes = 65536;
@@ -117,10 +116,8 @@
 auto
 RequestSession::WorthPassingOn(const Exchange& aExchange) -> bool
 {
-  const auto refused = aExchange.Status() == kServiceUnavailable &&
-                       aExchange.Headers().contains("Retry-After");
-  if (!refused || !this->plan.repeatable || this->attempts >= kMaxAttempts ||
-      this->plan.outgoing->upload) {
+  if (!aExchange.SaysUnavailable() || !this->plan.repeatable ||
+      this->attempts >= kMaxAttempts || this->plan.outgoing->upload) {
     return true;
   }
   if (!aExchange.End() || this->active.size() > 1) {
--- a/daemon/src/settings.cpp
+++ b/daemon/src/settings.cpp
@@ -20,8 +20,18 @@
   }
 }
 
+// What a port may go without, or may have.
+struct PortRules
+{
+  bool addressRequired = true;
+  bool mayUseTls = false;
+};
+
 auto
-ReadPort(YamlMap& aRoot, const char* aKey, PortSettings& aPort) -> void
+ReadPort(YamlMap& aRoot,
+         const char* aKey,
+         const PortRules& aRules,
+         PortSettings& aPort) -> void
 {
   auto map = aRoot.Map(aKey);
   if (!map) {
@@ -37,6 +47,12 @@
     map->Report("certificate", "certificate and key belong together");
   }
   map->Finish();
+  if (aRules.addressRequired && aPort.address.empty()) {
+    aRoot.Report(aKey, "must have an address");
+  }
+  if (!aRules.mayUseTls && !aPort.certificate.empty()) {
+    aRoot.Report(aKey, "TLS is offered on the administration port only");
+  }
 }
 
 // Reads the name of a policy; NB stands for their number.
@@ -77,23 +93,9 @@
   if (root.Has("domain")) {
     settings.domain.text = root.Name("domain");
   }
-  ReadPort(root, "callers", settings.callers);
-  if (!settings.callers.certificate.empty()) {
-    root.Report("callers", "TLS is offered on the administration port only");
-  }
-  ReadPort(root, "admin", settings.admin);
-  ReadPort(root, "peers", settings.peers);
-  for (const auto* port : { "callers", "admin" }) {
-    const auto& address = std::string{ "callers" } == port
-                            ? settings.callers.address
-                            : settings.admin.address;
-    if (address.empty()) {
-      root.Report(port, "must have an address");
-    }
-  }
-  if (!settings.peers.certificate.empty()) {
-    root.Report("peers", "TLS is offered on the administration port only");
-  }
+  ReadPort(root, "callers", { true, false }, settings.callers);
+  ReadPort(root, "admin", { true, true }, settings.admin);
+  ReadPort(root, "peers", { false, false }, settings.peers);
   settings.tokensFile = root.String("tokens_file", "");
   settings.maxConnections =
     root.Integer("max_connections", settings.maxConnections, 1, 20000);
--- a/daemon/src/shardstore.cpp
+++ b/daemon/src/shardstore.cpp
@@ -183,20 +183,12 @@
                      Millis aWorkersLapseAfter,
                      const LapsedCounterOf& aLapsed) -> TakeOverResult
 {
-  const auto read = this->table.Read(ShardKey(aShard));
-  if (read.status != StoreStatus::Ok) {
+  const auto read = this->ReadVersioned(aShard);
+  if (!read) {
     return {};
   }
-  auto old = ShardRow{};
-  if (read.row.version != 0) {
-    const auto parsed = Parse<ShardRow>(read.row.value);
-    if (!parsed) {
-      return {};
-    }
-    old = *parsed;
-  }
-  auto transaction =
-    Transaction{ { { ShardKey(aShard), read.row.version } }, {} };
+  const auto& old = read->row;
+  auto transaction = Transaction{ { { ShardKey(aShard), read->version } }, {} };
   const auto held = !old.owner.Empty() && !old.released && old.owner != aSelf;
   if (held) {
     const auto member = this->table.Read(MemberKey(old.owner));
@@ -226,12 +218,9 @@
     return { claim, next.epoch };
   }
   // The write may have taken effect all the same.
-  const auto again = this->table.Read(ShardKey(aShard));
-  const auto now = again.status == StoreStatus::Ok
-                     ? Parse<ShardRow>(again.row.value)
-                     : std::optional<ShardRow>{};
-  if (now && *now == next) {
-    claim.rowVersion = again.row.version;
+  const auto now = this->ReadVersioned(aShard);
+  if (now && now->row == next) {
+    claim.rowVersion = now->version;
     return { claim, next.epoch };
   }
   return { std::nullopt, next.epoch };
@@ -261,34 +250,43 @@
                          const InstanceId& aSelf,
                          std::uint64_t aTriedEpoch) -> bool
 {
-  const auto read = this->table.Read(ShardKey(aShard));
-  const auto row = read.status == StoreStatus::Ok && read.row.version != 0
-                     ? Parse<ShardRow>(read.row.value)
-                     : std::optional<ShardRow>{};
-  if (!row) {
+  const auto read = this->ReadVersioned(aShard);
+  if (!read || read->version == 0) {
     return false;
   }
-  if (row->owner != aSelf || row->released) {
+  const auto& row = read->row;
+  if (row.owner != aSelf || row.released) {
     // A late write depends on the row as it was before that epoch.
-    return row->epoch >= aTriedEpoch;
+    return row.epoch >= aTriedEpoch;
   }
   const auto claim =
-    Claim{ read.row.version, row->epoch, Millis{ 0 }, Millis{ 0 } };
-  this->Release(aShard, claim, aSelf, Millis{ row->workersLapseMillis });
+    Claim{ read->version, row.epoch, Millis{ 0 }, Millis{ 0 } };
+  this->Release(aShard, claim, aSelf, Millis{ row.workersLapseMillis });
   return false;
 }
 
 auto
 ShardStore::ReadRow(ShardNumber aShard) -> std::optional<ShardRow>
+{
+  const auto read = this->ReadVersioned(aShard);
+  return read ? std::optional{ read->row } : std::nullopt;
+}
+
+auto
+ShardStore::ReadVersioned(ShardNumber aShard) -> std::optional<VersionedRow>
 {
   const auto read = this->table.Read(ShardKey(aShard));
   if (read.status != StoreStatus::Ok) {
     return std::nullopt;
   }
   if (read.row.version == 0) {
-    return ShardRow{};
+    return VersionedRow{};
+  }
+  auto row = Parse<ShardRow>(read.row.value);
+  if (!row) {
+    return std::nullopt;
   }
-  return Parse<ShardRow>(read.row.value);
+  return VersionedRow{ read.row.version, std::move(*row) };
 }
 
 auto
--- a/daemon/src/shardstore.h
+++ b/daemon/src/shardstore.h
@@ -135,6 +135,15 @@
     -> bool;
 
 private:
+  struct VersionedRow
+  {
+    // 0 if there is no row yet.
+    std::uint64_t version = 0;
+    ShardRow row;
+  };
+
+  // Nothing if the store does not answer or the row is unreadable.
+  auto ReadVersioned(ShardNumber aShard) -> std::optional<VersionedRow>;
   auto Commit(const Transaction& aTransaction) -> CommitResult;
 
   TableService& table;
--- a/daemon/src/tokens.cpp
+++ b/daemon/src/tokens.cpp
@@ -1,10 +1,9 @@
 #include "tokens.h"
 
-#include <fstream>
-#include <sstream>
-
 #include <openssl/crypto.h>
 
+#include "readfile.h"
+
 namespace gooseberry {
 
 namespace {
@@ -35,14 +34,12 @@
   if (this->path.empty()) {
     return true;
   }
-  auto file = std::ifstream{ this->path };
-  if (!file) {
+  const auto text = ReadFile(this->path);
+  if (!text) {
     aErrors.push_back({ this->path, 0, "", "", "cannot be read" });
     return false;
   }
-  auto text = std::ostringstream{};
-  text << file.rdbuf();
-  const auto node = ParseYaml(this->path, text.str(), {}, aErrors);
+  const auto node = ParseYaml(this->path, *text, {}, aErrors);
   if (!node) {
     return false;
   }
--- a/decisions/src/routing.cpp
+++ b/decisions/src/routing.cpp
@@ -111,9 +111,7 @@
   auto open = Candidates{};
   auto healthy = Candidates{};
   for (const auto& backend : aRoute.backends) {
-    const auto tried =
-      std::find(aTried.begin(), aTried.end(), backend.get()) != aTried.end();
-    if (tried || backend->Leaving(aNow)) {
+    if (!MayServe(*backend, aNow, aTried)) {
       continue;
     }
     open.push_back(backend);
@@ -286,6 +284,15 @@
   return kPolicies[static_cast<std::size_t>(aPolicy)].name;
 }
 
+auto
+MayServe(const Backend& aBackend,
+         Time aNow,
+         const std::vector<const Backend*>& aTried) -> bool
+{
+  return !aBackend.Leaving(aNow) &&
+         std::find(aTried.begin(), aTried.end(), &aBackend) == aTried.end();
+}
+
 auto
 PickBackend(const Route& aRoute,
             RoutingPolicy aPolicy,
--- a/decisions/src/routing.h
+++ b/decisions/src/routing.h
@@ -110,6 +110,13 @@
   std::atomic<std::uint64_t>* turn = nullptr;
 };
 
+// Whether the backend server may get a request that was tried at those in
+// aTried: it is another one and is not leaving.
+auto
+MayServe(const Backend& aBackend,
+         Time aNow,
+         const std::vector<const Backend*>& aTried) -> bool;
+
 // The backend server for the next attempt, with a place taken in it; null if
 // none has a place. Those in aTried are passed over.
 auto
--- a/decisions/src/task.cpp
+++ b/decisions/src/task.cpp
@@ -128,4 +128,15 @@
   return task;
 }
 
+auto
+ShardsOf(const std::vector<Task>& aTasks, ShardNumber aShardCount)
+  -> std::set<ShardNumber>
+{
+  auto shards = std::set<ShardNumber>{};
+  for (const auto& task : aTasks) {
+    shards.insert(ShardOf(task.id.text, aShardCount));
+  }
+  return shards;
+}
+
 } // namespace gooseberry
--- a/decisions/src/task.h
+++ b/decisions/src/task.h
@@ -3,6 +3,7 @@
 
 // The durable record of one task and the journal entries that change it.
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -86,6 +87,11 @@
 auto
 NewTask(const TaskId& aId, const ClassSpec& aClass) -> Task;
 
+// The shards to which new tasks belong.
+auto
+ShardsOf(const std::vector<Task>& aTasks, ShardNumber aShardCount)
+  -> std::set<ShardNumber>;
+
 // A task that goes to another shard in the transaction that removes it here.
 struct Transfer
 {
--- a/peerlink/src/peerconnection.cpp
+++ b/peerlink/src/peerconnection.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include "hint.h"
+#include "socketready.h"
 
 namespace gooseberry {
 
@@ -19,13 +20,6 @@
 constexpr std::size_t kReadBytes = 8192;
 constexpr Millis kWriteTimeout{ 1000 };
 
-auto
-Ready(int aSocket, short aEvents, Millis aTimeout) -> bool
-{
-  auto waiting = pollfd{ aSocket, aEvents, 0 };
-  return ::poll(&waiting, 1, static_cast<int>(aTimeout.count())) > 0;
-}
-
 // The library copies names and values when a message is submitted; until then
 // both must live.
 auto
@@ -105,7 +99,7 @@
   if (!this->Flush()) {
     return false;
   }
-  if (Ready(this->socket, POLLIN, aTimeout)) {
+  if (SocketReady(this->socket, POLLIN, aTimeout)) {
     auto bytes = std::array<std::uint8_t, kReadBytes>{};
     const auto count = ::recv(this->socket, bytes.data(), bytes.size(), 0);
     if (count <= 0) {
@@ -237,7 +231,7 @@
       return true;
     }
     while (left > 0) {
-      if (!Ready(this->socket, POLLOUT, kWriteTimeout)) {
+      if (!SocketReady(this->socket, POLLOUT, kWriteTimeout)) {
         return false;
       }
       const auto sent = ::send(
--- a/peerlink/src/peerlink.cpp
+++ b/peerlink/src/peerlink.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "httpplatform.h"
+#include "socketready.h"
 
 namespace gooseberry {
 
@@ -62,11 +63,9 @@
     ::close(socket);
     return -1;
   }
-  auto waiting = pollfd{ socket, POLLOUT, 0 };
   auto fault = 0;
   auto size = socklen_t{ sizeof fault };
-  const auto timeout = static_cast<int>(kConnectTimeout.count());
-  if (::poll(&waiting, 1, timeout) <= 0 ||
+  if (!SocketReady(socket, POLLOUT, kConnectTimeout) ||
       ::getsockopt(socket, SOL_SOCKET, SO_ERROR, &fault, &size) != 0 ||
       fault != 0) {
     ::close(socket);
@@ -157,8 +156,7 @@
 PeerLink::AcceptAll() -> void
 {
   while (!this->stopping) {
-    auto waiting = pollfd{ this->listener, POLLIN, 0 };
-    if (::poll(&waiting, 1, static_cast<int>(kLookAround.count())) <= 0) {
+    if (!SocketReady(this->listener, POLLIN, kLookAround)) {
       continue;
     }
     const auto socket = ::accept(this->listener, nullptr, nullptr);
