--- /dev/null
+++ b/cells/src/cell.cpp
@@ -0,0 +1,309 @@
+#include "cell.h"
+
+#include <algorithm>
+#include <array>
+
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+auto
+ToText(CellEvent aEvent) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(CellEvent::CellEvent_NB)>
+    kNames{ "submission", "repeat",     "start",   "start_refused",
+            "start_unanswered", "done", "failure", "lapse",
+            "lost",       "stop",       "orphan",  "completed",
+            "failed_job", "cancellation" };
+  return kNames.at(static_cast<std::size_t>(aEvent));
+}
+
+Cell::Cell(CellOptions aOptions, CellTakeover aTakeover, DecisionLog& aLog)
+  : options(aOptions)
+  , fencingToken(aTakeover.fencingToken)
+  , takenAt(aTakeover.now)
+  , log(aLog)
+{
+  for (const auto& [row, record] : aTakeover.jobs) {
+    this->AddJob(aTakeover.now,
+                 aTakeover.nowUnixMs,
+                 row,
+                 record ? &*record : nullptr);
+  }
+  for (const auto& job : aTakeover.cancelled) {
+    this->OnCancel(aTakeover.now, job);
+  }
+}
+
+Cell::~Cell() = default;
+
+auto
+Cell::OnConfig(std::shared_ptr<const SiteConfig> aConfig) -> void
+{
+  this->config = std::move(aConfig);
+  for (auto& [id, job] : this->jobs) {
+    if (const auto* queue = this->config->FindQueue(job->row.queue)) {
+      job->row.policy = queue->policy;
+    }
+  }
+  for (auto& [id, slot] : this->workers) {
+    if (const auto service = this->config->services.find(slot.entry.service);
+        service != this->config->services.end()) {
+      slot.guardsCapacity = service->second.guardsCapacity;
+    }
+  }
+  this->planNeeded = true;
+}
+
+auto
+Cell::OnEvacuations(Time aNow, std::set<DomainId> aDomains) -> void
+{
+  if (this->evacuated == aDomains) {
+    return;
+  }
+  this->evacuated = std::move(aDomains);
+  for (auto& [id, slot] : this->workers) {
+    if (!this->evacuated.contains(slot.entry.domain)) {
+      continue;
+    }
+    // What runs there may end there; only planned starts are withdrawn.
+    const auto runs = slot.runs;
+    for (const auto& ref : runs) {
+      const auto [place, run] = this->FindActive(ref);
+      if (run != nullptr && run->phase == RunPhase::Planned) {
+        this->ForgetRun(aNow, ref, "evacuated");
+      }
+    }
+  }
+  this->planNeeded = true;
+}
+
+auto
+Cell::FindJob(const JobId& aJob) const -> const Job*
+{
+  const auto found = this->jobs.find(aJob);
+  return found == this->jobs.end() ? nullptr : found->second.get();
+}
+
+auto
+Cell::PendingIn(const QueueId& aQueue) const -> std::size_t
+{
+  const auto found = this->pending.find(aQueue);
+  return found == this->pending.end() ? 0 : found->second;
+}
+
+auto
+Cell::Counts() const -> const CellCounts&
+{
+  return this->counts;
+}
+
+auto
+Cell::Workers() const -> const std::map<WorkerId, WorkerSlot>&
+{
+  return this->workers;
+}
+
+auto
+Cell::Jobs() const -> std::size_t
+{
+  return this->jobs.size();
+}
+
+auto
+Cell::SeenFenced() const -> bool
+{
+  return this->fenced;
+}
+
+auto
+Cell::Count(CellEvent aEvent) -> void
+{
+  ++this->counts[static_cast<std::size_t>(aEvent)];
+}
+
+auto
+Cell::Find(const TaskName& aName) -> TaskPlace
+{
+  const auto found = this->jobs.find(aName.job);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  auto place = TaskPlace{ found->second.get() };
+  const auto occurrence = place.job->occurrences.find(aName.occurrence);
+  if (occurrence == place.job->occurrences.end() ||
+      aName.step >= occurrence->second.steps.size() ||
+      aName.index >= occurrence->second.steps[aName.step].tasks.size()) {
+    return {};
+  }
+  place.occurrence = &occurrence->second;
+  place.step = &place.occurrence->steps[aName.step];
+  place.spec = &place.job->Spec().steps[aName.step];
+  place.task = &place.step->tasks[aName.index];
+  return place;
+}
+
+auto
+Cell::FindActive(const RunRef& aRef) -> std::pair<TaskPlace, Run*>
+{
+  const auto place = this->Find(aRef.task);
+  return { place,
+           place.task == nullptr ? nullptr : place.task->FindRun(aRef.run) };
+}
+
+auto
+Cell::Touch(Job& aJob, bool aHasty) -> void
+{
+  aJob.dirty = true;
+  this->dirty.insert(aJob.Id());
+  this->hasty = this->hasty || aHasty;
+}
+
+auto
+Cell::OnTick(Time aNow, std::int64_t aNowUnixMs) -> void
+{
+  for (auto& [id, job] : this->jobs) {
+    if (job->Spec().Timed() && !IsFinal(job->state)) {
+      this->OpenOccurrences(*job, aNowUnixMs);
+    }
+  }
+  this->LapseWorkers(aNow);
+  if (this->planNeeded) {
+    this->planNeeded = false;
+    this->PlanStarts(aNow);
+  }
+  this->SendStops(aNow);
+  this->RenewWorkers(aNow);
+  this->DropEndedJobs(aNow);
+}
+
+auto
+Cell::NextBatch(Time aNow) -> std::optional<RecordBatch>
+{
+  if (this->dirty.empty() || this->batchInFlight || aNow < this->nextBatch) {
+    return std::nullopt;
+  }
+  if (!this->dirtySince) {
+    this->dirtySince = aNow;
+  }
+  if (!this->hasty && aNow < *this->dirtySince + kLazyCommit) {
+    return std::nullopt;
+  }
+  auto batch = RecordBatch{ ++this->lastBatch, {} };
+  auto& notes = this->batches[batch.number];
+  while (!this->dirty.empty() && batch.records.size() < kMaxRecordsPerCommit) {
+    auto& job = *this->jobs.at(*this->dirty.begin());
+    this->dirty.erase(this->dirty.begin());
+    job.dirty = false;
+    batch.records.emplace_back(job.Id(), EncodeRecord(RecordOf(job)));
+    notes.jobs.push_back(job.Id());
+    notes.states.push_back(job.state);
+    for (auto& [number, occurrence] : job.occurrences) {
+      for (auto step = std::uint32_t{ 0 }; step < occurrence.steps.size();
+           ++step) {
+        auto& tasks = occurrence.steps[step].tasks;
+        for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
+          for (const auto& run : tasks[index].runs) {
+            if (run.phase == RunPhase::Planned) {
+              notes.planned.push_back(
+                { { job.Id(), number, step, index }, run.number });
+            }
+          }
+        }
+      }
+    }
+    std::move(job.unrecordedEnds.begin(),
+              job.unrecordedEnds.end(),
+              std::back_inserter(notes.ends));
+    job.unrecordedEnds.clear();
+  }
+  this->hasty = !this->dirty.empty();
+  this->dirtySince.reset();
+  this->batchInFlight = true;
+  this->nextBatch = aNow + kCommitGap;
+  return batch;
+}
+
+auto
+Cell::OnRecorded(Time aNow, std::uint64_t aNumber) -> void
+{
+  this->batchInFlight = false;
+  const auto found = this->batches.find(aNumber);
+  if (found == this->batches.end()) {
+    return;
+  }
+  const auto notes = std::move(found->second);
+  this->batches.erase(found);
+  // Others under way can't be recorded any more: what they held goes again.
+  auto others = std::move(this->batches);
+  this->batches.clear();
+  for (auto& [number, other] : others) {
+    for (const auto& id : other.jobs) {
+      if (const auto job = this->jobs.find(id); job != this->jobs.end()) {
+        this->Touch(*job->second, true);
+      }
+    }
+    this->ReturnEnds(other.ends);
+  }
+  for (auto index = std::size_t{ 0 }; index < notes.jobs.size(); ++index) {
+    if (const auto job = this->jobs.find(notes.jobs[index]);
+        job != this->jobs.end()) {
+      job->second->recorded = notes.states[index];
+    }
+  }
+  for (const auto& end : notes.ends) {
+    const auto worker = this->workers.find(end.worker);
+    if (worker != this->workers.end() &&
+        worker->second.entry.bornUnixMs == end.bornUnixMs) {
+      worker->second.NoteRecorded(end.number);
+    }
+  }
+  for (const auto& ref : notes.planned) {
+    const auto [place, run] = this->FindActive(ref);
+    if (run != nullptr && run->phase == RunPhase::Planned) {
+      this->SendStart(aNow, place, ref);
+    }
+  }
+}
+
+auto
+Cell::OnNotRecorded(Time aNow, std::uint64_t aNumber) -> void
+{
+  this->OnRecordUnknown(aNow, aNumber);
+  const auto found = this->batches.find(aNumber);
+  if (found == this->batches.end()) {
+    return;
+  }
+  const auto notes = std::move(found->second);
+  this->batches.erase(found);
+  this->ReturnEnds(notes.ends);
+}
+
+auto
+Cell::ReturnEnds(const std::vector<PendingEnd>& aEnds) -> void
+{
+  for (const auto& end : aEnds) {
+    if (const auto job = this->jobs.find(end.job); job != this->jobs.end()) {
+      job->second->unrecordedEnds.push_back(end);
+      this->Touch(*job->second, true);
+    }
+  }
+}
+
+auto
+Cell::OnRecordUnknown(Time aNow, std::uint64_t aNumber) -> void
+{
+  this->batchInFlight = false;
+  this->nextBatch = aNow + kCommitRetry;
+  const auto found = this->batches.find(aNumber);
+  if (found == this->batches.end()) {
+    return;
+  }
+  for (const auto& id : found->second.jobs) {
+    if (const auto job = this->jobs.find(id); job != this->jobs.end()) {
+      this->Touch(*job->second, true);
+    }
+  }
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/cell.h
@@ -0,0 +1,260 @@
+#ifndef GOOSEBERRY_CELL_H
+#define GOOSEBERRY_CELL_H
+
+// Decisions of the owner of one cell, that is of a service's workers and of the
+// jobs that run on them: what starts where, what must stop, what is recorded.
+// Free of I/O, threads and clocks. Each call is an event with the time; effects
+// are taken by TakeCalls() and NextBatch().
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "decisionlog.h"
+#include "job.h"
+#include "site.h"
+#include "workercall.h"
+#include "workerslot.h"
+
+namespace gooseberry::cells {
+
+// Figures of the platform that a cell's decisions depend on.
+struct CellOptions
+{
+  // Longest lease that workers accept, and the one that they are given.
+  Millis leaseMax{ 6000 };
+  Millis lease{ 5000 };
+  // A stop has ended the run within this.
+  Millis stopBound{ 400 };
+  // Jobs are known for so long after their end.
+  Millis keepEnded{ 120000 };
+  // How long an earlier owner may have gone on renewing leases unseen.
+  Millis earlierOwnerBound{ 10000 };
+  // How many times as long work takes away from its data or split over racks.
+  double remoteFactor = 3.0;
+
+  auto operator==(const CellOptions&) const -> bool = default;
+};
+
+// How a cell came to its owner.
+struct CellTakeover
+{
+  std::uint64_t fencingToken = 0;
+  Time now{};
+  std::int64_t nowUnixMs = 0;
+  std::vector<std::pair<JobRow, std::optional<JobRecord>>> jobs;
+  std::vector<JobId> cancelled;
+};
+
+// Records that go into one transaction.
+struct RecordBatch
+{
+  std::uint64_t number = 0;
+  std::vector<std::pair<JobId, std::string>> records;
+
+  auto operator==(const RecordBatch&) const -> bool = default;
+};
+
+// Events that are counted, each a metric.
+enum class CellEvent
+{
+  Submission,
+  Repeat, // a job that was known already
+  Start,
+  StartRefused,
+  StartUnanswered,
+  Done,
+  Failure,
+  Lapse,
+  Lost, // its worker is gone or was started anew
+  Stop,
+  Orphan, // a run that nobody knows of
+  Completed,
+  FailedJob,
+  Cancellation,
+  CellEvent_NB
+};
+
+auto
+ToText(CellEvent aEvent) -> const char*;
+
+using CellCounts =
+  std::array<std::uint64_t, static_cast<std::size_t>(CellEvent::CellEvent_NB)>;
+
+class Cell
+{
+public:
+  Cell(CellOptions aOptions, CellTakeover aTakeover, DecisionLog& aLog);
+  Cell(const Cell&) = delete;
+  auto operator=(const Cell&) -> Cell& = delete;
+  ~Cell();
+
+  // Events.
+  auto OnConfig(std::shared_ptr<const SiteConfig> aConfig) -> void;
+  auto OnWorkers(Time aNow, const WorkerTable& aWorkers) -> void;
+  auto OnEvacuations(Time aNow, std::set<DomainId> aDomains) -> void;
+  auto OnJob(Time aNow, std::int64_t aNowUnixMs, const JobRow& aRow) -> void;
+  auto OnCancel(Time aNow, const JobId& aJob) -> void;
+  auto OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void;
+  // Decides everything that depends on time, and plans starts.
+  auto OnTick(Time aNow, std::int64_t aNowUnixMs) -> void;
+
+  // Recording: batches are tried one after the other. One whose fate is unknown
+  // may still turn out to be recorded while a later one is tried.
+  auto NextBatch(Time aNow) -> std::optional<RecordBatch>;
+  auto OnRecorded(Time aNow, std::uint64_t aNumber) -> void;
+  auto OnNotRecorded(Time aNow, std::uint64_t aNumber) -> void;
+  auto OnRecordUnknown(Time aNow, std::uint64_t aNumber) -> void;
+
+  // Calls that are due.
+  auto TakeCalls(Time aNow) -> std::vector<WorkerCall>;
+
+  // Views.
+  auto FindJob(const JobId& aJob) const -> const Job*;
+  auto PendingIn(const QueueId& aQueue) const -> std::size_t;
+  auto Counts() const -> const CellCounts&;
+  auto Workers() const -> const std::map<WorkerId, WorkerSlot>&;
+  auto Jobs() const -> std::size_t;
+  // A worker obeys a newer owner.
+  auto SeenFenced() const -> bool;
+
+private:
+  struct TaskPlace
+  {
+    Job* job = nullptr;
+    Occurrence* occurrence = nullptr;
+    StepProgress* step = nullptr;
+    const StepSpec* spec = nullptr;
+    Task* task = nullptr;
+  };
+
+  struct ReadyStep
+  {
+    Job* job = nullptr;
+    std::uint32_t occurrence = 0;
+    std::uint32_t step = 0;
+    int priority = 0;
+    Time order{};
+  };
+
+  // What a batch holds besides the records.
+  struct BatchNotes
+  {
+    std::vector<JobId> jobs;
+    std::vector<JobState> states;
+    std::vector<RunRef> planned;
+    std::vector<PendingEnd> ends;
+  };
+
+  auto Count(CellEvent aEvent) -> void;
+  auto Find(const TaskName& aName) -> TaskPlace;
+  auto FindActive(const RunRef& aRef) -> std::pair<TaskPlace, Run*>;
+  auto Touch(Job& aJob, bool aHasty) -> void;
+  auto ReturnEnds(const std::vector<PendingEnd>& aEnds) -> void;
+
+  // Jobs (celljobs.cpp).
+  auto AddJob(Time aNow,
+              std::int64_t aNowUnixMs,
+              const JobRow& aRow,
+              const JobRecord* aRecord) -> Job&;
+  auto Restore(Job& aJob, const JobRecord& aRecord) -> void;
+  auto OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void;
+  auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
+  auto EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void;
+  auto StopRuns(Time aNow,
+                const TaskName& aName,
+                Task& aTask,
+                StopReason aWhy) -> void;
+  auto StopRun(Time aNow, const RunRef& aRef, Run& aRun, StopReason aWhy)
+    -> void;
+  auto DropEndedJobs(Time aNow) -> void;
+
+  // Runs and workers (cellruns.cpp).
+  auto OnStartAnswer(Time aNow,
+                     const RunRef& aRef,
+                     const WorkerAnswer& aAnswer) -> void;
+  auto OnStopAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
+    -> void;
+  auto OnReport(Time aNow, WorkerSlot& aSlot, const WorkerAnswer& aAnswer)
+    -> void;
+  auto OnRunning(Time aNow,
+                 WorkerSlot& aSlot,
+                 const RunReport& aReport,
+                 std::set<RunRef>& aSeen) -> void;
+  auto OnEnd(Time aNow, WorkerSlot& aSlot, const EndReport& aEnd) -> void;
+  auto OnUnlisted(Time aNow,
+                  WorkerSlot& aSlot,
+                  const std::set<RunRef>& aSeen,
+                  std::int64_t aClockMs) -> void;
+  auto OnNewLife(Time aNow, WorkerSlot& aSlot, std::int64_t aBornUnixMs)
+    -> void;
+  // The run exists nowhere any more; its task may start again.
+  auto ForgetRun(Time aNow, const RunRef& aRef, const char* aWhy) -> void;
+  auto RemoveRun(const TaskPlace& aPlace, const RunRef& aRef) -> void;
+  auto LapseWorkers(Time aNow) -> void;
+  auto SetBorn(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
+
+  // Placement (cellplace.cpp).
+  auto PlanStarts(Time aNow) -> void;
+  auto ReadySteps(Time aNow) -> std::vector<ReadyStep>;
+  auto PlanStep(Time aNow, const ReadyStep& aReady) -> void;
+  auto PickWorker(Time aNow,
+                  const Job& aJob,
+                  const StepSpec& aStep,
+                  const std::map<const WorkerSlot*, std::uint32_t>& aPlaced)
+    -> WorkerSlot*;
+  auto MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const
+    -> bool;
+  auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
+
+  // Calls (cellcalls.cpp).
+  auto QueueCall(const WorkerCall& aCall) -> void;
+  auto NewCall(const WorkerSlot& aSlot, CallKind aKind) -> WorkerCall;
+  auto SendStart(Time aNow, const TaskPlace& aPlace, const RunRef& aRef)
+    -> void;
+  auto SendStop(Time aNow, WorkerSlot& aSlot, const RunRef& aRef) -> void;
+  auto SendStops(Time aNow) -> void;
+  auto RenewWorkers(Time aNow) -> void;
+  auto SendRenewal(Time aNow, WorkerSlot& aSlot, Millis aPatience) -> void;
+  auto LeaseEndFor(Time aNow, WorkerSlot& aSlot, Millis aLease) -> std::int64_t;
+
+  const CellOptions options;
+  const std::uint64_t fencingToken;
+  const Time takenAt;
+  DecisionLog& log;
+  std::shared_ptr<const SiteConfig> config;
+  std::set<DomainId> evacuated;
+  std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  std::map<WorkerId, WorkerSlot> workers;
+  // Cancellations of jobs that are not known yet.
+  std::set<JobId> earlyCancels;
+  std::map<QueueId, std::size_t> pending;
+  // Jobs that are not recorded.
+  std::set<JobId> dirty;
+  std::optional<Time> dirtySince;
+  bool hasty = false;
+  Time nextBatch{};
+  std::uint64_t lastBatch = 0;
+  std::map<std::uint64_t, BatchNotes> batches;
+  bool batchInFlight = false;
+  // The run or worker that an order under way is about.
+  std::unordered_map<std::uint64_t, std::pair<WorkerId, RunRef>> orders;
+  std::unordered_map<std::uint64_t, CallKind> orderKinds;
+  // Runs whose stop order is due.
+  std::set<RunRef> toStop;
+  std::vector<WorkerCall> calls;
+  std::uint64_t lastCall = 0;
+  bool planNeeded = true;
+  bool fenced = false;
+  std::multimap<Time, JobId> endedJobs;
+  CellCounts counts{};
+};
+
+} // namespace gooseberry::cells
+
+#endif
--- /dev/null
+++ b/cells/src/cellcalls.cpp
@@ -0,0 +1,150 @@
+// Calls of a cell's owner to its workers: orders, and renewals of leases.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+auto
+Cell::TakeCalls(Time /*aNow*/) -> std::vector<WorkerCall>
+{
+  return std::exchange(this->calls, {});
+}
+
+auto
+Cell::NewCall(const WorkerSlot& aSlot, CallKind aKind) -> WorkerCall
+{
+  auto call = WorkerCall{};
+  call.number = ++this->lastCall;
+  call.kind = aKind;
+  call.worker = aSlot.entry.id;
+  call.address = aSlot.entry.address;
+  call.fencingToken = this->fencingToken;
+  call.timeout = kOrderTimeout;
+  return call;
+}
+
+auto
+Cell::QueueCall(const WorkerCall& aCall) -> void
+{
+  this->orders.emplace(
+    aCall.number,
+    std::pair{ aCall.worker, RunRef{ aCall.task, aCall.run } });
+  this->orderKinds.emplace(aCall.number, aCall.kind);
+  this->calls.push_back(aCall);
+}
+
+auto
+Cell::LeaseEndFor(Time aNow, WorkerSlot& aSlot, Millis aLease) -> std::int64_t
+{
+  const auto end = aSlot.ClockAtLeast(aNow) + aLease.count();
+  aSlot.leaseEndMs = std::max(aSlot.leaseEndMs.value_or(0), end);
+  return end;
+}
+
+auto
+Cell::SendStart(Time aNow, const TaskPlace& aPlace, const RunRef& aRef) -> void
+{
+  auto* const run = aPlace.task->FindRun(aRef.run);
+  auto& slot = *run->worker;
+  if (run->stopping != StopReason::None || aPlace.task->phase != TaskPhase::Open ||
+      !this->MayTake(Time::max(), slot, *aPlace.job) ||
+      slot.entry.bornUnixMs != run->bornUnixMs) {
+    this->ForgetRun(aNow, aRef, "withdrawn before its start");
+    return;
+  }
+  auto call = this->NewCall(slot, CallKind::Start);
+  call.task = aRef.task;
+  call.run = aRef.run;
+  call.payload = aPlace.job->Spec().payload;
+  call.checkpoint = aPlace.task->checkpoint;
+  call.leaseEndMs = this->LeaseEndFor(aNow, slot, kStartWindow);
+  run->startLeaseEndMs = call.leaseEndMs;
+  run->phase = RunPhase::Starting;
+  run->since = aNow;
+  this->Count(CellEvent::Start);
+  this->QueueCall(call);
+}
+
+auto
+Cell::SendStop(Time aNow, WorkerSlot& aSlot, const RunRef& aRef) -> void
+{
+  if (aSlot.entry.address.empty()) {
+    return;
+  }
+  if (const auto [place, run] = this->FindActive(aRef); run != nullptr) {
+    run->stopSent = true;
+    run->since = aNow;
+  }
+  auto call = this->NewCall(aSlot, CallKind::Stop);
+  call.task = aRef.task;
+  call.run = aRef.run;
+  this->QueueCall(call);
+}
+
+auto
+Cell::SendStops(Time aNow) -> void
+{
+  const auto due = std::exchange(this->toStop, {});
+  for (const auto& ref : due) {
+    const auto [place, run] = this->FindActive(ref);
+    if (run != nullptr && run->phase == RunPhase::Stopping && !run->stopSent) {
+      this->SendStop(aNow, *run->worker, ref);
+    }
+  }
+}
+
+auto
+Cell::RenewWorkers(Time aNow) -> void
+{
+  for (auto& [id, slot] : this->workers) {
+    if (slot.entry.address.empty() || (!slot.listed && slot.runs.empty())) {
+      continue;
+    }
+    if (slot.lookNow && slot.renewals.size() < 2) {
+      slot.lookNow = false;
+      this->SendRenewal(aNow, slot, Millis{ 0 });
+      continue;
+    }
+    if (!slot.renewals.empty() || aNow < slot.nextRenewal) {
+      continue;
+    }
+    if (!slot.reconciled) {
+      this->SendRenewal(aNow, slot, Millis{ 0 });
+      continue;
+    }
+    const auto unrecorded = slot.recordedEnds < slot.seenEnds;
+    if (!slot.runs.empty() && unrecorded) {
+      // The worker would answer at once with ends that are known.
+      continue;
+    }
+    if (!slot.runs.empty()) {
+      this->SendRenewal(aNow, slot, kRenewPatience);
+    } else if (unrecorded || aNow >= slot.lastAnswer + kIdleRenewInterval ||
+               slot.unacknowledged) {
+      this->SendRenewal(aNow, slot, Millis{ 0 });
+    }
+  }
+}
+
+auto
+Cell::SendRenewal(Time aNow, WorkerSlot& aSlot, Millis aPatience) -> void
+{
+  auto call = this->NewCall(aSlot, CallKind::Renew);
+  call.patience = aPatience;
+  call.timeout = aPatience + kRenewTimeout;
+  call.recordedEnds = aSlot.recordedEnds;
+  // A worker that does not answer gets no longer lease: its tasks could never
+  // be started elsewhere.
+  const auto answering = aSlot.reconciled && !aSlot.silent;
+  if (answering && !aSlot.runs.empty()) {
+    call.leaseEndMs = this->LeaseEndFor(aNow, aSlot, this->options.lease);
+  }
+  aSlot.unacknowledged = false;
+  aSlot.renewals.insert(call.number);
+  this->QueueCall(call);
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/celljobs.cpp
@@ -0,0 +1,274 @@
+// Jobs of a cell: submission, cancelling, ends of tasks and of whole jobs.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+auto
+Cell::OnJob(Time aNow, std::int64_t aNowUnixMs, const JobRow& aRow) -> void
+{
+  if (this->jobs.contains(aRow.id)) {
+    this->Count(CellEvent::Repeat);
+    return;
+  }
+  this->Count(CellEvent::Submission);
+  this->AddJob(aNow, aNowUnixMs, aRow, nullptr);
+  if (this->earlyCancels.erase(aRow.id) > 0) {
+    this->OnCancel(aNow, aRow.id);
+  }
+}
+
+auto
+Cell::AddJob(Time aNow,
+             std::int64_t aNowUnixMs,
+             const JobRow& aRow,
+             const JobRecord* aRecord) -> Job&
+{
+  auto owned = std::make_unique<Job>();
+  auto& job = *owned;
+  job.row = aRow;
+  job.arrivedAt = aNow;
+  const auto chain =
+    std::chrono::duration<double, std::milli>(LongestChain(aRow.spec));
+  job.objective = aNow + aRow.policy.target +
+                  std::chrono::duration_cast<Millis>(
+                    chain * aRow.policy.slackFactor);
+  this->jobs.emplace(aRow.id, std::move(owned));
+  if (!job.Spec().Timed()) {
+    job.occurrences.emplace(0, NewOccurrence(job.Spec()));
+  }
+  if (aRecord != nullptr) {
+    this->Restore(job, *aRecord);
+  }
+  if (job.state == JobState::Queued && !job.Spec().Timed()) {
+    ++this->pending[aRow.queue];
+  }
+  if (job.Spec().Timed() && !IsFinal(job.state)) {
+    this->OpenOccurrences(job, aNowUnixMs);
+  }
+  this->planNeeded = true;
+  return job;
+}
+
+auto
+Cell::Restore(Job& aJob, const JobRecord& aRecord) -> void
+{
+  aJob.state = aRecord.state;
+  aJob.recorded = aRecord.state;
+  aJob.finishedOccurrences = aRecord.finishedOccurrences;
+  if (IsFinal(aJob.state)) {
+    aJob.endedAt = this->takenAt;
+    this->endedJobs.emplace(this->takenAt + this->options.keepEnded, aJob.Id());
+  }
+  for (const auto& mark : aRecord.tasks) {
+    auto [occurrence, added] = aJob.occurrences.try_emplace(mark.occurrence);
+    if (added) {
+      occurrence->second = NewOccurrence(aJob.Spec());
+    }
+    const auto place = this->Find(
+      { aJob.Id(), mark.occurrence, mark.step, mark.index });
+    if (place.task == nullptr) {
+      continue;
+    }
+    auto& task = *place.task;
+    task.phase = mark.phase;
+    task.failures = mark.failures;
+    task.lastRun = mark.lastRun;
+    task.checkpoint = mark.checkpoint;
+    if (task.phase == TaskPhase::Done) {
+      ++place.step->done;
+      if (place.step->AllDone()) {
+        --place.occurrence->openSteps;
+      }
+    }
+    for (const auto& known : mark.runs) {
+      auto [slot, fresh] = this->workers.try_emplace(known.worker);
+      if (fresh) {
+        slot->second.entry.id = known.worker;
+        slot->second.entry.bornUnixMs = known.bornUnixMs;
+        slot->second.unknownLeaseEnd =
+          this->takenAt + this->options.earlierOwnerBound +
+          this->options.leaseMax + this->options.leaseMax * kClockDrift / 1000 +
+          kClockMargin;
+      }
+      auto run = Run{};
+      run.number = known.number;
+      run.worker = &slot->second;
+      run.bornUnixMs = known.bornUnixMs;
+      run.phase = RunPhase::Inherited;
+      run.since = this->takenAt;
+      run.startedAt = this->takenAt;
+      if (IsFinal(aJob.state) || task.phase != TaskPhase::Open) {
+        run.stopping = StopReason::Cancelled;
+      }
+      task.runs.push_back(run);
+      slot->second.Attach(
+        { { aJob.Id(), mark.occurrence, mark.step, mark.index }, run.number },
+        *place.spec);
+    }
+  }
+}
+
+auto
+Cell::OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void
+{
+  const auto& spec = aJob.Spec();
+  const auto opened =
+    aJob.finishedOccurrences + static_cast<std::uint32_t>(
+      std::count_if(aJob.occurrences.begin(),
+                    aJob.occurrences.end(),
+                    [&](const auto& aItem) {
+                      return aItem.first >= aJob.finishedOccurrences;
+                    }));
+  for (auto next = opened; next < spec.occurrences; ++next) {
+    const auto due =
+      spec.firstDueUnixMs + static_cast<std::int64_t>(next) * spec.intervalMs;
+    if (due > aNowUnixMs) {
+      return;
+    }
+    aJob.occurrences.emplace(next, NewOccurrence(spec));
+    this->planNeeded = true;
+  }
+}
+
+auto
+Cell::OnCancel(Time aNow, const JobId& aJob) -> void
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end()) {
+    this->earlyCancels.insert(aJob);
+    return;
+  }
+  if (IsFinal(found->second->state)) {
+    return;
+  }
+  this->Count(CellEvent::Cancellation);
+  this->EndJob(
+    aNow, *found->second, JobState::Cancelled, StopReason::Cancelled);
+}
+
+auto
+Cell::EndTask(Time aNow, const TaskPlace& aPlace) -> void
+{
+  auto& job = *aPlace.job;
+  ++aPlace.step->done;
+  if (!aPlace.step->AllDone()) {
+    return;
+  }
+  this->planNeeded = true;
+  if (--aPlace.occurrence->openSteps > 0) {
+    return;
+  }
+  if (!job.Spec().Timed()) {
+    this->EndJob(aNow, job, JobState::Completed, StopReason::None);
+    return;
+  }
+  // Occurrences may overlap: the count grows over those that ended in order.
+  while (true) {
+    const auto next = job.occurrences.find(job.finishedOccurrences);
+    if (next == job.occurrences.end() || next->second.openSteps > 0) {
+      break;
+    }
+    ++job.finishedOccurrences;
+  }
+  this->Touch(job, true);
+  if (job.finishedOccurrences >= job.Spec().occurrences) {
+    this->EndJob(aNow, job, JobState::Completed, StopReason::None);
+  }
+}
+
+auto
+Cell::EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void
+{
+  if (aJob.state == JobState::Queued && !aJob.Spec().Timed()) {
+    --this->pending[aJob.row.queue];
+  }
+  aJob.state = aState;
+  aJob.endedAt = aNow;
+  this->endedJobs.emplace(aNow + this->options.keepEnded, aJob.Id());
+  this->Count(aState == JobState::Completed ? CellEvent::Completed
+              : aState == JobState::Failed  ? CellEvent::FailedJob
+                                            : CellEvent::Cancellation);
+  if (this->log.Follows(aJob.Id())) {
+    this->log.Write(
+      "job_ended",
+      { { "job", aJob.Id().Text() },
+        { "state", ToText(aState) },
+        { "after_ms",
+          std::to_string(ToMillis(aNow - aJob.arrivedAt).count()) },
+        { "to_objective_ms",
+          std::to_string(ToMillis(aJob.objective - aNow).count()) } });
+  }
+  this->Touch(aJob, true);
+  for (auto& [number, occurrence] : aJob.occurrences) {
+    for (auto step = std::uint32_t{ 0 }; step < occurrence.steps.size();
+         ++step) {
+      auto& tasks = occurrence.steps[step].tasks;
+      for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
+        this->StopRuns(
+          aNow, { aJob.Id(), number, step, index }, tasks[index], aWhy);
+      }
+    }
+  }
+  this->planNeeded = true;
+}
+
+auto
+Cell::StopRuns(Time aNow, const TaskName& aName, Task& aTask, StopReason aWhy)
+  -> void
+{
+  for (auto& run : aTask.runs) {
+    this->StopRun(aNow, { aName, run.number }, run, aWhy);
+  }
+}
+
+auto
+Cell::StopRun(Time aNow, const RunRef& aRef, Run& aRun, StopReason aWhy) -> void
+{
+  if (aRun.stopping != StopReason::None) {
+    return;
+  }
+  aRun.stopping = aWhy;
+  // An order that is under way is settled first; an inherited run is looked for.
+  if (aRun.phase == RunPhase::Running || aRun.phase == RunPhase::Unsettled) {
+    aRun.phase = RunPhase::Stopping;
+    aRun.since = aNow;
+    aRun.stopSent = false;
+    this->toStop.insert(aRef);
+  }
+  this->Count(CellEvent::Stop);
+}
+
+auto
+Cell::DropEndedJobs(Time aNow) -> void
+{
+  while (!this->endedJobs.empty() && this->endedJobs.begin()->first <= aNow) {
+    const auto id = this->endedJobs.begin()->second;
+    this->endedJobs.erase(this->endedJobs.begin());
+    const auto found = this->jobs.find(id);
+    if (found == this->jobs.end()) {
+      continue;
+    }
+    auto& job = *found->second;
+    auto running = false;
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (const auto& step : occurrence.steps) {
+        running = running || std::any_of(step.tasks.begin(),
+                                         step.tasks.end(),
+                                         [](const Task& aTask) {
+                                           return !aTask.runs.empty();
+                                         });
+      }
+    }
+    if (running || job.dirty || job.recorded != job.state) {
+      this->endedJobs.emplace(aNow + kLazyCommit, id);
+      continue;
+    }
+    this->jobs.erase(found);
+  }
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/cellplace.cpp
@@ -0,0 +1,179 @@
+// Placement in a cell: which task starts next, and where.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+auto
+Cell::PlanStarts(Time aNow) -> void
+{
+  for (const auto& ready : this->ReadySteps(aNow)) {
+    this->PlanStep(aNow, ready);
+  }
+}
+
+auto
+Cell::ReadySteps(Time aNow) -> std::vector<ReadyStep>
+{
+  auto ready = std::vector<ReadyStep>{};
+  for (auto& [id, job] : this->jobs) {
+    if (IsFinal(job->state)) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job->occurrences) {
+      if (occurrence.openSteps == 0) {
+        continue;
+      }
+      for (auto step = std::uint32_t{ 0 }; step < occurrence.steps.size();
+           ++step) {
+        const auto& spec = job->Spec().steps[step];
+        const auto blocked =
+          occurrence.steps[step].AllDone() ||
+          std::any_of(
+            spec.after.begin(), spec.after.end(), [&](auto aEarlier) {
+              return !occurrence.steps[aEarlier].AllDone();
+            });
+        if (!blocked) {
+          ready.push_back({ job.get(),
+                            number,
+                            step,
+                            job->row.policy.priority,
+                            job->objective });
+        }
+      }
+    }
+  }
+  std::sort(ready.begin(),
+            ready.end(),
+            [aNow](const ReadyStep& aLeft, const ReadyStep& aRight) {
+              const auto rank = [aNow](const ReadyStep& aStep) {
+                return std::tuple{ aStep.priority,
+                                   aStep.order < aNow,
+                                   aStep.order };
+              };
+              return rank(aLeft) < rank(aRight);
+            });
+  return ready;
+}
+
+auto
+Cell::PlanStep(Time aNow, const ReadyStep& aReady) -> void
+{
+  auto& job = *aReady.job;
+  const auto& spec = job.Spec().steps[aReady.step];
+  auto& tasks = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
+  auto placed = std::map<const WorkerSlot*, std::uint32_t>{};
+  for (const auto& task : tasks) {
+    for (const auto& run : task.runs) {
+      ++placed[run.worker];
+    }
+  }
+  for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
+    auto& task = tasks[index];
+    if (task.phase != TaskPhase::Open || !task.runs.empty()) {
+      continue;
+    }
+    if (task.notBefore > aNow) {
+      this->planNeeded = true;
+      continue;
+    }
+    auto* const slot = this->PickWorker(aNow, job, spec, placed);
+    if (slot == nullptr) {
+      return;
+    }
+    this->PlanRun(aNow, { job.Id(), aReady.occurrence, aReady.step, index },
+                  *slot);
+    ++placed[slot];
+  }
+}
+
+auto
+Cell::MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const -> bool
+{
+  return aSlot.listed && aSlot.reconciled && !aSlot.entry.leaving &&
+         aSlot.entry.service == aJob.row.policy.service &&
+         !this->evacuated.contains(aSlot.entry.domain) &&
+         aNow >= aSlot.avoidUntil &&
+         (aSlot.guardsCapacity || aSlot.orphans.empty());
+}
+
+auto
+Cell::PickWorker(Time aNow,
+                 const Job& aJob,
+                 const StepSpec& aStep,
+                 const std::map<const WorkerSlot*, std::uint32_t>& aPlaced)
+  -> WorkerSlot*
+{
+  WorkerSlot* best = nullptr;
+  auto bestScore = 0.0;
+  for (auto& [id, slot] : this->workers) {
+    if (!this->MayTake(aNow, slot, aJob)) {
+      continue;
+    }
+    if (!aStep.neededLabel.empty() && !slot.entry.HasLabel(aStep.neededLabel)) {
+      continue;
+    }
+    const auto here = aPlaced.find(&slot);
+    if (aStep.maxPerWorker > 0 && here != aPlaced.end() &&
+        here->second >= aStep.maxPerWorker) {
+      continue;
+    }
+    auto need = aStep.size;
+    const auto room = slot.Room();
+    const auto idle = room.cpuMillis - slot.fillingCpu;
+    if (aStep.fillsIdle) {
+      need.cpuMillis = 0;
+    }
+    if (!need.FitsIn(room) ||
+        (aStep.fillsIdle && idle < aStep.size.cpuMillis)) {
+      continue;
+    }
+    const auto capacity =
+      static_cast<double>(std::max<std::int64_t>(slot.entry.capacity.cpuMillis, 1));
+    auto score = static_cast<double>(idle) / capacity;
+    if (!aStep.dataRack.empty() && slot.entry.HasLabel(aStep.dataRack)) {
+      score += 1.0;
+    }
+    if (best == nullptr || score > bestScore) {
+      best = &slot;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+auto
+Cell::PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void
+{
+  const auto place = this->Find(aName);
+  auto& task = *place.task;
+  auto run = Run{};
+  run.number = ++task.lastRun;
+  run.worker = &aSlot;
+  run.bornUnixMs = aSlot.entry.bornUnixMs;
+  run.since = aNow;
+  run.checkpoint = task.checkpoint;
+  task.runs.push_back(run);
+  aSlot.Attach({ aName, run.number }, *place.spec);
+  auto& job = *place.job;
+  if (job.state == JobState::Queued) {
+    job.state = JobState::Running;
+    if (!job.Spec().Timed()) {
+      --this->pending[job.row.queue];
+    }
+  }
+  this->Touch(job, true);
+  if (this->log.Follows(aName.job)) {
+    this->log.Write("run_planned",
+                    { { "task", ToText(aName) },
+                      { "run", std::to_string(run.number) },
+                      { "worker", aSlot.entry.id.text },
+                      { "room_cpu", std::to_string(aSlot.Room().cpuMillis) },
+                      { "filling_cpu", std::to_string(aSlot.fillingCpu) } });
+  }
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/cellruns.cpp
@@ -0,0 +1,487 @@
+// Runs of a cell: what workers answer and report, and what is made of it.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+namespace {
+
+auto
+BackoffAfter(std::uint32_t aFailures) -> Millis
+{
+  constexpr std::uint32_t kMostDoublings = 7;
+  return std::min(kFailureBackoffMax,
+                  kFailureBackoff *
+                    (1U << std::min(aFailures, kMostDoublings)));
+}
+
+} // namespace
+
+auto
+Cell::OnWorkers(Time aNow, const WorkerTable& aWorkers) -> void
+{
+  for (auto& [id, slot] : this->workers) {
+    slot.listed = slot.listed && aWorkers.contains(id);
+  }
+  for (const auto& [id, entry] : aWorkers) {
+    auto [item, added] = this->workers.try_emplace(id);
+    auto& slot = item->second;
+    const auto born = slot.entry.bornUnixMs;
+    const auto knownLife = !added && born != 0;
+    if (added || slot.entry.address.empty()) {
+      slot.nextRenewal = aNow;
+    }
+    if (!added && slot.entry.leaving != entry.leaving) {
+      this->planNeeded = true;
+    }
+    slot.entry = entry;
+    if (knownLife) {
+      slot.entry.bornUnixMs = born;
+    }
+    if (knownLife && entry.bornUnixMs > born) {
+      this->OnNewLife(aNow, slot, entry.bornUnixMs);
+    }
+    slot.listed = true;
+    if (!slot.clock && entry.bornUnixMs == slot.entry.bornUnixMs) {
+      slot.clock = ClockSample{ entry.clockMs, aNow };
+    }
+    if (this->config) {
+      const auto service = this->config->services.find(entry.service);
+      slot.guardsCapacity = service == this->config->services.end() ||
+                            service->second.guardsCapacity;
+    }
+    this->planNeeded = this->planNeeded || added;
+  }
+}
+
+auto
+Cell::OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void
+{
+  const auto order = this->orders.find(aAnswer.number);
+  if (order == this->orders.end()) {
+    return;
+  }
+  const auto [worker, ref] = order->second;
+  const auto kind = this->orderKinds.at(aAnswer.number);
+  this->orders.erase(order);
+  this->orderKinds.erase(aAnswer.number);
+  const auto found = this->workers.find(worker);
+  if (found == this->workers.end()) {
+    return;
+  }
+  auto& slot = found->second;
+  if (aAnswer.end == CallEnd::Fenced) {
+    this->fenced = true;
+    this->log.Write("fenced_at_worker",
+                    { { "worker", worker.text },
+                      { "token", std::to_string(this->fencingToken) } });
+  }
+  if (aAnswer.clockMs &&
+      (!slot.clock || *aAnswer.clockMs >= slot.clock->clockMs)) {
+    slot.clock = ClockSample{ *aAnswer.clockMs, aNow };
+    slot.lastAnswer = aNow;
+  }
+  switch (kind) {
+    case CallKind::Start:
+      this->OnStartAnswer(aNow, ref, aAnswer);
+      break;
+    case CallKind::Stop:
+      this->OnStopAnswer(aNow, ref, aAnswer);
+      break;
+    case CallKind::Renew:
+      slot.renewals.erase(aAnswer.number);
+      slot.silent = aAnswer.end != CallEnd::Done;
+      if (aAnswer.end == CallEnd::Done) {
+        this->OnReport(aNow, slot, aAnswer);
+      } else {
+        slot.nextRenewal = std::max(slot.nextRenewal, aNow + kRenewRetry);
+      }
+      break;
+    default:
+      break;
+  }
+}
+
+auto
+Cell::OnStartAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
+  -> void
+{
+  const auto [place, run] = this->FindActive(aRef);
+  if (run == nullptr || run->phase != RunPhase::Starting) {
+    return;
+  }
+  auto& slot = *run->worker;
+  if (this->log.Follows(aRef.task.job)) {
+    this->log.Write("start_answered",
+                    { { "task", ToText(aRef.task) },
+                      { "run", std::to_string(aRef.run) },
+                      { "worker", slot.entry.id.text },
+                      { "answer", ToText(aAnswer.end) },
+                      { "reason", aAnswer.reason },
+                      { "took_ms",
+                        std::to_string(ToMillis(aNow - run->since).count()) } });
+  }
+  switch (aAnswer.end) {
+    case CallEnd::Done:
+      run->phase = RunPhase::Running;
+      run->since = aNow;
+      run->startedAt = aNow;
+      run->progressAt = aNow;
+      run->confirmedMs = aAnswer.clockMs.value_or(0);
+      slot.nextRenewal = std::min(slot.nextRenewal, aNow + kRenewGap);
+      if (run->stopping != StopReason::None) {
+        run->phase = RunPhase::Stopping;
+        run->stopSent = false;
+        this->toStop.insert(aRef);
+      }
+      return;
+    case CallEnd::Unanswered:
+    case CallEnd::Unreadable:
+      this->Count(CellEvent::StartUnanswered);
+      run->phase = RunPhase::Unsettled;
+      run->since = aNow;
+      run->stopSent = false;
+      slot.lookNow = true;
+      slot.avoidUntil = aNow + kAvoidRefusing;
+      if (run->stopping != StopReason::None) {
+        run->phase = RunPhase::Stopping;
+        this->toStop.insert(aRef);
+      }
+      return;
+    case CallEnd::OtherLife:
+      slot.lookNow = true;
+      slot.avoidUntil = aNow + kAvoidRefusing;
+      run->phase = RunPhase::Unsettled;
+      run->since = aNow;
+      return;
+    default:
+      // Nothing was started and nothing will be.
+      this->Count(CellEvent::StartRefused);
+      slot.avoidUntil = aNow + kAvoidRefusing;
+      slot.lookNow = slot.lookNow || aAnswer.end == CallEnd::NoRoom;
+      this->ForgetRun(aNow, aRef, ToText(aAnswer.end));
+      return;
+  }
+}
+
+auto
+Cell::OnStopAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
+  -> void
+{
+  const auto [place, run] = this->FindActive(aRef);
+  if (run == nullptr) {
+    return;
+  }
+  if (aAnswer.end == CallEnd::Done) {
+    run->confirmedMs = aAnswer.clockMs.value_or(0);
+    if (run->stopping == StopReason::Settled) {
+      run->worker->lookNow = true;
+    }
+    return;
+  }
+  // Sent again with the next round of calls.
+  run->stopSent = false;
+  run->since = aNow;
+  run->worker->lookNow = true;
+  this->toStop.insert(aRef);
+}
+
+auto
+Cell::OnReport(Time aNow, WorkerSlot& aSlot, const WorkerAnswer& aAnswer)
+  -> void
+{
+  const auto clock = aAnswer.clockMs.value_or(0);
+  if (aAnswer.bornUnixMs != 0 && aSlot.entry.bornUnixMs != 0 &&
+      aAnswer.bornUnixMs != aSlot.entry.bornUnixMs) {
+    if (aAnswer.bornUnixMs < aSlot.entry.bornUnixMs) {
+      return;
+    }
+    this->OnNewLife(aNow, aSlot, aAnswer.bornUnixMs);
+    aSlot.clock = ClockSample{ clock, aNow };
+  } else if (aSlot.entry.bornUnixMs == 0) {
+    this->SetBorn(aSlot, aAnswer.bornUnixMs);
+  }
+  if (!aSlot.reconciled) {
+    aSlot.reconciled = true;
+    // An earlier owner may have given the longest lease just before.
+    aSlot.leaseEndMs = std::max(aSlot.leaseEndMs.value_or(0),
+                                clock + this->options.leaseMax.count());
+    this->planNeeded = true;
+  }
+  auto gone = false;
+  for (const auto& end : aAnswer.ended) {
+    if (end.number > aSlot.seenEnds) {
+      aSlot.seenEnds = end.number;
+      this->OnEnd(aNow, aSlot, end);
+      gone = true;
+    }
+  }
+  if (clock >= aSlot.reportedMs) {
+    aSlot.reportedMs = clock;
+    auto seen = std::set<RunRef>{};
+    for (const auto& report : aAnswer.running) {
+      this->OnRunning(aNow, aSlot, report, seen);
+    }
+    if (aAnswer.unreadable == 0) {
+      this->OnUnlisted(aNow, aSlot, seen, clock);
+    }
+  }
+  aSlot.nextRenewal = aNow + kRenewGap;
+  this->planNeeded = this->planNeeded || gone;
+}
+
+auto
+Cell::OnRunning(Time aNow,
+                WorkerSlot& aSlot,
+                const RunReport& aReport,
+                std::set<RunRef>& aSeen) -> void
+{
+  const auto ref = RunRef{ aReport.task, aReport.run };
+  aSeen.insert(ref);
+  const auto [place, run] = this->FindActive(ref);
+  if (run == nullptr || run->worker != &aSlot) {
+    if (aSlot.orphans.insert(ref).second) {
+      this->Count(CellEvent::Orphan);
+      this->log.Write("orphan_found",
+                      { { "task", ToText(ref.task) },
+                        { "run", std::to_string(ref.run) },
+                        { "worker", aSlot.entry.id.text } });
+    }
+    this->SendStop(aNow, aSlot, ref);
+    return;
+  }
+  if (run->phase == RunPhase::Starting || run->phase == RunPhase::Unsettled ||
+      run->phase == RunPhase::Inherited) {
+    run->phase = run->stopping == StopReason::None ? RunPhase::Running
+                                                   : RunPhase::Stopping;
+    run->since = aNow;
+    run->progressAt = aNow;
+    run->stopSent = false;
+    if (run->phase == RunPhase::Stopping) {
+      this->toStop.insert(ref);
+    }
+  }
+  if (aReport.percent != run->percent) {
+    run->progressAt = aNow;
+  }
+  run->percent = aReport.percent;
+  run->measured = aReport.measured;
+  if (aReport.checkpoint != run->checkpoint && !aReport.checkpoint.empty()) {
+    run->checkpoint = aReport.checkpoint;
+    place.task->checkpoint = aReport.checkpoint;
+  }
+}
+
+auto
+Cell::OnEnd(Time aNow, WorkerSlot& aSlot, const EndReport& aEnd) -> void
+{
+  const auto ref = RunRef{ aEnd.task, aEnd.run };
+  aSlot.orphans.erase(ref);
+  const auto [place, run] = this->FindActive(ref);
+  const auto known = run != nullptr && run->worker == &aSlot;
+  // A run that was given up may have been done before its lease was over.
+  const auto late = !known && place.task != nullptr &&
+                    aEnd.how == RunEnd::Done && !place.spec->lasting &&
+                    place.task->phase == TaskPhase::Open;
+  if (!known && !late) {
+    aSlot.NoteRecorded(aEnd.number);
+    return;
+  }
+  auto& job = *place.job;
+  auto& task = *place.task;
+  if (this->log.Follows(job.Id())) {
+    this->log.Write("run_ended",
+                    { { "task", ToText(ref.task) },
+                      { "run", std::to_string(ref.run) },
+                      { "worker", aSlot.entry.id.text },
+                      { "how", ToText(aEnd.how) },
+                      { "stopping", known ? ToText(run->stopping) : "given_up" },
+                      { "ran_ms",
+                        known ? std::to_string(
+                                  ToMillis(aNow - run->startedAt).count())
+                              : "" } });
+  }
+  if (!aEnd.checkpoint.empty()) {
+    task.checkpoint = aEnd.checkpoint;
+  }
+  const auto lasting = place.spec->lasting;
+  if (known) {
+    this->RemoveRun(place, ref);
+  }
+  job.unrecordedEnds.push_back(
+    { job.Id(), aSlot.entry.id, aSlot.entry.bornUnixMs, aEnd.number });
+  this->Touch(job, false);
+  this->planNeeded = true;
+  switch (aEnd.how) {
+    case RunEnd::Done:
+      this->Count(CellEvent::Done);
+      if (!lasting && task.phase == TaskPhase::Open &&
+          !IsFinal(job.state)) {
+        task.phase = TaskPhase::Done;
+        this->StopRuns(aNow, ref.task, task, StopReason::Beaten);
+        this->EndTask(aNow, place);
+      }
+      return;
+    case RunEnd::Failed:
+      this->Count(CellEvent::Failure);
+      if (lasting || task.phase != TaskPhase::Open || IsFinal(job.state)) {
+        return;
+      }
+      ++task.failures;
+      task.notBefore = aNow + BackoffAfter(task.failures);
+      if (task.failures >= job.row.policy.maxAttempts) {
+        task.phase = TaskPhase::Failed;
+        this->EndJob(aNow, job, JobState::Failed, StopReason::JobFailed);
+      }
+      return;
+    case RunEnd::Lapsed:
+      this->Count(CellEvent::Lapse);
+      return;
+    default:
+      return;
+  }
+}
+
+auto
+Cell::OnUnlisted(Time aNow,
+                 WorkerSlot& aSlot,
+                 const std::set<RunRef>& aSeen,
+                 std::int64_t aClockMs) -> void
+{
+  const auto known = aSlot.runs;
+  for (const auto& ref : known) {
+    if (aSeen.contains(ref)) {
+      continue;
+    }
+    const auto [place, run] = this->FindActive(ref);
+    if (run == nullptr) {
+      continue;
+    }
+    switch (run->phase) {
+      case RunPhase::Planned:
+      case RunPhase::Starting:
+        break;
+      case RunPhase::Inherited:
+        // The earlier owner's orders are refused from now on.
+        this->ForgetRun(aNow, ref, "never started");
+        break;
+      case RunPhase::Unsettled:
+        if (aClockMs > run->startLeaseEndMs + kClockMargin.count()) {
+          this->ForgetRun(aNow, ref, "too late to start");
+        } else {
+          // Once the stop is answered, the order can't be carried out any more.
+          this->StopRun(aNow, ref, *run, StopReason::Settled);
+        }
+        break;
+      case RunPhase::Stopping:
+        if (run->confirmedMs > 0 && aClockMs > run->confirmedMs) {
+          this->ForgetRun(aNow, ref, "not there");
+        }
+        break;
+      case RunPhase::Running:
+        if (aClockMs > run->confirmedMs) {
+          this->ForgetRun(aNow, ref, "vanished");
+        }
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+auto
+Cell::OnNewLife(Time aNow, WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void
+{
+  this->log.Write("worker_new_life",
+                  { { "worker", aSlot.entry.id.text },
+                    { "born", std::to_string(aBornUnixMs) },
+                    { "before", std::to_string(aSlot.entry.bornUnixMs) },
+                    { "runs", std::to_string(aSlot.runs.size()) } });
+  const auto lost = aSlot.runs;
+  for (const auto& ref : lost) {
+    this->ForgetRun(aNow, ref, "worker started anew");
+  }
+  aSlot.silent = false;
+  aSlot.entry.bornUnixMs = aBornUnixMs;
+  aSlot.orphans.clear();
+  aSlot.seenEnds = 0;
+  aSlot.recordedEnds = 0;
+  aSlot.recordedAhead.clear();
+  aSlot.clock.reset();
+  aSlot.leaseEndMs.reset();
+  aSlot.reportedMs = 0;
+  aSlot.reconciled = false;
+  aSlot.nextRenewal = aNow;
+}
+
+auto
+Cell::SetBorn(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void
+{
+  aSlot.entry.bornUnixMs = aBornUnixMs;
+}
+
+auto
+Cell::ForgetRun(Time aNow, const RunRef& aRef, const char* aWhy) -> void
+{
+  const auto [place, run] = this->FindActive(aRef);
+  if (run == nullptr) {
+    return;
+  }
+  if (this->log.Follows(aRef.task.job)) {
+    this->log.Write("run_forgotten",
+                    { { "task", ToText(aRef.task) },
+                      { "run", std::to_string(aRef.run) },
+                      { "worker", run->worker->entry.id.text },
+                      { "phase", ToText(run->phase) },
+                      { "why", aWhy } });
+  }
+  if (run->phase == RunPhase::Running || run->phase == RunPhase::Inherited) {
+    this->Count(CellEvent::Lost);
+  }
+  this->RemoveRun(place, aRef);
+  place.task->notBefore = std::max(place.task->notBefore, aNow);
+  this->Touch(*place.job, false);
+  this->planNeeded = true;
+}
+
+auto
+Cell::RemoveRun(const TaskPlace& aPlace, const RunRef& aRef) -> void
+{
+  auto* const run = aPlace.task->FindRun(aRef.run);
+  run->worker->Detach(aRef, *aPlace.spec);
+  std::erase_if(aPlace.task->runs, [&](const Run& aRun) {
+    return aRun.number == aRef.run;
+  });
+}
+
+auto
+Cell::LapseWorkers(Time aNow) -> void
+{
+  for (auto item = this->workers.begin(); item != this->workers.end();) {
+    auto& slot = item->second;
+    const auto silent =
+      !slot.listed || (slot.renewals.empty() && slot.lastAnswer != Time{} &&
+                       aNow > slot.lastAnswer + this->options.leaseMax) ||
+      !slot.reconciled;
+    if (silent && !slot.runs.empty() && slot.Lapsed(aNow)) {
+      this->log.Write("worker_lapsed",
+                      { { "worker", slot.entry.id.text },
+                        { "listed", slot.listed ? "yes" : "no" },
+                        { "runs", std::to_string(slot.runs.size()) } });
+      const auto lost = slot.runs;
+      for (const auto& ref : lost) {
+        this->ForgetRun(aNow, ref, "lease lapsed");
+      }
+    }
+    if (!slot.listed && slot.runs.empty() && slot.renewals.empty()) {
+      item = this->workers.erase(item);
+    } else {
+      ++item;
+    }
+  }
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/recorder.cpp
@@ -0,0 +1,179 @@
+#include "recorder.h"
+
+#include <algorithm>
+
+namespace gooseberry::cells {
+
+auto
+CellRows::Owner() const -> RowKey
+{
+  return { kOwnerTable, this->cell, "owner" };
+}
+
+auto
+CellRows::Record(const JobId& aJob) const -> RowKey
+{
+  return { kRecordTable, this->cell, aJob.Text() };
+}
+
+auto
+CellRows::RecordRange() const -> RowsRange
+{
+  return { kRecordTable, this->cell, "", "" };
+}
+
+auto
+CellRows::Submission(const JobId& aJob) const -> RowKey
+{
+  return { kSubmissionTable, this->cell + "-in", aJob.Text() };
+}
+
+auto
+CellRows::SubmissionRange() const -> RowsRange
+{
+  return { kSubmissionTable, this->cell + "-in", "", "" };
+}
+
+auto
+CellRows::Cancellation(const JobId& aJob) const -> RowKey
+{
+  return { kCancellationTable, this->cell + "-in", aJob.Text() };
+}
+
+auto
+CellRows::CancellationRange() const -> RowsRange
+{
+  return { kCancellationTable, this->cell + "-in", "", "" };
+}
+
+Recorder::Recorder(CellRows aRows, OwnerRow aOwner, std::uint64_t aVersion)
+  : rows(std::move(aRows))
+  , owner(std::move(aOwner))
+  , version(aVersion)
+{
+}
+
+auto
+Recorder::Write(const RecordBatch& aBatch) -> RowsCommit
+{
+  this->writing = this->owner;
+  this->writing->batch = aBatch.number;
+  this->isBatch = true;
+  auto commit = RowsCommit{};
+  commit.conditions.push_back({ this->rows.Owner(), this->version });
+  commit.puts.push_back({ this->rows.Owner(), EncodeOwner(*this->writing) });
+  for (const auto& [job, record] : aBatch.records) {
+    commit.puts.push_back({ this->rows.Record(job), record });
+  }
+  return commit;
+}
+
+auto
+Recorder::WriteBeat(bool aRelease) -> RowsCommit
+{
+  this->writing = this->owner;
+  ++this->writing->beat;
+  this->writing->released = aRelease;
+  this->isBatch = false;
+  auto commit = RowsCommit{};
+  commit.conditions.push_back({ this->rows.Owner(), this->version });
+  commit.puts.push_back({ this->rows.Owner(), EncodeOwner(*this->writing) });
+  return commit;
+}
+
+auto
+Recorder::OnOutcome(const CommitOutcome& aOutcome) -> RecorderNews
+{
+  const auto tried = this->writing->batch;
+  auto news = RecorderNews{};
+  switch (aOutcome.end) {
+    case TableEnd::Done:
+      this->owner = *this->writing;
+      this->version = aOutcome.version;
+      if (this->isBatch) {
+        news.recorded = tried;
+      }
+      this->writing.reset();
+      return news;
+    case TableEnd::Refused:
+      if (this->isBatch) {
+        news.notRecorded = tried;
+      }
+      this->writing.reset();
+      return news;
+    case TableEnd::Conflict: {
+      const auto row = std::find_if(
+        aOutcome.current.begin(),
+        aOutcome.current.end(),
+        [&](const StoredRow& aRow) { return aRow.key == this->rows.Owner(); });
+      if (row != aOutcome.current.end()) {
+        news = this->Judge(*row);
+        if (!news.recorded && this->isBatch) {
+          news.notRecorded = tried;
+        }
+        this->writing.reset();
+        return news;
+      }
+      [[fallthrough]];
+    }
+    default:
+      if (this->isBatch) {
+        news.unknown = tried;
+      }
+      this->mustRead = true;
+      this->writing.reset();
+      return news;
+  }
+}
+
+auto
+Recorder::OnOwnerRead(const std::optional<StoredRow>& aRow) -> RecorderNews
+{
+  if (!aRow) {
+    return {};
+  }
+  this->mustRead = false;
+  return this->Judge(*aRow);
+}
+
+auto
+Recorder::Judge(const StoredRow& aRow) -> RecorderNews
+{
+  auto news = RecorderNews{};
+  if (aRow.version == this->version) {
+    return news;
+  }
+  auto reason = std::string{};
+  const auto row = DecodeOwner(aRow.value, reason);
+  if (!row || row->fencingToken != this->owner.fencingToken ||
+      row->owner != this->owner.owner) {
+    news.lost = true;
+    return news;
+  }
+  if (row->batch != this->owner.batch) {
+    news.recorded = row->batch;
+  }
+  this->owner = *row;
+  this->version = aRow.version;
+  return news;
+}
+
+auto
+Recorder::InFlight() const -> bool
+{
+  return this->writing.has_value();
+}
+
+auto
+Recorder::MustRead() const -> bool
+{
+  return this->mustRead;
+}
+
+auto
+Recorder::Owner() const -> const OwnerRow&
+{
+  return this->owner;
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/recorder.h
@@ -0,0 +1,83 @@
+#ifndef GOOSEBERRY_RECORDER_H
+#define GOOSEBERRY_RECORDER_H
+
+// Writes a cell's batches of records, one transaction after the other, and finds
+// out about those whose answer was lost. Decides only; the caller does the I/O.
+
+#include <optional>
+#include <vector>
+
+#include "cell.h"
+#include "ownerrow.h"
+#include "tableport.h"
+
+namespace gooseberry::cells {
+
+// Tables and keys of a cell's rows.
+struct CellRows
+{
+  std::string cell;
+
+  auto Owner() const -> RowKey;
+  auto Record(const JobId& aJob) const -> RowKey;
+  auto RecordRange() const -> RowsRange;
+  // Rows of submitted jobs and of cancellations, written by any instance.
+  auto Submission(const JobId& aJob) const -> RowKey;
+  auto SubmissionRange() const -> RowsRange;
+  auto Cancellation(const JobId& aJob) const -> RowKey;
+  auto CancellationRange() const -> RowsRange;
+
+  static constexpr const char* kOwnerTable = "owner";
+  static constexpr const char* kRecordTable = "record";
+  static constexpr const char* kSubmissionTable = "job";
+  static constexpr const char* kCancellationTable = "cancel";
+};
+
+// What became known of batches.
+struct RecorderNews
+{
+  // This batch is recorded; all others that were tried are not.
+  std::optional<std::uint64_t> recorded;
+  // This batch is surely not recorded.
+  std::optional<std::uint64_t> notRecorded;
+  // This batch may be recorded; the owner's row has to be read.
+  std::optional<std::uint64_t> unknown;
+  // Another owner has the cell.
+  bool lost = false;
+
+  auto operator==(const RecorderNews&) const -> bool = default;
+};
+
+class Recorder
+{
+public:
+  // aVersion: of the owner's row as the takeover wrote it.
+  Recorder(CellRows aRows, OwnerRow aOwner, std::uint64_t aVersion);
+
+  // The transaction for a batch; only one may be under way.
+  auto Write(const RecordBatch& aBatch) -> RowsCommit;
+  // One that only shows that the owner is alive, or gives the cell up.
+  auto WriteBeat(bool aRelease) -> RowsCommit;
+  auto OnOutcome(const CommitOutcome& aOutcome) -> RecorderNews;
+  // The owner's row as it was read after an outcome that is not known.
+  auto OnOwnerRead(const std::optional<StoredRow>& aRow) -> RecorderNews;
+
+  auto InFlight() const -> bool;
+  auto MustRead() const -> bool;
+  auto Owner() const -> const OwnerRow&;
+
+private:
+  auto Judge(const StoredRow& aRow) -> RecorderNews;
+
+  const CellRows rows;
+  OwnerRow owner;
+  std::uint64_t version;
+  // The row that the transaction under way writes.
+  std::optional<OwnerRow> writing;
+  bool isBatch = false;
+  bool mustRead = false;
+};
+
+} // namespace gooseberry::cells
+
+#endif
--- /dev/null
+++ b/cells/src/workercall.cpp
@@ -0,0 +1,33 @@
+#include "workercall.h"
+
+#include <array>
+
+namespace gooseberry::cells {
+
+auto
+ToText(CallKind aKind) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(CallKind::CallKind_NB)>
+    kNames{ "start", "stop", "renew", "pace" };
+  return kNames.at(static_cast<std::size_t>(aKind));
+}
+
+auto
+ToText(CallEnd aEnd) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(CallEnd::CallEnd_NB)>
+    kNames{ "done",      "fenced",     "superseded", "too_late",
+            "no_room",   "no_ticket",  "other_life", "unhealthy",
+            "malformed", "not_sent",   "unanswered", "unreadable" };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+auto
+ToText(RunEnd aEnd) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(RunEnd::RunEnd_NB)>
+    kNames{ "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/workerslot.cpp
@@ -0,0 +1,79 @@
+#include "workerslot.h"
+
+#include <algorithm>
+
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+auto
+WorkerSlot::Room() const -> Resources
+{
+  auto room = this->entry.capacity;
+  room -= this->reserved;
+  return room;
+}
+
+auto
+WorkerSlot::ClockAtLeast(Time aNow) const -> std::int64_t
+{
+  if (!this->clock) {
+    return 0;
+  }
+  const auto elapsed =
+    std::chrono::floor<Millis>(aNow - this->clock->at).count();
+  constexpr std::int64_t kWhole = 1000;
+  return this->clock->clockMs + elapsed * (kWhole - kClockDrift) / kWhole;
+}
+
+auto
+WorkerSlot::Lapsed(Time aNow) const -> bool
+{
+  if (this->leaseEndMs && this->clock) {
+    return this->ClockAtLeast(aNow) > *this->leaseEndMs + kClockMargin.count();
+  }
+  return aNow > this->unknownLeaseEnd;
+}
+
+auto
+WorkerSlot::Attach(const RunRef& aRun, const StepSpec& aStep) -> void
+{
+  if (!this->runs.insert(aRun).second) {
+    return;
+  }
+  auto size = aStep.size;
+  if (aStep.fillsIdle) {
+    this->fillingCpu += size.cpuMillis;
+    size.cpuMillis = 0;
+  }
+  this->reserved += size;
+}
+
+auto
+WorkerSlot::Detach(const RunRef& aRun, const StepSpec& aStep) -> void
+{
+  if (this->runs.erase(aRun) == 0) {
+    return;
+  }
+  auto size = aStep.size;
+  if (aStep.fillsIdle) {
+    this->fillingCpu -= size.cpuMillis;
+    size.cpuMillis = 0;
+  }
+  this->reserved -= size;
+}
+
+auto
+WorkerSlot::NoteRecorded(std::uint64_t aEnd) -> void
+{
+  this->recordedAhead.insert(aEnd);
+  while (!this->recordedAhead.empty() &&
+         *this->recordedAhead.begin() <= this->recordedEnds + 1) {
+    this->recordedEnds =
+      std::max(this->recordedEnds, *this->recordedAhead.begin());
+    this->recordedAhead.erase(this->recordedAhead.begin());
+    this->unacknowledged = true;
+  }
+}
+
+} // namespace gooseberry::cells
--- /dev/null
+++ b/cells/src/workerslot.h
@@ -0,0 +1,91 @@
+#ifndef GOOSEBERRY_WORKERSLOT_H
+#define GOOSEBERRY_WORKERSLOT_H
+
+// One worker as its cell's scheduler knows it: its room, its lease, its clock
+// and what may run there.
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "job.h"
+#include "site.h"
+
+namespace gooseberry::cells {
+
+// A run by name, valid as long as the job is known.
+struct RunRef
+{
+  TaskName task;
+  std::uint32_t run = 0;
+
+  auto operator<=>(const RunRef&) const = default;
+};
+
+struct ClockSample
+{
+  std::int64_t clockMs = 0;
+  // Own time when the answer that told it had arrived.
+  Time at{};
+};
+
+struct WorkerSlot
+{
+  WorkerEntry entry;
+  // The store's table names it at present.
+  bool listed = false;
+  bool guardsCapacity = true;
+  // It answered under this owner's fencing token in its present life.
+  bool reconciled = false;
+  std::optional<ClockSample> clock;
+  // The latest lease end that it may have been given, on its own clock; absent
+  // if an earlier owner may have given one that is not known.
+  std::optional<std::int64_t> leaseEndMs;
+  // Nothing runs there after this own time, if leaseEndMs can't tell.
+  Time unknownLeaseEnd{};
+
+  // Of all runs that may exist there.
+  Resources reserved;
+  // Processors that tasks use which only fill idle ones.
+  std::int64_t fillingCpu = 0;
+  std::set<RunRef> runs;
+  // Runs that nobody knows of, told to stop.
+  std::set<RunRef> orphans;
+
+  // Ends: the last one seen, and the last one up to which all are recorded.
+  std::uint64_t seenEnds = 0;
+  std::uint64_t recordedEnds = 0;
+  std::set<std::uint64_t> recordedAhead;
+
+  // Renewals under way, by their call's number.
+  std::set<std::uint64_t> renewals;
+  Time nextRenewal{};
+  // A report is wanted at once.
+  bool lookNow = false;
+  // The last renewal got no answer.
+  bool silent = false;
+  // Ends were recorded that the worker was not told of.
+  bool unacknowledged = false;
+  // Worker's clock of the newest report that was read.
+  std::int64_t reportedMs = 0;
+  Time lastAnswer{};
+
+  // Takes no new runs until then.
+  Time avoidUntil{};
+
+  auto Room() const -> Resources;
+  // Estimate of its clock; at least as much as it surely shows.
+  auto ClockAtLeast(Time aNow) const -> std::int64_t;
+  // Everything that ran there has ended by its lease, whatever it answers.
+  auto Lapsed(Time aNow) const -> bool;
+  auto Attach(const RunRef& aRun, const StepSpec& aStep) -> void;
+  auto Detach(const RunRef& aRun, const StepSpec& aStep) -> void;
+  // The end may be forgotten by the worker as soon as all before it may.
+  auto NoteRecorded(std::uint64_t aEnd) -> void;
+};
+
+} // namespace gooseberry::cells
+
+#endif
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -7,6 +7,8 @@
 
 #include <getopt.h>
 
+#include "fleetinstance.h"
+#include "fleetsettings.h"
 #include "instance.h"
 #include "log.h"
 #include "readfile.h"
@@ -122,6 +124,34 @@
   return aErrors.empty() ? settings : std::nullopt;
 }
 
+// Runs an instance that schedules jobs on a fleet; its settings name a store.
+auto
+RunFleet(const CommandLine& aLine, const std::string& aText) -> int
+{
+  auto errors = std::vector<YamlError>{};
+  const auto settings =
+    fleet::ParseFleetSettings(aLine.config, aText, errors);
+  if (!settings) {
+    for (const auto& error : errors) {
+      std::cerr << "gooseberryd: " << error.Text() << '\n';
+    }
+    return kExitSettings;
+  }
+  if (aLine.checkOnly) {
+    std::cout << "settings are good\n";
+    return kExitOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  auto instance = fleet::FleetInstance{ *settings };
+  auto reason = std::string{};
+  if (!instance.Start(reason)) {
+    std::cerr << "gooseberryd: " << reason << '\n';
+    return kExitFailure;
+  }
+  instance.Run();
+  return kExitOk;
+}
+
 } // namespace
 
 auto
@@ -131,6 +161,10 @@
   if (const auto status = ParseCommandLine(aCount, aArguments, line)) {
     return *status;
   }
+  if (const auto text = ReadFile(line.config);
+      text && fleet::LooksLikeFleetSettings(*text)) {
+    return RunFleet(line, *text);
+  }
   auto errors = std::vector<YamlError>{};
   const auto settings = LoadSettings(line.config, errors);
   if (!settings) {
--- /dev/null
+++ b/eventio/src/httpmessage.cpp
@@ -0,0 +1,37 @@
+#include "httpmessage.h"
+
+#include <array>
+
+#include <boost/beast/core/string.hpp>
+
+namespace gooseberry {
+
+auto
+ToText(HttpEnd aEnd) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(HttpEnd::HttpEnd_NB)>
+    kNames{ "answered", "not_sent", "lost" };
+  return kNames.at(static_cast<std::size_t>(aEnd));
+}
+
+auto
+HttpReply::Ok() const -> bool
+{
+  constexpr int kFirst = 200;
+  constexpr int kLast = 299;
+  return this->end == HttpEnd::Answered && this->status >= kFirst &&
+         this->status <= kLast;
+}
+
+auto
+FindField(const HttpFields& aFields, std::string_view aName) -> std::string
+{
+  for (const auto& [name, value] : aFields) {
+    if (boost::beast::iequals(name, { aName.data(), aName.size() })) {
+      return value;
+    }
+  }
+  return {};
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/eventio/src/httpserver.cpp
@@ -0,0 +1,447 @@
+#include "httpserver.h"
+
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace gooseberry {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using boost::asio::ip::tcp;
+
+constexpr int kHttpVersion = 11;
+// Callers that all connect in the same moment must find room in the kernel.
+constexpr int kBacklog = 1024;
+// Without descriptors left, accepting waits this long for one.
+constexpr Millis kAcceptPause{ 100 };
+// How long a closing connection takes in what the peer still sends, so that
+// the kernel does not discard the last answer.
+constexpr Millis kLinger{ 500 };
+constexpr std::size_t kLingerBuffer = 2048;
+
+auto
+StatusOf(const error_code& aError) -> http::status
+{
+  if (aError == http::error::header_limit) {
+    return http::status::request_header_fields_too_large;
+  }
+  if (aError == http::error::body_limit) {
+    return http::status::payload_too_large;
+  }
+  return http::status::bad_request;
+}
+
+auto
+IsMalformed(const error_code& aError) -> bool
+{
+  return aError.category() ==
+           http::make_error_code(http::error::end_of_stream).category() &&
+         aError != http::error::end_of_stream &&
+         aError != http::error::partial_message;
+}
+
+} // namespace
+
+class HttpServer::Session
+  : public std::enable_shared_from_this<HttpServer::Session>
+{
+public:
+  Session(tcp::socket aSocket, std::weak_ptr<HttpServer> aServer)
+    : socket(std::move(aSocket))
+    , server(std::move(aServer))
+  {
+  }
+
+  auto Start() -> void
+  {
+    auto ignored = error_code{};
+    this->socket.set_option(tcp::no_delay{ true }, ignored);
+    this->ReadHeader();
+  }
+
+  auto CloseIfIdle() -> void
+  {
+    if (this->idle && this->buffer.size() == 0) {
+      this->Close();
+    }
+  }
+
+  auto Send(int aStatus, std::string aBody, const HttpFields& aFields) -> void
+  {
+    const auto owner = this->server.lock();
+    if (!owner || this->closed) {
+      return;
+    }
+    const auto last = owner->draining || !this->keepAlive;
+    this->answer = {};
+    this->answer.version(kHttpVersion);
+    this->answer.result(static_cast<unsigned>(aStatus));
+    if (!aBody.empty()) {
+      this->answer.set(http::field::content_type, "application/json");
+    }
+    for (const auto& [name, value] : aFields) {
+      this->answer.set(name, value);
+    }
+    this->answer.keep_alive(!last);
+    this->answer.body() = std::move(aBody);
+    this->answer.prepare_payload();
+    this->Write(last);
+  }
+
+  auto ArrivedAt() const -> Time { return this->arrivedAt; }
+  auto Closed() const -> bool { return this->closed; }
+
+private:
+  auto ReadHeader() -> void
+  {
+    const auto owner = this->server.lock();
+    if (!owner || this->closed) {
+      return;
+    }
+    this->idle = true;
+    this->parser.emplace();
+    this->parser->header_limit(
+      static_cast<std::uint32_t>(owner->limits.maxHeaderBytes));
+    this->parser->body_limit(owner->limits.maxBodyBytes);
+    if (this->buffer.size() > 0) {
+      this->OnFirstByte();
+      return;
+    }
+    this->Arm(owner->limits.idleTimeout);
+    this->socket.async_wait(
+      tcp::socket::wait_read,
+      [self = this->shared_from_this()](const error_code& aError) {
+        if (aError || self->closed) {
+          self->Close();
+          return;
+        }
+        self->OnFirstByte();
+      });
+  }
+
+  auto OnFirstByte() -> void
+  {
+    const auto owner = this->server.lock();
+    if (!owner) {
+      this->Close();
+      return;
+    }
+    this->idle = false;
+    this->arrivedAt = owner->loop.Now();
+    this->Arm(owner->limits.headerTimeout);
+    http::async_read_header(
+      this->socket,
+      this->buffer,
+      *this->parser,
+      [self = this->shared_from_this()](const error_code& aError,
+                                        std::size_t /*aBytes*/) {
+        self->OnHeader(aError);
+      });
+  }
+
+  auto OnHeader(const error_code& aError) -> void
+  {
+    const auto owner = this->server.lock();
+    if (!owner || this->Failed(aError)) {
+      return;
+    }
+    if (this->parser->is_done()) {
+      this->OnRequest();
+      return;
+    }
+    this->Arm(owner->limits.idleTimeout);
+    http::async_read(this->socket,
+                     this->buffer,
+                     *this->parser,
+                     [self = this->shared_from_this()](
+                       const error_code& aReadError, std::size_t /*aBytes*/) {
+                       if (!self->Failed(aReadError)) {
+                         self->OnRequest();
+                       }
+                     });
+  }
+
+  // Answers what can't be read; true if the session is over.
+  auto Failed(const error_code& aError) -> bool
+  {
+    if (this->closed) {
+      return true;
+    }
+    if (!aError) {
+      return false;
+    }
+    if (!IsMalformed(aError)) {
+      this->Close();
+      return true;
+    }
+    this->keepAlive = false;
+    const auto status = StatusOf(aError);
+    this->Send(static_cast<int>(status),
+               R"({"error":")" + aError.message() + R"("})",
+               {});
+    return true;
+  }
+
+  auto OnRequest() -> void;
+
+  auto Write(bool aLast) -> void
+  {
+    const auto owner = this->server.lock();
+    this->Arm(owner->limits.idleTimeout);
+    http::async_write(this->socket,
+                      this->answer,
+                      [self = this->shared_from_this(), aLast](
+                        const error_code& aError, std::size_t /*aBytes*/) {
+                        self->answer = {};
+                        if (aError) {
+                          self->Close();
+                        } else if (aLast) {
+                          self->Linger();
+                        } else {
+                          self->ReadHeader();
+                        }
+                      });
+  }
+
+  auto Linger() -> void
+  {
+    auto ignored = error_code{};
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+    this->Arm(kLinger);
+    this->ReadRest();
+  }
+
+  auto ReadRest() -> void
+  {
+    this->rest.resize(kLingerBuffer);
+    this->socket.async_read_some(
+      asio::buffer(this->rest),
+      [self = this->shared_from_this()](const error_code& aError,
+                                        std::size_t /*aBytes*/) {
+        if (aError || self->closed) {
+          self->Close();
+        } else {
+          self->ReadRest();
+        }
+      });
+  }
+
+  auto Arm(Millis aTimeout) -> void
+  {
+    const auto owner = this->server.lock();
+    this->timer =
+      owner->loop.After(aTimeout, [self = this->weak_from_this()] {
+        if (const auto session = self.lock()) {
+          session->Close();
+        }
+      });
+  }
+
+  auto Close() -> void
+  {
+    if (this->closed) {
+      return;
+    }
+    this->closed = true;
+    this->timer.reset();
+    auto ignored = error_code{};
+    this->socket.close(ignored);
+    if (const auto owner = this->server.lock()) {
+      owner->sessions.erase(this->shared_from_this());
+    }
+  }
+
+  tcp::socket socket;
+  std::weak_ptr<HttpServer> server;
+  boost::beast::flat_buffer buffer;
+  std::optional<http::request_parser<http::string_body>> parser;
+  http::response<http::string_body> answer;
+  std::string rest;
+  TimerHandle timer;
+  Time arrivedAt{};
+  bool idle = false;
+  bool keepAlive = true;
+  bool closed = false;
+};
+
+class HttpServer::Exchange : public HttpExchange
+{
+public:
+  Exchange(HttpRequest aRequest,
+           std::shared_ptr<Session> aSession,
+           std::weak_ptr<HttpServer> aServer)
+    : request(std::move(aRequest))
+    , session(std::move(aSession))
+    , server(std::move(aServer))
+    , arrivedAt(this->session->ArrivedAt())
+  {
+  }
+
+  Exchange(const Exchange&) = delete;
+  auto operator=(const Exchange&) -> Exchange& = delete;
+
+  ~Exchange() override
+  {
+    constexpr int kInternalError = 500;
+    this->Answer(kInternalError, R"({"error":"not answered"})", {});
+  }
+
+  auto Request() const -> const HttpRequest& override { return this->request; }
+  auto ArrivedAt() const -> Time override { return this->arrivedAt; }
+
+  auto Answer(int aStatus, std::string aBody, HttpFields aFields)
+    -> void override
+  {
+    const auto open = std::exchange(this->session, nullptr);
+    if (!open) {
+      return;
+    }
+    if (const auto owner = this->server.lock()) {
+      --owner->unanswered;
+    }
+    open->Send(aStatus, std::move(aBody), aFields);
+  }
+
+  auto CallerGone() const -> bool override
+  {
+    return !this->session || this->session->Closed();
+  }
+
+private:
+  HttpRequest request;
+  std::shared_ptr<Session> session;
+  std::weak_ptr<HttpServer> server;
+  Time arrivedAt;
+};
+
+auto
+HttpServer::Session::OnRequest() -> void
+{
+  const auto owner = this->server.lock();
+  if (!owner) {
+    this->Close();
+    return;
+  }
+  this->timer.reset();
+  auto& message = this->parser->get();
+  this->keepAlive = message.keep_alive();
+  auto request = HttpRequest{};
+  request.method = std::string{ message.method_string() };
+  request.target = std::string{ message.target() };
+  for (const auto& field : message) {
+    request.fields.emplace_back(std::string{ field.name_string() },
+                                std::string{ field.value() });
+  }
+  request.body = std::move(message.body());
+  this->parser.reset();
+  ++owner->unanswered;
+  owner->handler(std::make_shared<Exchange>(
+    std::move(request), this->shared_from_this(), this->server));
+}
+
+HttpServer::HttpServer(EventLoop& aLoop,
+                       HttpServerLimits aLimits,
+                       Handler aHandler)
+  : loop(aLoop)
+  , limits(aLimits)
+  , handler(std::move(aHandler))
+  , acceptor(aLoop.Context())
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+auto
+HttpServer::Listen(const tcp::endpoint& aEndpoint, std::string& aReason) -> bool
+{
+  auto error = error_code{};
+  this->acceptor.open(tcp::v4(), error);
+  if (!error) {
+    this->acceptor.set_option(tcp::acceptor::reuse_address{ true }, error);
+  }
+  if (!error) {
+    this->acceptor.bind(aEndpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(kBacklog, error);
+  }
+  if (error) {
+    aReason = error.message();
+    return false;
+  }
+  this->Accept();
+  return true;
+}
+
+auto
+HttpServer::SetLimits(const HttpServerLimits& aLimits) -> void
+{
+  this->limits = aLimits;
+}
+
+auto
+HttpServer::Drain() -> void
+{
+  this->draining = true;
+  const auto all = this->sessions;
+  for (const auto& session : all) {
+    session->CloseIfIdle();
+  }
+}
+
+auto
+HttpServer::StopListening() -> void
+{
+  auto ignored = error_code{};
+  this->acceptor.close(ignored);
+}
+
+auto
+HttpServer::Unanswered() const -> std::size_t
+{
+  return this->unanswered;
+}
+
+auto
+HttpServer::Connections() const -> std::size_t
+{
+  return this->sessions.size();
+}
+
+auto
+HttpServer::Port() const -> std::uint16_t
+{
+  auto ignored = error_code{};
+  return this->acceptor.local_endpoint(ignored).port();
+}
+
+auto
+HttpServer::Accept() -> void
+{
+  this->acceptor.async_accept([self = this->weak_from_this()](
+                                const error_code& aError, tcp::socket aSocket) {
+    const auto server = self.lock();
+    if (!server || !server->acceptor.is_open()) {
+      return;
+    }
+    if (aError) {
+      server->acceptPause = server->loop.After(kAcceptPause, [self] {
+        if (const auto waiting = self.lock()) {
+          waiting->Accept();
+        }
+      });
+      return;
+    }
+    if (server->sessions.size() < server->limits.maxConnections) {
+      auto session = std::make_shared<Session>(std::move(aSocket), self);
+      server->sessions.insert(session);
+      session->Start();
+    }
+    server->Accept();
+  });
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/fleet/src/cellkeeper.cpp
@@ -0,0 +1,510 @@
+#include "cellkeeper.h"
+
+#include "wallclock.h"
+
+namespace gooseberry::fleet {
+
+namespace {
+
+// How often the owner's row is looked at, and how long it may stay unchanged.
+constexpr Millis kWatchInterval{ 400 };
+constexpr Millis kOwnerSilence{ 1500 };
+// An owner with nothing to record shows this often that it is alive.
+constexpr Millis kBeatInterval{ 500 };
+// Longest rest between two rounds of decisions.
+constexpr Millis kStepInterval{ 25 };
+constexpr Millis kStoreTimeout{ 1000 };
+constexpr Millis kJobPatience{ 1000 };
+
+} // namespace
+
+// Rows read after a takeover.
+struct CellKeeper::Load
+{
+  std::vector<cells::StoredRow> records;
+  std::vector<cells::StoredRow> submissions;
+  std::vector<cells::StoredRow> cancellations;
+  int missing = 0;
+  std::uint64_t version = 0;
+};
+
+CellKeeper::CellKeeper(const FleetSettings& aSettings,
+                       std::string aCell,
+                       KeeperPorts aPorts)
+  : settings(aSettings)
+  , rows{ std::move(aCell) }
+  , ports(aPorts)
+{
+}
+
+auto
+CellKeeper::Start() -> void
+{
+  this->Watch();
+}
+
+auto
+CellKeeper::Later(TimerHandle& aTimer,
+                  Millis aDelay,
+                  void (CellKeeper::*aWork)()) -> void
+{
+  aTimer =
+    this->ports.loop.After(aDelay, [weak = this->weak_from_this(), aWork] {
+      if (const auto self = weak.lock()) {
+        (*self.*aWork)();
+      }
+    });
+}
+
+auto
+CellKeeper::Watch() -> void
+{
+  if (this->releasing || this->recorder || this->taking) {
+    return;
+  }
+  const auto owner = this->rows.Owner();
+  this->ports.tables.Read(
+    { owner.table, owner.part, "", "" },
+    kStoreTimeout,
+    [weak = this->weak_from_this()](const cells::RowsOutcome& aOutcome) {
+      if (const auto self = weak.lock()) {
+        self->OnOwnerRow(aOutcome);
+      }
+    });
+}
+
+auto
+CellKeeper::OnOwnerRow(const cells::RowsOutcome& aOutcome) -> void
+{
+  const auto now = this->ports.loop.Now();
+  this->Later(this->watchTimer, kWatchInterval, &CellKeeper::Watch);
+  if (aOutcome.end != cells::TableEnd::Done || !this->ports.site.Config()) {
+    return;
+  }
+  if (aOutcome.rows.empty()) {
+    this->TakeOver(0, 1);
+    return;
+  }
+  const auto& row = aOutcome.rows.front();
+  auto reason = std::string{};
+  const auto owner = cells::DecodeOwner(row.value, reason);
+  if (!owner) {
+    this->ports.log.Write("owner_unreadable", { { "reason", reason } });
+    return;
+  }
+  if (row.version != this->seenVersion) {
+    this->seenVersion = row.version;
+    this->seenAt = now;
+  }
+  if (owner->released || now > this->seenAt + kOwnerSilence) {
+    this->TakeOver(row.version, owner->fencingToken + 1);
+  }
+}
+
+auto
+CellKeeper::TakeOver(std::uint64_t aVersion, std::uint64_t aToken) -> void
+{
+  if (this->releasing) {
+    return;
+  }
+  this->taking = true;
+  auto owner = cells::OwnerRow{ { this->settings.instance },
+                                this->settings.address,
+                                aToken };
+  auto commit = cells::RowsCommit{};
+  commit.conditions.push_back({ this->rows.Owner(), aVersion });
+  commit.puts.push_back({ this->rows.Owner(), cells::EncodeOwner(owner) });
+  this->ports.log.Write("cell_taking",
+                        { { "cell", this->rows.cell },
+                          { "token", std::to_string(aToken) },
+                          { "row", std::to_string(aVersion) } });
+  this->ports.tables.Commit(
+    commit,
+    kStoreTimeout,
+    [weak = this->weak_from_this(), owner](
+      const cells::CommitOutcome& aOutcome) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      self->taking = false;
+      if (aOutcome.end != cells::TableEnd::Done) {
+        // If it was done after all, nobody acts under it: it falls silent.
+        self->Later(self->watchTimer, kWatchInterval, &CellKeeper::Watch);
+        return;
+      }
+      self->recorder.emplace(self->rows, owner, aOutcome.version);
+      ++self->term;
+      self->lastWrite = self->ports.loop.Now();
+      self->LoadRecords();
+    });
+}
+
+auto
+CellKeeper::LoadRecords() -> void
+{
+  this->ports.site.FollowWorkers(true);
+  this->load = std::make_shared<Load>();
+  this->load->missing = 3;
+  this->ReadInto(this->rows.RecordRange(), &Load::records);
+  this->ReadInto(this->rows.SubmissionRange(), &Load::submissions);
+  this->ReadInto(this->rows.CancellationRange(), &Load::cancellations);
+}
+
+auto
+CellKeeper::ReadInto(const cells::RowsRange& aRange,
+                     std::vector<cells::StoredRow> Load::*aWhere) -> void
+{
+  this->ports.tables.Read(
+    aRange,
+    kStoreTimeout,
+    [weak = this->weak_from_this(),
+     held = std::weak_ptr<Load>(this->load),
+     aRange,
+     aWhere](const cells::RowsOutcome& aOutcome) {
+      const auto self = weak.lock();
+      const auto loading = held.lock();
+      if (!self || !loading || self->load != loading) {
+        return;
+      }
+      if (aOutcome.end != cells::TableEnd::Done) {
+        self->ReadInto(aRange, aWhere);
+        return;
+      }
+      (*loading).*aWhere = aOutcome.rows;
+      loading->version = loading->version == 0
+                           ? aOutcome.version
+                           : std::min(loading->version, aOutcome.version);
+      if (--loading->missing == 0) {
+        self->OnLoaded();
+      }
+    });
+}
+
+auto
+CellKeeper::OnLoaded() -> void
+{
+  const auto loaded = std::exchange(this->load, nullptr);
+  auto takeover = cells::CellTakeover{};
+  takeover.fencingToken = this->recorder->Owner().fencingToken;
+  takeover.now = this->ports.loop.Now();
+  takeover.nowUnixMs = UnixMillis();
+  auto reason = std::string{};
+  auto records = std::map<std::string, cells::JobRecord>{};
+  for (const auto& row : loaded->records) {
+    if (auto record = cells::DecodeRecord(row.value, reason)) {
+      records.emplace(row.key.key, std::move(*record));
+    } else {
+      this->ports.log.Write("record_unreadable",
+                            { { "job", row.key.key }, { "reason", reason } });
+    }
+  }
+  for (const auto& row : loaded->submissions) {
+    auto job = cells::DecodeJobRow(row.value, reason);
+    if (!job) {
+      this->ports.log.Write("job_unreadable",
+                            { { "job", row.key.key }, { "reason", reason } });
+      continue;
+    }
+    const auto record = records.find(row.key.key);
+    takeover.jobs.emplace_back(std::move(*job),
+                               record == records.end()
+                                 ? std::nullopt
+                                 : std::optional{ record->second });
+  }
+  for (const auto& row : loaded->cancellations) {
+    if (const auto id = cells::JobId::Parse(row.key.key)) {
+      takeover.cancelled.push_back(*id);
+    }
+  }
+  this->ports.log.Write(
+    "cell_taken",
+    { { "cell", this->rows.cell },
+      { "token", std::to_string(takeover.fencingToken) },
+      { "jobs", std::to_string(takeover.jobs.size()) },
+      { "records", std::to_string(records.size()) } });
+  auto options = cells::CellOptions{};
+  options.leaseMax = this->settings.bounds.leaseMax;
+  options.lease =
+    std::min(options.lease, options.leaseMax - Millis{ 200 });
+  options.stopBound = this->settings.bounds.stop;
+  options.keepEnded = this->settings.bounds.keepEnded;
+  options.remoteFactor = this->settings.bounds.remoteFactor;
+  this->cell = std::make_unique<cells::Cell>(
+    options, std::move(takeover), this->ports.log);
+  const auto follow = [this](const char* aTable,
+                             const std::string& aPart,
+                             auto aHandler) {
+    auto follower = std::make_shared<TableFollower>(
+      this->ports.loop,
+      this->ports.tables,
+      FollowerOptions{ aTable, aPart, kJobPatience, Millis{ 0 } },
+      [weak = this->weak_from_this(), aHandler](
+        const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
+        const auto self = weak.lock();
+        if (self && self->cell) {
+          (*self.*aHandler)(aRows);
+        }
+      });
+    return follower;
+  };
+  this->jobRows = follow(cells::CellRows::kSubmissionTable,
+                         this->rows.SubmissionRange().part,
+                         &CellKeeper::OnJobRows);
+  this->cancelRows = follow(cells::CellRows::kCancellationTable,
+                            this->rows.CancellationRange().part,
+                            &CellKeeper::OnCancelRows);
+  this->jobRows->StartAfter(loaded->version);
+  this->cancelRows->StartAfter(loaded->version);
+  this->OnSiteChanged();
+  this->StepEvery();
+}
+
+auto
+CellKeeper::OnSiteChanged() -> void
+{
+  if (!this->cell) {
+    return;
+  }
+  const auto now = this->ports.loop.Now();
+  this->cell->OnConfig(this->ports.site.Config());
+  this->cell->OnEvacuations(now, this->ports.site.Evacuated());
+  if (this->ports.site.WorkersKnown()) {
+    this->cell->OnWorkers(now, this->ports.site.Workers());
+  }
+  this->StepSoon();
+}
+
+auto
+CellKeeper::OwnedCell() const -> const cells::Cell*
+{
+  return this->cell.get();
+}
+
+auto
+CellKeeper::Rows() const -> const cells::CellRows&
+{
+  return this->rows;
+}
+
+auto
+CellKeeper::OnAccepted(const cells::JobRow& aRow) -> void
+{
+  if (this->cell) {
+    this->cell->OnJob(this->ports.loop.Now(), UnixMillis(), aRow);
+    this->StepSoon();
+  }
+}
+
+auto
+CellKeeper::OnCancelled(const cells::JobId& aJob) -> void
+{
+  if (this->cell) {
+    this->cell->OnCancel(this->ports.loop.Now(), aJob);
+    this->StepSoon();
+  }
+}
+
+auto
+CellKeeper::OnJobRows(const std::vector<cells::StoredRow>& aRows) -> void
+{
+  for (const auto& row : aRows) {
+    if (row.version == 0) {
+      continue;
+    }
+    auto reason = std::string{};
+    if (const auto job = cells::DecodeJobRow(row.value, reason)) {
+      this->OnAccepted(*job);
+    } else {
+      this->ports.log.Write("job_unreadable",
+                            { { "job", row.key.key }, { "reason", reason } });
+    }
+  }
+}
+
+auto
+CellKeeper::OnCancelRows(const std::vector<cells::StoredRow>& aRows) -> void
+{
+  for (const auto& row : aRows) {
+    const auto id = cells::JobId::Parse(row.key.key);
+    if (row.version != 0 && id) {
+      this->OnCancelled(*id);
+    }
+  }
+}
+
+auto
+CellKeeper::StepSoon() -> void
+{
+  if (std::exchange(this->stepPosted, true)) {
+    return;
+  }
+  this->ports.loop.Post([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->stepPosted = false;
+      self->Step();
+    }
+  });
+}
+
+auto
+CellKeeper::StepEvery() -> void
+{
+  if (!this->cell) {
+    return;
+  }
+  this->Step();
+  this->Later(this->stepTimer, kStepInterval, &CellKeeper::StepEvery);
+}
+
+auto
+CellKeeper::Step() -> void
+{
+  if (!this->cell) {
+    return;
+  }
+  this->cell->OnTick(this->ports.loop.Now(), UnixMillis());
+  this->WriteNext();
+  this->SendCalls();
+}
+
+auto
+CellKeeper::SendCalls() -> void
+{
+  for (const auto& call : this->cell->TakeCalls(this->ports.loop.Now())) {
+    this->ports.workers.Call(
+      call,
+      [weak = this->weak_from_this(), at = this->term](
+        const cells::WorkerAnswer& aAnswer) {
+        const auto self = weak.lock();
+        if (self && self->cell && self->term == at) {
+          self->cell->OnAnswer(self->ports.loop.Now(), aAnswer);
+          self->StepSoon();
+        }
+      });
+  }
+}
+
+auto
+CellKeeper::WriteNext() -> void
+{
+  if (this->recorder->InFlight() || this->readingOwner) {
+    return;
+  }
+  if (this->recorder->MustRead()) {
+    this->ReadOwner();
+    return;
+  }
+  const auto now = this->ports.loop.Now();
+  if (const auto batch = this->cell->NextBatch(now)) {
+    this->Commit(this->recorder->Write(*batch));
+  } else if (this->releasing || now > this->lastWrite + kBeatInterval) {
+    this->Commit(this->recorder->WriteBeat(this->releasing));
+  }
+}
+
+auto
+CellKeeper::Commit(const cells::RowsCommit& aCommit) -> void
+{
+  this->lastWrite = this->ports.loop.Now();
+  this->ports.tables.Commit(
+    aCommit,
+    kStoreTimeout,
+    [weak = this->weak_from_this(), at = this->term](
+      const cells::CommitOutcome& aOutcome) {
+      const auto self = weak.lock();
+      if (!self || !self->cell || self->term != at) {
+        return;
+      }
+      if (aOutcome.end != cells::TableEnd::Done) {
+        self->ports.log.Write("record_not_written",
+                              { { "end", ToText(aOutcome.end) },
+                                { "reason", aOutcome.reason } });
+      }
+      self->Apply(self->recorder->OnOutcome(aOutcome));
+    });
+}
+
+auto
+CellKeeper::ReadOwner() -> void
+{
+  this->readingOwner = true;
+  const auto owner = this->rows.Owner();
+  this->ports.tables.Read(
+    { owner.table, owner.part, "", "" },
+    kStoreTimeout,
+    [weak = this->weak_from_this(), at = this->term](
+      const cells::RowsOutcome& aOutcome) {
+      const auto self = weak.lock();
+      if (!self || !self->cell || self->term != at) {
+        return;
+      }
+      self->readingOwner = false;
+      if (aOutcome.end == cells::TableEnd::Done && !aOutcome.rows.empty()) {
+        self->Apply(self->recorder->OnOwnerRead(aOutcome.rows.front()));
+      }
+    });
+}
+
+auto
+CellKeeper::Apply(const cells::RecorderNews& aNews) -> void
+{
+  const auto now = this->ports.loop.Now();
+  if (aNews.lost) {
+    this->Lose("another owner has it");
+    return;
+  }
+  if (aNews.recorded) {
+    this->cell->OnRecorded(now, *aNews.recorded);
+  }
+  if (aNews.notRecorded) {
+    this->cell->OnNotRecorded(now, *aNews.notRecorded);
+  }
+  if (aNews.unknown) {
+    this->cell->OnRecordUnknown(now, *aNews.unknown);
+  }
+  if (this->releasing && this->recorder->Owner().released) {
+    this->Lose("released");
+    return;
+  }
+  this->StepSoon();
+}
+
+auto
+CellKeeper::Lose(const char* aWhy) -> void
+{
+  this->ports.log.Write("cell_lost",
+                        { { "cell", this->rows.cell }, { "why", aWhy } });
+  ++this->term;
+  this->cell.reset();
+  this->recorder.reset();
+  this->load.reset();
+  this->stepTimer.reset();
+  this->readingOwner = false;
+  for (auto* const follower : { &this->jobRows, &this->cancelRows }) {
+    if (*follower) {
+      (*follower)->Stop();
+      follower->reset();
+    }
+  }
+  this->ports.site.FollowWorkers(false);
+  if (const auto released = std::exchange(this->onReleased, nullptr)) {
+    released();
+  }
+  this->seenAt = this->ports.loop.Now();
+  this->Later(this->watchTimer, kWatchInterval, &CellKeeper::Watch);
+}
+
+auto
+CellKeeper::Release(std::function<void()> aDone) -> void
+{
+  this->releasing = true;
+  if (!this->cell) {
+    aDone();
+    return;
+  }
+  this->onReleased = std::move(aDone);
+  this->StepSoon();
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/cellkeeper.h
@@ -0,0 +1,107 @@
+#ifndef GOOSEBERRY_CELLKEEPER_H
+#define GOOSEBERRY_CELLKEEPER_H
+
+// Keeps one cell owned: watches its owner's row, takes the cell over when the
+// owner is gone, and carries out what the cell decides while it is ours.
+// Belongs to the event loop.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "cell.h"
+#include "eventloop.h"
+#include "fleetsettings.h"
+#include "recorder.h"
+#include "sitewatch.h"
+#include "tablefollower.h"
+#include "tableport.h"
+#include "workerport.h"
+
+namespace gooseberry::fleet {
+
+struct KeeperPorts
+{
+  EventLoop& loop;
+  cells::TablePort& tables;
+  cells::WorkerPort& workers;
+  SiteWatch& site;
+  cells::DecisionLog& log;
+};
+
+class CellKeeper : public std::enable_shared_from_this<CellKeeper>
+{
+public:
+  CellKeeper(const FleetSettings& aSettings,
+             std::string aCell,
+             KeeperPorts aPorts);
+
+  auto Start() -> void;
+  // Gives the cell up for a planned stop; aDone when that is recorded.
+  auto Release(std::function<void()> aDone) -> void;
+  auto OnSiteChanged() -> void;
+
+  // Null unless this instance owns the cell.
+  auto OwnedCell() const -> const cells::Cell*;
+  auto Rows() const -> const cells::CellRows&;
+  // This instance accepted the job or its cancellation itself.
+  auto OnAccepted(const cells::JobRow& aRow) -> void;
+  auto OnCancelled(const cells::JobId& aJob) -> void;
+
+private:
+  struct Load;
+
+  // Watching.
+  auto Watch() -> void;
+  auto OnOwnerRow(const cells::RowsOutcome& aOutcome) -> void;
+  auto TakeOver(std::uint64_t aVersion, std::uint64_t aToken) -> void;
+  auto LoadRecords() -> void;
+  auto ReadInto(const cells::RowsRange& aRange,
+                std::vector<cells::StoredRow> Load::*aWhere) -> void;
+  auto OnLoaded() -> void;
+
+  // Owning.
+  auto Step() -> void;
+  auto StepSoon() -> void;
+  auto StepEvery() -> void;
+  auto SendCalls() -> void;
+  auto WriteNext() -> void;
+  auto Commit(const cells::RowsCommit& aCommit) -> void;
+  auto ReadOwner() -> void;
+  auto Apply(const cells::RecorderNews& aNews) -> void;
+  auto OnJobRows(const std::vector<cells::StoredRow>& aRows) -> void;
+  auto OnCancelRows(const std::vector<cells::StoredRow>& aRows) -> void;
+  auto Lose(const char* aWhy) -> void;
+  auto Later(TimerHandle& aTimer, Millis aDelay, void (CellKeeper::*aWork)())
+    -> void;
+
+  const FleetSettings& settings;
+  const cells::CellRows rows;
+  KeeperPorts ports;
+
+  // Watching.
+  std::uint64_t seenVersion = 0;
+  Time seenAt{};
+  bool taking = false;
+  TimerHandle watchTimer;
+
+  // Owning.
+  std::shared_ptr<Load> load;
+  std::unique_ptr<cells::Cell> cell;
+  std::optional<cells::Recorder> recorder;
+  std::shared_ptr<TableFollower> jobRows;
+  std::shared_ptr<TableFollower> cancelRows;
+  // Grows with each takeover and loss; late answers of before are dropped.
+  std::uint64_t term = 0;
+  Time lastWrite{};
+  bool readingOwner = false;
+  bool stepPosted = false;
+  TimerHandle stepTimer;
+  std::function<void()> onReleased;
+  bool releasing = false;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
--- /dev/null
+++ b/fleet/src/entry.cpp
@@ -0,0 +1,315 @@
+#include "entry.h"
+
+#include "wallclock.h"
+
+namespace gooseberry::fleet {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kNotAllowed = 405;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// Callers that don't say how long they wait.
+constexpr Millis kDefaultDeadline{ 3000 };
+// Left for the answer's way back.
+constexpr Millis kAnswerReserve{ 200 };
+// A store that refuses is tried again so often and after this.
+constexpr int kMaxTries = 4;
+constexpr Millis kTryAgain{ 80 };
+constexpr Millis kCallTimeout{ 600 };
+
+auto
+RetryAfter(int aSeconds) -> HttpFields
+{
+  return { { "Retry-After", std::to_string(aSeconds) } };
+}
+
+} // namespace
+
+struct Entry::Submission
+{
+  std::shared_ptr<HttpExchange> exchange;
+  cells::JobRow row;
+  std::string bytes;
+  Time deadline{};
+  int tries = 0;
+  // The row may be in the store, though no answer said so.
+  bool mayBeStored = false;
+  TimerHandle timer;
+};
+
+struct Entry::Question
+{
+  std::shared_ptr<HttpExchange> exchange;
+  cells::JobId job;
+  Time deadline{};
+  TimerHandle timer;
+};
+
+Entry::Entry(EventLoop& aLoop,
+             cells::TablePort& aTables,
+             SiteWatch& aSite,
+             CellKeeper& aKeeper,
+             cells::DecisionLog& aLog)
+  : loop(aLoop)
+  , tables(aTables)
+  , site(aSite)
+  , keeper(aKeeper)
+  , log(aLog)
+{
+}
+
+auto
+Entry::Handle(std::shared_ptr<HttpExchange> aExchange) -> void
+{
+  const auto config = this->site.Config();
+  if (!config) {
+    aExchange->Answer(
+      kUnavailable, wire::ErrorBody("no configuration yet"), RetryAfter(1));
+    return;
+  }
+  const auto request = wire::ReadCallerRequest(aExchange->Request());
+  const auto* const queue = config->FindQueue(request.host, request.path);
+  if (queue == nullptr) {
+    aExchange->Answer(kNotFound, wire::ErrorBody("no such queue"), {});
+    return;
+  }
+  const auto rest = request.path.substr(queue->pathPrefix.size());
+  const auto verb = wire::VerbOf(aExchange->Request(), rest);
+  if (verb == wire::CallerVerb::CountPending) {
+    this->CountPending(aExchange, *queue);
+    return;
+  }
+  const auto job = cells::JobId::Parse(rest);
+  if (verb == wire::CallerVerb::Unknown) {
+    aExchange->Answer(kNotAllowed, wire::ErrorBody("method not known"), {});
+    return;
+  }
+  if (!job) {
+    aExchange->Answer(kBadRequest,
+                      wire::ErrorBody("a job's name is 16 hexadecimal digits"),
+                      {});
+    return;
+  }
+  if (verb == wire::CallerVerb::Submit) {
+    this->Submit(std::move(aExchange), request, *queue, *job);
+    return;
+  }
+  auto question = std::make_shared<Question>();
+  question->deadline = aExchange->ArrivedAt() +
+                       request.deadline.value_or(kDefaultDeadline) -
+                       kAnswerReserve;
+  question->exchange = std::move(aExchange);
+  question->job = *job;
+  if (verb == wire::CallerVerb::Cancel) {
+    this->Cancel(question);
+  } else {
+    this->AskState(question);
+  }
+}
+
+auto
+Entry::Submit(std::shared_ptr<HttpExchange> aExchange,
+              const wire::CallerRequest& aRequest,
+              const cells::Queue& aQueue,
+              const cells::JobId& aJob) -> void
+{
+  auto reason = std::string{};
+  auto spec = wire::ReadJob(aExchange->Request().body, reason);
+  if (!spec) {
+    this->log.Write("job_refused",
+                    { { "job", aJob.Text() }, { "reason", reason } });
+    aExchange->Answer(kBadRequest, wire::ErrorBody(reason), {});
+    return;
+  }
+  auto submission = std::make_shared<Submission>();
+  submission->deadline = aExchange->ArrivedAt() +
+                         aRequest.deadline.value_or(kDefaultDeadline) -
+                         kAnswerReserve;
+  submission->exchange = std::move(aExchange);
+  submission->row = { aJob, aQueue.id, aQueue.policy, std::move(*spec), UnixMillis() };
+  submission->bytes = cells::EncodeJobRow(submission->row);
+  this->WriteJob(submission);
+}
+
+auto
+Entry::WriteJob(const std::shared_ptr<Submission>& aSubmission) -> void
+{
+  ++aSubmission->tries;
+  const auto key = this->keeper.Rows().Submission(aSubmission->row.id);
+  this->tables.Commit({ { { key, 0 } }, { { key, aSubmission->bytes } }, {} },
+                      kCallTimeout,
+                      [this, aSubmission](const cells::CommitOutcome& aOutcome) {
+                        this->OnWritten(aSubmission, aOutcome);
+                      });
+}
+
+auto
+Entry::OnWritten(const std::shared_ptr<Submission>& aSubmission,
+                 const cells::CommitOutcome& aOutcome) -> void
+{
+  const auto now = this->loop.Now();
+  const auto& job = aSubmission->row.id;
+  switch (aOutcome.end) {
+    case cells::TableEnd::Done:
+      this->log.Write("job_accepted",
+                      { { "job", job.Text() },
+                        { "queue", aSubmission->row.queue.text },
+                        { "row", std::to_string(aOutcome.version) } });
+      aSubmission->exchange->Answer(kOk, "{}", {});
+      this->keeper.OnAccepted(aSubmission->row);
+      return;
+    case cells::TableEnd::Conflict:
+      this->log.Write("job_known", { { "job", job.Text() } });
+      aSubmission->exchange->Answer(kOk, "{}", {});
+      return;
+    case cells::TableEnd::Unknown:
+      aSubmission->mayBeStored = true;
+      break;
+    default:
+      break;
+  }
+  const auto again = aSubmission->tries < kMaxTries || aSubmission->mayBeStored;
+  if (again && now + kTryAgain < aSubmission->deadline) {
+    aSubmission->timer = this->loop.After(
+      kTryAgain, [this, aSubmission] { this->WriteJob(aSubmission); });
+    return;
+  }
+  this->log.Write("job_not_accepted",
+                  { { "job", job.Text() },
+                    { "may_be_stored", aSubmission->mayBeStored ? "yes" : "no" },
+                    { "reason", aOutcome.reason } });
+  if (aSubmission->mayBeStored) {
+    aSubmission->exchange->Answer(
+      kGatewayTimeout, wire::ErrorBody("the store did not answer"), {});
+  } else {
+    aSubmission->exchange->Answer(
+      kUnavailable, wire::ErrorBody("the store takes nothing"), RetryAfter(1));
+  }
+}
+
+auto
+Entry::AskState(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  if (const auto* const cell = this->keeper.OwnedCell()) {
+    if (const auto* const job = cell->FindJob(aQuestion->job)) {
+      auto state = IsFinal(job->state) ? job->recorded : job->state;
+      aQuestion->exchange->Answer(kOk, wire::StateBody(state), {});
+      return;
+    }
+  }
+  this->ReadRecord(aQuestion);
+}
+
+auto
+Entry::ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  const auto key = this->keeper.Rows().Record(aQuestion->job);
+  this->tables.Read(
+    { key.table, key.part, key.key, key.key + "!" },
+    kCallTimeout,
+    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+      if (aOutcome.end != cells::TableEnd::Done) {
+        this->RetryQuestion(aQuestion, &Entry::ReadRecord);
+        return;
+      }
+      auto reason = std::string{};
+      if (!aOutcome.rows.empty()) {
+        if (const auto record =
+              cells::DecodeRecord(aOutcome.rows.front().value, reason)) {
+          aQuestion->exchange->Answer(
+            kOk, wire::StateBody(record->state), {});
+          return;
+        }
+      }
+      this->ReadSubmission(aQuestion);
+    });
+}
+
+auto
+Entry::ReadSubmission(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  const auto key = this->keeper.Rows().Submission(aQuestion->job);
+  this->tables.Read(
+    { key.table, key.part, key.key, key.key + "!" },
+    kCallTimeout,
+    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+      if (aOutcome.end != cells::TableEnd::Done) {
+        this->RetryQuestion(aQuestion, &Entry::ReadSubmission);
+      } else if (aOutcome.rows.empty()) {
+        aQuestion->exchange->Answer(
+          kGone, wire::ErrorBody("no such job"), {});
+      } else {
+        aQuestion->exchange->Answer(
+          kOk, wire::StateBody(cells::JobState::Queued), {});
+      }
+    });
+}
+
+auto
+Entry::RetryQuestion(const std::shared_ptr<Question>& aQuestion,
+                     void (Entry::*aStep)(const std::shared_ptr<Question>&))
+  -> void
+{
+  if (this->loop.Now() + kTryAgain >= aQuestion->deadline) {
+    aQuestion->exchange->Answer(
+      kUnavailable, wire::ErrorBody("the store does not answer"), RetryAfter(1));
+    return;
+  }
+  aQuestion->timer =
+    this->loop.After(kTryAgain, [this, aQuestion, aStep] {
+      (this->*aStep)(aQuestion);
+    });
+}
+
+auto
+Entry::Cancel(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  const auto key = this->keeper.Rows().Submission(aQuestion->job);
+  this->tables.Read(
+    { key.table, key.part, key.key, key.key + "!" },
+    kCallTimeout,
+    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+      if (aOutcome.end != cells::TableEnd::Done) {
+        this->RetryQuestion(aQuestion, &Entry::Cancel);
+      } else if (aOutcome.rows.empty()) {
+        aQuestion->exchange->Answer(kGone, wire::ErrorBody("no such job"), {});
+      } else {
+        this->WriteCancel(aQuestion);
+      }
+    });
+}
+
+auto
+Entry::WriteCancel(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  const auto key = this->keeper.Rows().Cancellation(aQuestion->job);
+  this->tables.Commit(
+    { {}, { { key, "1" } }, {} },
+    kCallTimeout,
+    [this, aQuestion](const cells::CommitOutcome& aOutcome) {
+      if (aOutcome.end != cells::TableEnd::Done) {
+        this->RetryQuestion(aQuestion, &Entry::WriteCancel);
+        return;
+      }
+      this->log.Write("job_cancelled", { { "job", aQuestion->job.Text() } });
+      aQuestion->exchange->Answer(kOk, "{}", {});
+      this->keeper.OnCancelled(aQuestion->job);
+    });
+}
+
+auto
+Entry::CountPending(const std::shared_ptr<HttpExchange>& aExchange,
+                    const cells::Queue& aQueue) -> void
+{
+  const auto* const cell = this->keeper.OwnedCell();
+  const auto pending = cell == nullptr ? 0 : cell->PendingIn(aQueue.id);
+  aExchange->Answer(kOk, wire::PendingBody(pending), {});
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/entry.h
@@ -0,0 +1,57 @@
+#ifndef GOOSEBERRY_ENTRY_H
+#define GOOSEBERRY_ENTRY_H
+
+// What callers ask: jobs are taken in, cancelled and told about. A job counts as
+// accepted once its row is in the store.
+
+#include <memory>
+
+#include "cellkeeper.h"
+#include "httpserver.h"
+#include "wirecallers.h"
+
+namespace gooseberry::fleet {
+
+class Entry
+{
+public:
+  Entry(EventLoop& aLoop,
+        cells::TablePort& aTables,
+        SiteWatch& aSite,
+        CellKeeper& aKeeper,
+        cells::DecisionLog& aLog);
+
+  auto Handle(std::shared_ptr<HttpExchange> aExchange) -> void;
+
+private:
+  struct Submission;
+  struct Question;
+
+  auto Submit(std::shared_ptr<HttpExchange> aExchange,
+              const wire::CallerRequest& aRequest,
+              const cells::Queue& aQueue,
+              const cells::JobId& aJob) -> void;
+  auto WriteJob(const std::shared_ptr<Submission>& aSubmission) -> void;
+  auto OnWritten(const std::shared_ptr<Submission>& aSubmission,
+                 const cells::CommitOutcome& aOutcome) -> void;
+  auto AskState(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto ReadSubmission(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto RetryQuestion(const std::shared_ptr<Question>& aQuestion,
+                     void (Entry::*aStep)(const std::shared_ptr<Question>&))
+    -> void;
+  auto Cancel(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto WriteCancel(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto CountPending(const std::shared_ptr<HttpExchange>& aExchange,
+                    const cells::Queue& aQueue) -> void;
+
+  EventLoop& loop;
+  cells::TablePort& tables;
+  SiteWatch& site;
+  CellKeeper& keeper;
+  cells::DecisionLog& log;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
--- /dev/null
+++ b/fleet/src/fleetinstance.cpp
@@ -0,0 +1,184 @@
+#include "fleetinstance.h"
+
+#include <csignal>
+
+#include <boost/asio/signal_set.hpp>
+
+#include "hostport.h"
+
+namespace gooseberry::fleet {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr const char* kTheCell = "c0";
+// The balancer needs two looks, a second apart, to stop sending new connections.
+constexpr Millis kBalancerLag{ 2300 };
+// Kept back from the grace period for ending.
+constexpr Millis kEndReserve{ 500 };
+constexpr Millis kEndLook{ 50 };
+
+} // namespace
+
+FleetInstance::FleetInstance(FleetSettings aSettings)
+  : settings(std::move(aSettings))
+  , log(this->settings.instance)
+{
+}
+
+FleetInstance::~FleetInstance() = default;
+
+auto
+FleetInstance::Start(std::string& aReason) -> bool
+{
+  const auto store = ParseEndpoint(this->settings.store.address);
+  if (!store) {
+    aReason = "store.address '" + this->settings.store.address +
+              "' is not ADDRESS:PORT";
+    return false;
+  }
+  this->tables = std::make_unique<wire::WireTables>(this->loop, *store);
+  this->workers = std::make_unique<wire::WireWorkers>(this->loop);
+  this->site =
+    std::make_unique<SiteWatch>(this->loop, *this->tables, this->log);
+  this->keeper = std::make_shared<CellKeeper>(
+    this->settings,
+    kTheCell,
+    KeeperPorts{
+      this->loop, *this->tables, *this->workers, *this->site, this->log });
+  this->entry = std::make_unique<Entry>(
+    this->loop, *this->tables, *this->site, *this->keeper, this->log);
+  this->site->SetOnChange([this] {
+    if (const auto config = this->site->Config()) {
+      auto limits = HttpServerLimits{};
+      limits.maxHeaderBytes = config->limits.maxHeaderBytes;
+      limits.maxBodyBytes = config->limits.maxBodyBytes;
+      limits.headerTimeout = config->limits.headerTimeout;
+      limits.idleTimeout = config->limits.idleTimeout;
+      limits.maxConnections =
+        static_cast<std::size_t>(this->settings.maxDescriptors) / 2;
+      this->callers->SetLimits(limits);
+    }
+    this->keeper->OnSiteChanged();
+  });
+  const auto handle = [this](std::shared_ptr<HttpExchange> aExchange) {
+    this->entry->Handle(std::move(aExchange));
+  };
+  const auto tell = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+    if (aExchange->Request().target != wire::kReadyPath) {
+      aExchange->Answer(kNotFound, "", {});
+    } else {
+      aExchange->Answer(this->Ready() ? kOk : kUnavailable, "", {});
+    }
+  };
+  if (!this->Listen(this->callers, this->settings.callers, handle, aReason) ||
+      !this->Listen(this->ready, this->settings.ready, tell, aReason)) {
+    return false;
+  }
+  this->WatchSignals();
+  this->site->Start();
+  this->keeper->Start();
+  this->log.Write("started",
+                  { { "version", GOOSEBERRY_VERSION },
+                    { "domain", this->settings.domain.text },
+                    { "callers", this->settings.callers },
+                    { "store", this->settings.store.address } });
+  return true;
+}
+
+auto
+FleetInstance::Listen(std::shared_ptr<HttpServer>& aServer,
+                      const std::string& aAddress,
+                      HttpServer::Handler aHandler,
+                      std::string& aReason) -> bool
+{
+  if (aAddress.empty()) {
+    return true;
+  }
+  const auto endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    aReason = "'" + aAddress + "' is not ADDRESS:PORT";
+    return false;
+  }
+  aServer = std::make_shared<HttpServer>(
+    this->loop, HttpServerLimits{}, std::move(aHandler));
+  if (!aServer->Listen(*endpoint, aReason)) {
+    aReason = aAddress + ": " + aReason;
+    return false;
+  }
+  return true;
+}
+
+auto
+FleetInstance::Run() -> void
+{
+  this->loop.Run();
+}
+
+auto
+FleetInstance::WatchSignals() -> void
+{
+  auto set = std::make_shared<boost::asio::signal_set>(
+    this->loop.Context(), SIGTERM, SIGINT, SIGHUP);
+  auto* const raw = set.get();
+  const auto wait = std::make_shared<std::function<void()>>();
+  *wait = [this, raw, again = std::weak_ptr<std::function<void()>>(wait)] {
+    raw->async_wait([this, again](const boost::system::error_code& aError,
+                                  int aSignal) {
+      const auto next = again.lock();
+      if (aError || !next) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        this->log.Write("reloaded", {});
+      } else {
+        this->Shutdown();
+      }
+      (*next)();
+    });
+  };
+  (*wait)();
+  this->signals = std::make_shared<
+    std::pair<std::shared_ptr<boost::asio::signal_set>,
+              std::shared_ptr<std::function<void()>>>>(set, wait);
+}
+
+auto
+FleetInstance::Ready() const -> bool
+{
+  return !this->stopping && this->site->Config() != nullptr;
+}
+
+auto
+FleetInstance::Shutdown() -> void
+{
+  if (std::exchange(this->stopping, true)) {
+    return;
+  }
+  this->log.Write("stopping", {});
+  this->stopAt = this->loop.Now();
+  this->callers->Drain();
+  this->keeper->Release([this] { this->released = true; });
+  this->EndWhenIdle();
+}
+
+auto
+FleetInstance::EndWhenIdle() -> void
+{
+  const auto elapsed = this->loop.Now() - this->stopAt;
+  const auto quiet = this->callers->Unanswered() == 0 && this->released &&
+                     elapsed > kBalancerLag;
+  if (quiet || elapsed > this->settings.bounds.grace - kEndReserve) {
+    this->log.Write(
+      "stopped",
+      { { "unanswered", std::to_string(this->callers->Unanswered()) } });
+    this->loop.Stop();
+    return;
+  }
+  this->endTimer =
+    this->loop.After(kEndLook, [this] { this->EndWhenIdle(); });
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/fleetinstance.h
@@ -0,0 +1,65 @@
+#ifndef GOOSEBERRY_FLEETINSTANCE_H
+#define GOOSEBERRY_FLEETINSTANCE_H
+
+// One whole instance of the fleet's scheduler: callers' entry, site watch, and
+// the owner of a cell if it falls to this instance.
+
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include "cellkeeper.h"
+#include "entry.h"
+#include "eventloop.h"
+#include "fleetlog.h"
+#include "fleetsettings.h"
+#include "httpserver.h"
+#include "sitewatch.h"
+#include "wiretables.h"
+#include "wireworkers.h"
+
+namespace gooseberry::fleet {
+
+class FleetInstance
+{
+public:
+  explicit FleetInstance(FleetSettings aSettings);
+  FleetInstance(const FleetInstance&) = delete;
+  auto operator=(const FleetInstance&) -> FleetInstance& = delete;
+  ~FleetInstance();
+
+  // False with the reason if it can't start.
+  auto Start(std::string& aReason) -> bool;
+  // Returns when it was stopped by SIGTERM or SIGINT, gracefully.
+  auto Run() -> void;
+
+private:
+  auto Listen(std::shared_ptr<HttpServer>& aServer,
+              const std::string& aAddress,
+              HttpServer::Handler aHandler,
+              std::string& aReason) -> bool;
+  auto WatchSignals() -> void;
+  auto Shutdown() -> void;
+  auto EndWhenIdle() -> void;
+  auto Ready() const -> bool;
+
+  const FleetSettings settings;
+  FleetLog log;
+  EventLoop loop;
+  std::unique_ptr<wire::WireTables> tables;
+  std::unique_ptr<wire::WireWorkers> workers;
+  std::unique_ptr<SiteWatch> site;
+  std::shared_ptr<CellKeeper> keeper;
+  std::unique_ptr<Entry> entry;
+  std::shared_ptr<HttpServer> callers;
+  std::shared_ptr<HttpServer> ready;
+  std::shared_ptr<void> signals;
+  bool stopping = false;
+  bool released = false;
+  Time stopAt{};
+  TimerHandle endTimer;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
--- /dev/null
+++ b/fleet/src/fleetsettings.cpp
@@ -0,0 +1,96 @@
+#include "fleetsettings.h"
+
+namespace gooseberry::fleet {
+
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::int64_t kMaxRate = 1'000'000;
+constexpr std::int64_t kMaxMemoryMb = 1 << 20;
+constexpr Millis kDay{ 86'400'000 };
+
+auto
+ReadStore(YamlMap& aMap) -> StoreSettings
+{
+  auto store = StoreSettings{};
+  store.address = aMap.String("address", "");
+  store.writesPerSecond =
+    aMap.Integer("writes_per_second", store.writesPerSecond, 1, kMaxRate);
+  store.readsPerSecond =
+    aMap.Integer("reads_per_second", store.readsPerSecond, 1, kMaxRate);
+  if (store.address.empty()) {
+    aMap.Report("address", "is required");
+  }
+  aMap.Finish();
+  return store;
+}
+
+auto
+ReadBounds(YamlMap& aMap) -> BoundSettings
+{
+  constexpr Millis kLeast{ 1 };
+  auto bounds = BoundSettings{};
+  bounds.leaseMax = aMap.Duration("lease_max", bounds.leaseMax, kLeast, kDay);
+  bounds.stop = aMap.Duration("stop", bounds.stop, kLeast, kDay);
+  bounds.keepEnded =
+    aMap.Duration("keep_ended", bounds.keepEnded, kLeast, kDay);
+  bounds.grace = aMap.Duration("grace", bounds.grace, kLeast, kDay);
+  bounds.remoteFactor =
+    aMap.Number("remote_factor", bounds.remoteFactor, 1.0, 1000.0);
+  aMap.Finish();
+  return bounds;
+}
+
+} // namespace
+
+auto
+ParseFleetSettings(const std::string& aSource,
+                   const std::string& aText,
+                   std::vector<YamlError>& aErrors)
+  -> std::optional<FleetSettings>
+{
+  const auto node = ParseYaml(aSource, aText, {}, aErrors);
+  if (!node) {
+    return std::nullopt;
+  }
+  auto map = YamlMap{ aSource, *node, aErrors };
+  auto settings = FleetSettings{};
+  settings.instance = map.String("instance", settings.instance);
+  settings.domain = { map.String("domain", settings.domain.text) };
+  settings.address = map.String("address", settings.address);
+  settings.firstPeerPort = map.Integer("first_peer_port", 0, 0, kMaxPort);
+  settings.lastPeerPort = map.Integer("last_peer_port", 0, 0, kMaxPort);
+  settings.callers = map.String("callers", settings.callers);
+  settings.ready = map.String("ready", settings.ready);
+  settings.metrics = map.String("metrics", settings.metrics);
+  settings.processorShare =
+    map.Number("processor_share", settings.processorShare, 0.001, 1024.0);
+  settings.memoryMb = map.Integer("memory_mb", settings.memoryMb, 1, kMaxMemoryMb);
+  settings.maxDescriptors =
+    map.Integer("max_descriptors", settings.maxDescriptors, 64, kMaxRate);
+  settings.cloud = map.String("cloud", "");
+  settings.advice = map.String("advice", "");
+  settings.logLevel = map.String("log_level", settings.logLevel);
+  if (auto store = map.Map("store")) {
+    settings.store = ReadStore(*store);
+  } else {
+    map.Report("store", "is required");
+  }
+  if (auto bounds = map.Map("bounds")) {
+    settings.bounds = ReadBounds(*bounds);
+  }
+  map.Finish();
+  if (!aErrors.empty()) {
+    return std::nullopt;
+  }
+  return settings;
+}
+
+auto
+LooksLikeFleetSettings(const std::string& aText) -> bool
+{
+  return aText.starts_with("store:") ||
+         aText.find("\nstore:") != std::string::npos;
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/sitewatch.cpp
@@ -0,0 +1,202 @@
+#include "sitewatch.h"
+
+#include "wiresite.h"
+#include "wiretables.h"
+
+namespace gooseberry::fleet {
+
+namespace {
+
+// A silent connection is believed for so long; a configuration has to be in
+// force within 2 s of its acknowledgement.
+constexpr Millis kOperatorPatience{ 1000 };
+constexpr Millis kWorkerPatience{ 1000 };
+// Workers write all the time; their changes share a call.
+constexpr Millis kWorkerRest{ 250 };
+
+} // namespace
+
+SiteWatch::SiteWatch(EventLoop& aLoop,
+                     cells::TablePort& aTables,
+                     cells::DecisionLog& aLog)
+  : loop(aLoop)
+  , tables(aTables)
+  , log(aLog)
+{
+}
+
+auto
+SiteWatch::Start() -> void
+{
+  this->operators = std::make_shared<TableFollower>(
+    this->loop,
+    this->tables,
+    FollowerOptions{ wire::kOperatorTable, "", kOperatorPatience, Millis{ 0 } },
+    [this](const std::vector<cells::StoredRow>& aRows, bool aWhole) {
+      this->OnOperatorRows(aRows, aWhole);
+    });
+  this->operators->Start();
+}
+
+auto
+SiteWatch::Stop() -> void
+{
+  if (this->operators) {
+    this->operators->Stop();
+  }
+  this->FollowWorkers(false);
+}
+
+auto
+SiteWatch::FollowWorkers(bool aFollow) -> void
+{
+  if (aFollow == (this->workerRows != nullptr)) {
+    return;
+  }
+  if (!aFollow) {
+    this->workerRows->Stop();
+    this->workerRows.reset();
+    this->workersKnown = false;
+    return;
+  }
+  this->workerRows = std::make_shared<TableFollower>(
+    this->loop,
+    this->tables,
+    FollowerOptions{ wire::kWorkerTable, "", kWorkerPatience, kWorkerRest },
+    [this](const std::vector<cells::StoredRow>& aRows, bool aWhole) {
+      this->OnWorkerRows(aRows, aWhole);
+    });
+  this->workerRows->Start();
+}
+
+auto
+SiteWatch::SetOnChange(std::function<void()> aOnChange) -> void
+{
+  this->onChange = std::move(aOnChange);
+}
+
+auto
+SiteWatch::Config() const -> std::shared_ptr<const cells::SiteConfig>
+{
+  return this->config.Get();
+}
+
+auto
+SiteWatch::Evacuated() const -> const std::set<DomainId>&
+{
+  return this->evacuated;
+}
+
+auto
+SiteWatch::Workers() const -> const cells::WorkerTable&
+{
+  return this->workers;
+}
+
+auto
+SiteWatch::WorkersKnown() const -> bool
+{
+  return this->workersKnown;
+}
+
+auto
+SiteWatch::OnOperatorRows(const std::vector<cells::StoredRow>& aRows,
+                          bool aWhole) -> void
+{
+  if (aWhole) {
+    this->evacuated.clear();
+  }
+  for (const auto& row : aRows) {
+    const auto key = wire::ReadOperatorKey(row.key.key);
+    switch (key.kind) {
+      case wire::OperatorKind::Config:
+        this->OnConfigRow(row);
+        break;
+      case wire::OperatorKind::Evacuation:
+        this->log.Write("evacuation",
+                        { { "domain", key.name },
+                          { "out", row.version != 0 ? "yes" : "no" },
+                          { "row", std::to_string(row.version) } });
+        if (row.version != 0) {
+          this->evacuated.insert({ key.name });
+        } else {
+          this->evacuated.erase({ key.name });
+        }
+        break;
+      default:
+        break;
+    }
+  }
+  this->Changed();
+}
+
+auto
+SiteWatch::OnConfigRow(const cells::StoredRow& aRow) -> void
+{
+  auto reason = std::string{};
+  auto next = wire::ReadConfig(aRow.value, reason);
+  if (!next) {
+    this->log.Write("config_unreadable",
+                    { { "row", std::to_string(aRow.version) },
+                      { "reason", reason } });
+    return;
+  }
+  const auto current = this->config.Get();
+  // Versions only grow; a late answer must not bring an older one back.
+  if (current && next->version <= current->version) {
+    return;
+  }
+  this->log.Write("config_in_force",
+                  { { "version", std::to_string(next->version) },
+                    { "queues", std::to_string(next->queues.size()) } });
+  this->config.Set(
+    std::make_shared<const cells::SiteConfig>(std::move(*next)));
+}
+
+auto
+SiteWatch::OnWorkerRows(const std::vector<cells::StoredRow>& aRows, bool aWhole)
+  -> void
+{
+  if (aWhole) {
+    this->workers.clear();
+  }
+  this->workersKnown = true;
+  for (const auto& row : aRows) {
+    const auto id = WorkerId{ row.key.key };
+    if (row.version == 0) {
+      if (this->workers.erase(id) > 0) {
+        this->log.Write("worker_unlisted", { { "worker", id.text } });
+      }
+      continue;
+    }
+    auto reason = std::string{};
+    if (auto entry = wire::ReadWorker(row.key.key, row.value, reason)) {
+      auto [item, added] = this->workers.try_emplace(id);
+      if (added || item->second.leaving != entry->leaving) {
+        this->log.Write("worker_listed",
+                        { { "worker", id.text },
+                          { "domain", entry->domain.text },
+                          { "rack", entry->Rack() },
+                          { "leaving", entry->leaving ? "yes" : "no" },
+                          { "cpu", std::to_string(entry->capacity.cpuMillis) },
+                          { "born", std::to_string(entry->bornUnixMs) } });
+      }
+      item->second = std::move(*entry);
+    } else {
+      this->workers.erase(id);
+      this->log.Write("worker_unreadable",
+                      { { "worker", id.text }, { "reason", reason } });
+    }
+  }
+  this->Changed();
+}
+
+auto
+SiteWatch::Changed() -> void
+{
+  if (this->onChange) {
+    this->onChange();
+  }
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/sitewatch.h
@@ -0,0 +1,59 @@
+#ifndef GOOSEBERRY_SITEWATCH_H
+#define GOOSEBERRY_SITEWATCH_H
+
+// What operators and workers say, as this instance knows it at present.
+
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "decisionlog.h"
+#include "published.h"
+#include "site.h"
+#include "tablefollower.h"
+
+namespace gooseberry::fleet {
+
+class SiteWatch
+{
+public:
+  SiteWatch(EventLoop& aLoop,
+            cells::TablePort& aTables,
+            cells::DecisionLog& aLog);
+
+  auto Start() -> void;
+  auto Stop() -> void;
+  // The table of workers is followed only while somebody needs it.
+  auto FollowWorkers(bool aFollow) -> void;
+  // Called on the loop after any change.
+  auto SetOnChange(std::function<void()> aOnChange) -> void;
+
+  // Null before the first configuration.
+  auto Config() const -> std::shared_ptr<const cells::SiteConfig>;
+  auto Evacuated() const -> const std::set<DomainId>&;
+  auto Workers() const -> const cells::WorkerTable&;
+  auto WorkersKnown() const -> bool;
+
+private:
+  auto OnOperatorRows(const std::vector<cells::StoredRow>& aRows, bool aWhole)
+    -> void;
+  auto OnConfigRow(const cells::StoredRow& aRow) -> void;
+  auto OnWorkerRows(const std::vector<cells::StoredRow>& aRows, bool aWhole)
+    -> void;
+  auto Changed() -> void;
+
+  EventLoop& loop;
+  cells::TablePort& tables;
+  cells::DecisionLog& log;
+  std::function<void()> onChange;
+  std::shared_ptr<TableFollower> operators;
+  std::shared_ptr<TableFollower> workerRows;
+  Published<cells::SiteConfig> config;
+  std::set<DomainId> evacuated;
+  cells::WorkerTable workers;
+  bool workersKnown = false;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
--- /dev/null
+++ b/fleet/src/tablefollower.cpp
@@ -0,0 +1,132 @@
+#include "tablefollower.h"
+
+#include <algorithm>
+
+namespace gooseberry::fleet {
+
+namespace {
+
+// A store that refuses or is silent is asked again after this.
+constexpr Millis kRetry{ 200 };
+constexpr Millis kReadTimeout{ 1500 };
+
+} // namespace
+
+TableFollower::TableFollower(EventLoop& aLoop,
+                             cells::TablePort& aTables,
+                             FollowerOptions aOptions,
+                             OnRows aOnRows)
+  : loop(aLoop)
+  , tables(aTables)
+  , options(std::move(aOptions))
+  , onRows(std::move(aOnRows))
+{
+}
+
+auto
+TableFollower::Start() -> void
+{
+  this->ReadAll();
+}
+
+auto
+TableFollower::StartAfter(std::uint64_t aVersion) -> void
+{
+  this->version = aVersion;
+  this->Follow();
+}
+
+auto
+TableFollower::Stop() -> void
+{
+  this->stopped = true;
+  this->timer.reset();
+}
+
+auto
+TableFollower::FreshAt() const -> Time
+{
+  return this->freshAt;
+}
+
+auto
+TableFollower::ReadAll() -> void
+{
+  const auto asked = this->loop.Now();
+  this->tables.Read(
+    { this->options.table, this->options.part, "", "" },
+    kReadTimeout,
+    [self = this->shared_from_this(), asked](
+      const cells::RowsOutcome& aOutcome) {
+      if (self->stopped) {
+        return;
+      }
+      if (aOutcome.end != cells::TableEnd::Done) {
+        self->Later(kRetry, true);
+        return;
+      }
+      self->version = aOutcome.version;
+      self->freshAt = asked;
+      self->onRows(aOutcome.rows, true);
+      self->Later(self->options.rest, false);
+    });
+}
+
+auto
+TableFollower::Follow() -> void
+{
+  const auto asked = this->loop.Now();
+  this->tables.Feed(
+    this->options.table,
+    this->version,
+    this->options.patience,
+    [self = this->shared_from_this(), asked](
+      const cells::FeedOutcome& aOutcome) {
+      if (self->stopped) {
+        return;
+      }
+      switch (aOutcome.end) {
+        case cells::TableEnd::Done: {
+          self->version = std::max(self->version, aOutcome.version);
+          self->freshAt = asked;
+          auto own = aOutcome.rows;
+          std::erase_if(own, [&](const cells::StoredRow& aRow) {
+            return aRow.key.part != self->options.part;
+          });
+          if (!own.empty()) {
+            self->onRows(own, false);
+          }
+          self->Later(self->options.rest, false);
+          return;
+        }
+        case cells::TableEnd::HistoryGone:
+          self->ReadAll();
+          return;
+        default:
+          self->Later(kRetry, false);
+          return;
+      }
+    });
+}
+
+auto
+TableFollower::Later(Millis aDelay, bool aWhole) -> void
+{
+  if (this->stopped) {
+    return;
+  }
+  this->timer = this->loop.After(
+    aDelay, [weak = this->weak_from_this(), aWhole] {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      if (aWhole) {
+        self->ReadAll();
+      } else {
+        self->Follow();
+      }
+    });
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/tablefollower.h
@@ -0,0 +1,63 @@
+#ifndef GOOSEBERRY_TABLEFOLLOWER_H
+#define GOOSEBERRY_TABLEFOLLOWER_H
+
+// Keeps up with one part of a table: reads it whole, then follows its changes,
+// and reads it whole again where the history has a gap.
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "eventloop.h"
+#include "tableport.h"
+
+namespace gooseberry::fleet {
+
+struct FollowerOptions
+{
+  std::string table;
+  std::string part;
+  // How long the store may wait for a change. Bounds how long a connection that
+  // went silent is believed.
+  Millis patience{ 1000 };
+  // Rest between two answers, so that changes share a call.
+  Millis rest{ 0 };
+};
+
+class TableFollower : public std::enable_shared_from_this<TableFollower>
+{
+public:
+  // aWhole: the rows are all there are, else those that changed.
+  using OnRows =
+    std::function<void(const std::vector<cells::StoredRow>&, bool aWhole)>;
+
+  TableFollower(EventLoop& aLoop,
+                cells::TablePort& aTables,
+                FollowerOptions aOptions,
+                OnRows aOnRows);
+
+  auto Start() -> void;
+  // Follows from a version on, the rows of which are known.
+  auto StartAfter(std::uint64_t aVersion) -> void;
+  auto Stop() -> void;
+  // When the store was asked for what is known now; the state is no older.
+  auto FreshAt() const -> Time;
+
+private:
+  auto ReadAll() -> void;
+  auto Follow() -> void;
+  auto Later(Millis aDelay, bool aWhole) -> void;
+
+  EventLoop& loop;
+  cells::TablePort& tables;
+  const FollowerOptions options;
+  const OnRows onRows;
+  std::uint64_t version = 0;
+  Time freshAt{};
+  TimerHandle timer;
+  bool stopped = false;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
