Tasks that fill idle processors are kept from the lasting tasks that they disturb

Change: which image disturbs which is learnt from the tails, taken out of their smoothing (they halve their distance each 250 ms, measured after neighbours' ends); lasting tasks are packed by image; a tail beyond its target paces the suspected neighbour down at once or moves it. Half of the processors reserved for lasting tasks count as idle: fills at up to that much over the room got their full speed. The owner's row tells how many jobs wait.

Ruled out: the load of other lasting tasks on the worker (tails are the same beside 0 to 7 of them); cert-batch tasks.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -13,7 +13,7 @@
   constexpr std::array<const char*, static_cast<int>(CellEvent::CellEvent_NB)>
     kNames{ "submission", "repeat",     "start",   "start_refused",
             "start_unanswered", "done", "failure", "lapse",
-            "lost",       "stop",       "orphan",  "completed",
+            "lost",       "stop", "pace",       "orphan",  "completed",
             "failed_job", "cancellation" };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
@@ -92,6 +92,18 @@
   return found == this->pending.end() ? 0 : found->second;
 }
 
+auto
+Cell::Pending() const -> std::map<std::string, std::size_t>
+{
+  auto counts = std::map<std::string, std::size_t>{};
+  for (const auto& [queue, count] : this->pending) {
+    if (count > 0) {
+      counts.emplace(queue.text, count);
+    }
+  }
+  return counts;
+}
+
 auto
 Cell::Counts() const -> const CellCounts&
 {
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "decisionlog.h"
+#include "disturbance.h"
 #include "job.h"
 #include "site.h"
 #include "workercall.h"
@@ -73,6 +74,7 @@
   Lapse,
   Lost, // its worker is gone or was started anew
   Stop,
+  Pace,
   Orphan, // a run that nobody knows of
   Completed,
   FailedJob,
@@ -117,6 +119,8 @@
   // Views.
   auto FindJob(const JobId& aJob) const -> const Job*;
   auto PendingIn(const QueueId& aQueue) const -> std::size_t;
+  // Of all queues that have any.
+  auto Pending() const -> std::map<std::string, std::size_t>;
   auto Counts() const -> const CellCounts&;
   auto Workers() const -> const std::map<WorkerId, WorkerSlot>&;
   auto Jobs() const -> std::size_t;
@@ -142,6 +146,16 @@
     Time order{};
   };
 
+  // A run that fills idle processors beside lasting tasks.
+  struct Fill
+  {
+    RunRef ref;
+    Run* run = nullptr;
+    const StepSpec* spec = nullptr;
+    // How much it disturbs the images that suffer, as far as is known.
+    double blame = 0.0;
+  };
+
   // What a batch holds besides the records.
   struct BatchNotes
   {
@@ -195,7 +209,8 @@
     -> void;
   // The run exists nowhere any more; its task may start again.
   auto ForgetRun(Time aNow, const RunRef& aRef, const char* aWhy) -> void;
-  auto RemoveRun(const TaskPlace& aPlace, const RunRef& aRef) -> void;
+  auto RemoveRun(Time aNow, const TaskPlace& aPlace, const RunRef& aRef)
+    -> void;
   auto LapseWorkers(Time aNow) -> void;
   auto SetBorn(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
@@ -208,10 +223,32 @@
                   const StepSpec& aStep,
                   const std::map<const WorkerSlot*, std::uint32_t>& aPlaced)
     -> WorkerSlot*;
+  auto Score(const WorkerSlot& aSlot,
+             const StepSpec& aStep,
+             std::int64_t aIdleCpu,
+             double aHarm) const -> double;
   auto MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const
     -> bool;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
+  // Neighbours on one worker (cellrelief.cpp).
+  auto NoteTail(Time aNow,
+                const WorkerSlot& aSlot,
+                Run& aRun,
+                double aMeasured) -> void;
+  auto LearnDisturbance(Time aNow, WorkerSlot& aSlot) -> void;
+  auto Relieve(Time aNow, WorkerSlot& aSlot) -> void;
+  auto Harm(Time aNow, const WorkerSlot& aSlot, const StepSpec& aStep) const
+    -> double;
+  auto FillsOn(Time aNow, const WorkerSlot& aSlot,
+               const std::vector<std::string>& aSuffering)
+    -> std::vector<Fill>;
+  auto PaceDown(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills)
+    -> void;
+  auto PaceUp(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills) -> void;
+  auto HasBetterPlace(Time aNow, const Fill& aFill) -> bool;
+  auto SetPace(Time aNow, const RunRef& aRef, Run& aRun, int aPercent) -> void;
+
   // Calls (cellcalls.cpp).
   auto QueueCall(const WorkerCall& aCall) -> void;
   auto NewCall(const WorkerSlot& aSlot, CallKind aKind) -> WorkerCall;
@@ -253,6 +290,7 @@
   bool fenced = false;
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
+  Disturbance disturbance;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -121,7 +121,8 @@
       continue;
     }
     if (!slot.runs.empty()) {
-      this->SendRenewal(aNow, slot, kRenewPatience);
+      this->SendRenewal(
+        aNow, slot, slot.watched ? kWatchedPatience : kRenewPatience);
     } else if (unrecorded || aNow >= slot.lastAnswer + kIdleRenewInterval ||
                slot.unacknowledged) {
       this->SendRenewal(aNow, slot, Millis{ 0 });
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -123,7 +123,7 @@
     }
     auto need = aStep.size;
     const auto room = slot.Room();
-    const auto idle = room.cpuMillis - slot.fillingCpu;
+    const auto idle = slot.IdleCpu();
     if (aStep.fillsIdle) {
       need.cpuMillis = 0;
     }
@@ -131,12 +131,11 @@
         (aStep.fillsIdle && idle < aStep.size.cpuMillis)) {
       continue;
     }
-    const auto capacity =
-      static_cast<double>(std::max<std::int64_t>(slot.entry.capacity.cpuMillis, 1));
-    auto score = static_cast<double>(idle) / capacity;
-    if (!aStep.dataRack.empty() && slot.entry.HasLabel(aStep.dataRack)) {
-      score += 1.0;
+    const auto harm = aStep.fillsIdle ? this->Harm(aNow, slot, aStep) : 0.0;
+    if (harm > kHeavyDisturbance) {
+      continue;
     }
+    const auto score = this->Score(slot, aStep, idle, harm);
     if (best == nullptr || score > bestScore) {
       best = &slot;
       bestScore = score;
@@ -145,6 +144,41 @@
   return best;
 }
 
+// Lasting tasks are packed, equal images together, so that other workers stay
+// free of them. Tasks that fill idle processors go where nobody minds them.
+auto
+Cell::Score(const WorkerSlot& aSlot,
+            const StepSpec& aStep,
+            std::int64_t aIdleCpu,
+            double aHarm) const -> double
+{
+  const auto capacity = static_cast<double>(
+    std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  const auto idle = static_cast<double>(aIdleCpu) / capacity;
+  auto score = idle;
+  if (aStep.lasting) {
+    // Alone with its image, else on a worker of its own, else mixed.
+    constexpr double kSameImage = 3.0;
+    constexpr double kFree = 1.5;
+    const auto same = aSlot.serving.contains(aStep.image);
+    score = -idle;
+    score += aSlot.serving.empty()                      ? kFree
+             : same && aSlot.serving.size() == 1        ? kSameImage
+             : same                                     ? 1.0
+                                                        : 0.0;
+  } else if (aStep.fillsIdle) {
+    constexpr double kHarmWeight = 5.0;
+    score -= kHarmWeight * aHarm;
+  } else if (!aSlot.serving.empty()) {
+    score += 1.0;
+  }
+  if (!aStep.dataRack.empty() && aSlot.entry.HasLabel(aStep.dataRack)) {
+    constexpr double kNearData = 10.0;
+    score += kNearData;
+  }
+  return score;
+}
+
 auto
 Cell::PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void
 {
@@ -172,7 +206,11 @@
                       { "run", std::to_string(run.number) },
                       { "worker", aSlot.entry.id.text },
                       { "room_cpu", std::to_string(aSlot.Room().cpuMillis) },
-                      { "filling_cpu", std::to_string(aSlot.fillingCpu) } });
+                      { "idle_cpu", std::to_string(aSlot.IdleCpu()) },
+                    { "disturbs",
+                      place.spec->fillsIdle
+                        ? std::to_string(this->Harm(aNow, aSlot, *place.spec))
+                        : "" } });
   }
 }
 
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -228,6 +228,8 @@
     if (aAnswer.unreadable == 0) {
       this->OnUnlisted(aNow, aSlot, seen, clock);
     }
+    this->LearnDisturbance(aNow, aSlot);
+    this->Relieve(aNow, aSlot);
   }
   aSlot.nextRenewal = aNow + kRenewGap;
   this->planNeeded = this->planNeeded || gone;
@@ -268,6 +270,9 @@
     run->progressAt = aNow;
   }
   run->percent = aReport.percent;
+  if (place.spec->tailTarget.count() > 0) {
+    this->NoteTail(aNow, aSlot, *run, aReport.measured);
+  }
   run->measured = aReport.measured;
   if (aReport.checkpoint != run->checkpoint && !aReport.checkpoint.empty()) {
     run->checkpoint = aReport.checkpoint;
@@ -309,7 +314,7 @@
   }
   const auto lasting = place.spec->lasting;
   if (known) {
-    this->RemoveRun(place, ref);
+    this->RemoveRun(aNow, place, ref);
   }
   job.unrecordedEnds.push_back(
     { job.Id(), aSlot.entry.id, aSlot.entry.bornUnixMs, aEnd.number });
@@ -441,16 +446,20 @@
   if (run->phase == RunPhase::Running || run->phase == RunPhase::Inherited) {
     this->Count(CellEvent::Lost);
   }
-  this->RemoveRun(place, aRef);
+  this->RemoveRun(aNow, place, aRef);
   place.task->notBefore = std::max(place.task->notBefore, aNow);
   this->Touch(*place.job, false);
   this->planNeeded = true;
 }
 
 auto
-Cell::RemoveRun(const TaskPlace& aPlace, const RunRef& aRef) -> void
+Cell::RemoveRun(Time aNow, const TaskPlace& aPlace, const RunRef& aRef) -> void
 {
   auto* const run = aPlace.task->FindRun(aRef.run);
+  if (aPlace.spec->fillsIdle && run->phase != RunPhase::Planned) {
+    run->worker->goneFills.push_back(
+      { aPlace.spec->image, std::max(run->startedAt, run->pacedAt), aNow });
+  }
   run->worker->Detach(aRef, *aPlace.spec);
   std::erase_if(aPlace.task->runs, [&](const Run& aRun) {
     return aRun.number == aRef.run;
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -87,11 +87,20 @@
   std::string checkpoint;
   double percent = 0.0;
   double measured = 0.0;
+  // Tail between the last two reports, and when the last one came, on the
+  // worker's clock and on the own.
+  double tailNow = 0.0;
+  double smoothed = 0.0;
+  std::int64_t measuredMs = 0;
+  Time measuredAt{};
+  Time measuredBefore{};
   // When progress was last seen to grow.
   Time progressAt{};
   // A stop order is under way.
   bool stopSent = false;
+  // Share of its speed that it may use, and since when.
   int pace = 100;
+  Time pacedAt{};
 };
 
 enum class TaskPhase
--- a/cells/src/ownerrow.cpp
+++ b/cells/src/ownerrow.cpp
@@ -10,6 +10,7 @@
                                                 fencingToken,
                                                 batch,
                                                 beat,
+                                                pending,
                                                 released)
 
 auto
--- a/cells/src/ownerrow.h
+++ b/cells/src/ownerrow.h
@@ -5,6 +5,7 @@
 // written under the condition that the row is as the owner last wrote it, so an
 // owner that was replaced can record nothing, and start nothing new.
 
+#include <map>
 #include <optional>
 #include <string>
 
@@ -23,6 +24,8 @@
   std::uint64_t batch = 0;
   // Grows while nothing else is written, so that others see it alive.
   std::uint64_t beat = 0;
+  // Jobs of each queue for which nothing was started yet; none if absent.
+  std::map<std::string, std::size_t> pending;
   // The owner has given the cell up: anybody may take it at once.
   bool released = false;
 
--- a/cells/src/recorder.cpp
+++ b/cells/src/recorder.cpp
@@ -53,6 +53,12 @@
 {
 }
 
+auto
+Recorder::SetPending(std::map<std::string, std::size_t> aPending) -> void
+{
+  this->owner.pending = std::move(aPending);
+}
+
 auto
 Recorder::Write(const RecordBatch& aBatch) -> RowsCommit
 {
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -54,6 +54,8 @@
   // aVersion: of the owner's row as the takeover wrote it.
   Recorder(CellRows aRows, OwnerRow aOwner, std::uint64_t aVersion);
 
+  // Told to other instances with the next transaction.
+  auto SetPending(std::map<std::string, std::size_t> aPending) -> void;
   // The transaction for a batch; only one may be under way.
   auto Write(const RecordBatch& aBatch) -> RowsCommit;
   // One that only shows that the owner is alive, or gives the cell up.
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -34,6 +34,10 @@
 // own limit.
 inline constexpr Millis kRenewPatience{ 2000 };
 
+// The same on a worker whose lasting tasks may suffer from their neighbours:
+// they may be over their target for 4 s, and it takes some reports to help.
+inline constexpr Millis kWatchedPatience{ 600 };
+
 // Least time between two renewals with one worker: ends that come in quick
 // succession share a report, each report has a price.
 inline constexpr Millis kRenewGap{ 100 };
@@ -61,6 +65,49 @@
 inline constexpr Millis kFailureBackoff{ 20 };
 inline constexpr Millis kFailureBackoffMax{ 2000 };
 
+// Part of their reserved processors that lasting tasks are expected to use.
+inline constexpr double kLastingUse = 0.5;
+
+// Tails are judged as parts of their target. Alone, lasting tasks are at 0.3 to
+// 0.6 of it over their load's wave (measured on quiet days of both sites).
+inline constexpr double kCalmTail = 0.6;
+// What a tail counts for at most, so that one report does not decide.
+inline constexpr double kMostDisturbance = 1.5;
+// A tail beyond this part of its target asks for relief.
+inline constexpr double kSufferingTail = 0.95;
+// A pair of images that were not seen together yet, and for how many reports
+// this guess counts.
+inline constexpr double kUnknownDisturbance = 0.12;
+inline constexpr double kUnknownWeight = 1.0;
+// Most reports that an estimate stands for, and after which time it stands for
+// half as many: pairs were seen to change some 20 s into a day.
+inline constexpr double kMostReportWeight = 12.0;
+inline constexpr Millis kReportHalfLife{ 10000 };
+// Part of the difference by which an estimate rises at least.
+inline constexpr double kRiseRate = 0.5;
+// The reported tail is smoothed: with each of these spans it halves its
+// distance to the true one (measured after the ends of neighbours).
+inline constexpr Millis kTailHalfLife{ 250 };
+// Reports closer together than this say nothing about the time between.
+inline constexpr Millis kTailSpan{ 200 };
+// Neighbours with a smaller share teach nothing.
+inline constexpr double kLeastShare = 0.3;
+// Disturbance beyond which two images are kept apart. Pairs were seen either
+// below 0.1 or above 0.3.
+inline constexpr double kHeavyDisturbance = 0.22;
+// Known disturbance below which a neighbour is not suspected at once.
+inline constexpr double kSuspicion = 0.08;
+// A tail may be beyond its target for 4 s; then everything beside it rests.
+inline constexpr Millis kReliefUrgent{ 1200 };
+// All tails below this part of their target: paces may be raised.
+inline constexpr double kReliefCalmTail = 0.8;
+// Pace of what disturbs its neighbours and has no better place, in percent.
+inline constexpr int kHeavyPace = 40;
+// After a change of pace its effect is awaited.
+inline constexpr Millis kReliefPause{ 500 };
+// So long must all tails be calm before a pace is raised.
+inline constexpr Millis kReliefCalm{ 1200 };
+
 // A worker that refused or did not answer an order takes no new ones for this.
 inline constexpr Millis kAvoidRefusing{ 300 };
 
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -14,6 +14,14 @@
   return room;
 }
 
+auto
+WorkerSlot::IdleCpu() const -> std::int64_t
+{
+  return this->Room().cpuMillis - this->fillingCpu +
+         static_cast<std::int64_t>(static_cast<double>(this->lastingCpu) *
+                                   (1.0 - kLastingUse));
+}
+
 auto
 WorkerSlot::ClockAtLeast(Time aNow) const -> std::int64_t
 {
@@ -42,6 +50,10 @@
     return;
   }
   auto size = aStep.size;
+  if (aStep.lasting) {
+    ++this->serving[aStep.image];
+    this->lastingCpu += size.cpuMillis;
+  }
   if (aStep.fillsIdle) {
     this->fillingCpu += size.cpuMillis;
     size.cpuMillis = 0;
@@ -56,6 +68,12 @@
     return;
   }
   auto size = aStep.size;
+  if (aStep.lasting) {
+    this->lastingCpu -= size.cpuMillis;
+    if (--this->serving[aStep.image] == 0) {
+      this->serving.erase(aStep.image);
+    }
+  }
   if (aStep.fillsIdle) {
     this->fillingCpu -= size.cpuMillis;
     size.cpuMillis = 0;
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -50,6 +50,8 @@
   Resources reserved;
   // Processors that tasks use which only fill idle ones.
   std::int64_t fillingCpu = 0;
+  // Processors reserved for lasting tasks, which rarely use all of them.
+  std::int64_t lastingCpu = 0;
   std::set<RunRef> runs;
   // Runs that nobody knows of, told to stop.
   std::set<RunRef> orphans;
@@ -75,7 +77,24 @@
   // Takes no new runs until then.
   Time avoidUntil{};
 
+  // Lasting tasks there by image, and the state of relief for them.
+  std::map<std::string, int> serving;
+  Time nextRelief{};
+  Time calmSince{};
+  std::optional<Time> sufferingSince;
+  // Runs that filled idle processors until a moment ago.
+  struct GoneFill
+  {
+    std::string image;
+    Time from{};
+    Time to{};
+  };
+  std::vector<GoneFill> goneFills;
+  bool watched = false;
+
   auto Room() const -> Resources;
+  // Processors that nobody is expected to use.
+  auto IdleCpu() const -> std::int64_t;
   // Estimate of its clock; at least as much as it surely shows.
   auto ClockAtLeast(Time aNow) const -> std::int64_t;
   // Everything that ran there has ended by its lease, whatever it answers.
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -396,6 +396,7 @@
     return;
   }
   const auto now = this->ports.loop.Now();
+  this->recorder->SetPending(this->cell->Pending());
   if (const auto batch = this->cell->NextBatch(now)) {
     this->Commit(this->recorder->Write(*batch));
   } else if (this->releasing || now > this->lastWrite + kBeatInterval) {
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -22,6 +22,8 @@
 constexpr int kMaxTries = 4;
 constexpr Millis kTryAgain{ 80 };
 constexpr Millis kCallTimeout{ 600 };
+// A count may be this old, besides the owner's own beat.
+constexpr Millis kPendingAge{ 700 };
 
 auto
 RetryAfter(int aSeconds) -> HttpFields
@@ -307,9 +309,60 @@
 Entry::CountPending(const std::shared_ptr<HttpExchange>& aExchange,
                     const cells::Queue& aQueue) -> void
 {
-  const auto* const cell = this->keeper.OwnedCell();
-  const auto pending = cell == nullptr ? 0 : cell->PendingIn(aQueue.id);
-  aExchange->Answer(kOk, wire::PendingBody(pending), {});
+  if (const auto* const cell = this->keeper.OwnedCell()) {
+    aExchange->Answer(kOk, wire::PendingBody(cell->PendingIn(aQueue.id)), {});
+    return;
+  }
+  if (this->pendingAt && this->loop.Now() < *this->pendingAt + kPendingAge) {
+    this->AnswerPending(*aExchange, aQueue.id);
+    return;
+  }
+  this->pendingAskers.emplace_back(aExchange, aQueue.id);
+  if (this->pendingAskers.size() == 1) {
+    this->ReadPending();
+  }
+}
+
+auto
+Entry::ReadPending() -> void
+{
+  const auto asked = this->loop.Now();
+  const auto owner = this->keeper.Rows().Owner();
+  this->tables.Read(
+    { owner.table, owner.part, "", "" },
+    kCallTimeout,
+    [this, asked](const cells::RowsOutcome& aOutcome) {
+      auto reason = std::string{};
+      const auto row =
+        aOutcome.rows.empty()
+          ? std::nullopt
+          : cells::DecodeOwner(aOutcome.rows.front().value, reason);
+      if (row) {
+        this->pending = row->pending;
+        this->pendingAt = asked;
+      }
+      for (const auto& [exchange, queue] :
+           std::exchange(this->pendingAskers, {})) {
+        if (row || this->pendingAt) {
+          this->AnswerPending(*exchange, queue);
+        } else {
+          exchange->Answer(kUnavailable,
+                           wire::ErrorBody("the count is not known"),
+                           RetryAfter(1));
+        }
+      }
+    });
+}
+
+auto
+Entry::AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) const
+  -> void
+{
+  const auto found = this->pending.find(aQueue.text);
+  aExchange.Answer(
+    kOk,
+    wire::PendingBody(found == this->pending.end() ? 0 : found->second),
+    {});
 }
 
 } // namespace gooseberry::fleet
--- a/fleet/src/entry.h
+++ b/fleet/src/entry.h
@@ -12,6 +12,8 @@
 
 namespace gooseberry::fleet {
 
+using cells::QueueId;
+
 class Entry
 {
 public:
@@ -44,12 +46,19 @@
   auto WriteCancel(const std::shared_ptr<Question>& aQuestion) -> void;
   auto CountPending(const std::shared_ptr<HttpExchange>& aExchange,
                     const cells::Queue& aQueue) -> void;
+  auto ReadPending() -> void;
+  auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) const
+    -> void;
 
   EventLoop& loop;
   cells::TablePort& tables;
   SiteWatch& site;
   CellKeeper& keeper;
   cells::DecisionLog& log;
+  // What the cell's owner last told, and when it was asked.
+  std::map<std::string, std::size_t> pending;
+  std::optional<Time> pendingAt;
+  std::vector<std::pair<std::shared_ptr<HttpExchange>, QueueId>> pendingAskers;
 };
 
 } // namespace gooseberry::fleet
--- a/fleet/src/fleetlog.cpp
+++ b/fleet/src/fleetlog.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Lines that may wait for the writer; some hundred kilobytes at most.
-constexpr std::size_t kMaxQueued = 2000;
+constexpr std::size_t kMaxQueued = 200000;
 // An empty line asks the writer to end.
 const std::string kEnd;
 
