Ends of earlier owners no longer stop a worker's reports; only silent workers lapse

And a worker that nothing ran on for longer than a lease was taken for lapsed, so that each start planned there was dropped and planned again, 200,000 times.

Ruled out: refused starts after the takeover (262 of 262 were taken); lost reports.

--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -115,7 +115,7 @@
       this->SendRenewal(aNow, slot, Millis{ 0 });
       continue;
     }
-    const auto unrecorded = slot.recordedEnds < slot.seenEnds;
+    const auto unrecorded = !slot.unrecordedEnds.empty();
     if (!slot.runs.empty() && unrecorded) {
       // The worker would answer at once with ends that are known.
       continue;
@@ -136,7 +136,7 @@
   auto call = this->NewCall(aSlot, CallKind::Renew);
   call.patience = aPatience;
   call.timeout = aPatience + kRenewTimeout;
-  call.recordedEnds = aSlot.recordedEnds;
+  call.recordedEnds = aSlot.RecordedEnds();
   // A worker that does not answer gets no longer lease: its tasks could never
   // be started elsewhere.
   const auto answering = aSlot.reconciled && !aSlot.silent;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -93,7 +93,8 @@
 auto
 Cell::MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const -> bool
 {
-  return aSlot.listed && aSlot.reconciled && !aSlot.entry.leaving &&
+  return aSlot.listed && aSlot.reconciled && !aSlot.silent &&
+         !aSlot.entry.leaving &&
          aSlot.entry.service == aJob.row.policy.service &&
          !this->evacuated.contains(aSlot.entry.domain) &&
          aNow >= aSlot.avoidUntil &&
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -214,7 +214,7 @@
   auto gone = false;
   for (const auto& end : aAnswer.ended) {
     if (end.number > aSlot.seenEnds) {
-      aSlot.seenEnds = end.number;
+      aSlot.NoteEnd(end.number);
       this->OnEnd(aNow, aSlot, end);
       gone = true;
     }
@@ -413,8 +413,7 @@
   aSlot.entry.bornUnixMs = aBornUnixMs;
   aSlot.orphans.clear();
   aSlot.seenEnds = 0;
-  aSlot.recordedEnds = 0;
-  aSlot.recordedAhead.clear();
+  aSlot.unrecordedEnds.clear();
   aSlot.clock.reset();
   aSlot.leaseEndMs.reset();
   aSlot.reportedMs = 0;
@@ -471,10 +470,7 @@
 {
   for (auto item = this->workers.begin(); item != this->workers.end();) {
     auto& slot = item->second;
-    const auto silent =
-      !slot.listed || (slot.renewals.empty() && slot.lastAnswer != Time{} &&
-                       aNow > slot.lastAnswer + this->options.leaseMax) ||
-      !slot.reconciled;
+    const auto silent = !slot.listed || slot.silent || !slot.reconciled;
     if (silent && !slot.runs.empty() && slot.Lapsed(aNow)) {
       this->log.Write("worker_lapsed",
                       { { "worker", slot.entry.id.text },
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -81,17 +81,25 @@
   this->reserved -= size;
 }
 
+auto
+WorkerSlot::NoteEnd(std::uint64_t aEnd) -> void
+{
+  this->seenEnds = aEnd;
+  this->unrecordedEnds.insert(aEnd);
+}
+
 auto
 WorkerSlot::NoteRecorded(std::uint64_t aEnd) -> void
 {
-  this->recordedAhead.insert(aEnd);
-  while (!this->recordedAhead.empty() &&
-         *this->recordedAhead.begin() <= this->recordedEnds + 1) {
-    this->recordedEnds =
-      std::max(this->recordedEnds, *this->recordedAhead.begin());
-    this->recordedAhead.erase(this->recordedAhead.begin());
-    this->unacknowledged = true;
-  }
+  this->unacknowledged = this->unrecordedEnds.erase(aEnd) > 0 ||
+                         this->unacknowledged;
+}
+
+auto
+WorkerSlot::RecordedEnds() const -> std::uint64_t
+{
+  return this->unrecordedEnds.empty() ? this->seenEnds
+                                      : *this->unrecordedEnds.begin() - 1;
 }
 
 } // namespace gooseberry::cells
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -56,10 +56,10 @@
   // Runs that nobody knows of, told to stop.
   std::set<RunRef> orphans;
 
-  // Ends: the last one seen, and the last one up to which all are recorded.
+  // Ends: the last one seen, and those of them that are not recorded. Earlier
+  // owners may have taken note of any number before.
   std::uint64_t seenEnds = 0;
-  std::uint64_t recordedEnds = 0;
-  std::set<std::uint64_t> recordedAhead;
+  std::set<std::uint64_t> unrecordedEnds;
 
   // Renewals under way, by their call's number.
   std::set<std::uint64_t> renewals;
@@ -101,8 +101,11 @@
   auto Lapsed(Time aNow) const -> bool;
   auto Attach(const RunRef& aRun, const StepSpec& aStep) -> void;
   auto Detach(const RunRef& aRun, const StepSpec& aStep) -> void;
+  auto NoteEnd(std::uint64_t aEnd) -> void;
   // The end may be forgotten by the worker as soon as all before it may.
   auto NoteRecorded(std::uint64_t aEnd) -> void;
+  // All ends up to this one are recorded.
+  auto RecordedEnds() const -> std::uint64_t;
 };
 
 } // namespace gooseberry::cells
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -96,7 +96,9 @@
     this->seenVersion = row.version;
     this->seenAt = now;
   }
-  if (owner->released || now > this->seenAt + kOwnerSilence) {
+  // A row with the own name is of an earlier life of this process.
+  const auto ownEarlier = owner->owner.text == this->settings.instance;
+  if (owner->released || ownEarlier || now > this->seenAt + kOwnerSilence) {
     this->TakeOver(row.version, owner->fencingToken + 1);
   }
 }
