Leases end surely and soon: authority bound, silent workers in the owner's row, machines' new lives

HARM: tasks that fill were placed on a worker whose lasting tasks suffered already, and a report that waited for 2 s hid it.

Change: an owner renews leases for 4 s after its last confirmation, writes which workers are silent and by when (on the store's steady clock) their leases are over, and extends none of these before a row without it is written. A worker that names a machine ends what ran in that machine's earlier lives. The clock counts suspended time. Nothing new beside suffering tasks; an extra look there.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -22,6 +22,9 @@
   : options(aOptions)
   , fencingToken(aTakeover.fencingToken)
   , takenAt(aTakeover.now)
+  , earlierLease(std::max(aTakeover.earlierLease, aOptions.lease))
+  , earlierLapses(std::move(aTakeover.lapses))
+  , confirmedAt(aTakeover.now)
   , log(aLog)
 {
   for (const auto& [row, record] : aTakeover.jobs) {
@@ -189,6 +192,34 @@
   this->DropEndedJobs(aNow);
 }
 
+auto
+Cell::OnConfirmed(Time aAskedAt) -> void
+{
+  this->confirmedAt = std::max(this->confirmedAt, aAskedAt);
+}
+
+auto
+Cell::SilentWorkers() -> std::map<WorkerId, Time>
+{
+  auto silent = std::map<WorkerId, Time>{};
+  for (auto& [id, slot] : this->workers) {
+    if (slot.silent && !slot.runs.empty()) {
+      silent.emplace(id, slot.LapsedBy());
+      slot.toldSilent = true;
+    }
+  }
+  return silent;
+}
+
+auto
+Cell::OnSilentWritten(const std::map<std::string, std::int64_t>& aSilent)
+  -> void
+{
+  for (auto& [id, slot] : this->workers) {
+    slot.toldSilent = slot.toldSilent && aSilent.contains(id.text);
+  }
+}
+
 auto
 Cell::NextBatch(Time aNow) -> std::optional<RecordBatch>
 {
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -34,8 +34,8 @@
   Millis stopBound{ 400 };
   // Jobs are known for so long after their end.
   Millis keepEnded{ 120000 };
-  // How long an earlier owner may have gone on renewing leases unseen.
-  Millis earlierOwnerBound{ 10000 };
+  // An owner gives leases for so long after it was last confirmed as the owner.
+  Millis authority{ 4000 };
   // How many times as long work takes away from its data or split over racks.
   double remoteFactor = 3.0;
 
@@ -50,6 +50,10 @@
   std::int64_t nowUnixMs = 0;
   std::vector<std::pair<JobRow, std::optional<JobRecord>>> jobs;
   std::vector<JobId> cancelled;
+  // Leases that the owner before gave, and when those of workers that did not
+  // answer it are surely over.
+  Millis earlierLease{ 0 };
+  std::map<WorkerId, Time> lapses;
 };
 
 // Records that go into one transaction.
@@ -105,6 +109,15 @@
   auto OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void;
   // Decides everything that depends on time, and plans starts.
   auto OnTick(Time aNow, std::int64_t aNowUnixMs) -> void;
+  // The store confirmed the ownership; aAskedAt: when it was asked.
+  auto OnConfirmed(Time aAskedAt) -> void;
+
+  // Workers that do not answer and when their leases are surely over, to be
+  // written with the owner's row.
+  auto SilentWorkers() -> std::map<WorkerId, Time>;
+  // A row without these workers was written.
+  auto OnSilentWritten(const std::map<std::string, std::int64_t>& aSilent)
+    -> void;
 
   // Recording: batches are tried one after the other. One whose fate is unknown
   // may still turn out to be recorded while a later one is tried.
@@ -177,6 +190,7 @@
               const JobRow& aRow,
               const JobRecord* aRecord) -> Job&;
   auto Restore(Job& aJob, const JobRecord& aRecord) -> void;
+  auto InheritWorker(const JobRecord::RunMark& aMark) -> WorkerSlot&;
   auto OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void;
   auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
   auto EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void;
@@ -212,6 +226,7 @@
   auto RemoveRun(Time aNow, const TaskPlace& aPlace, const RunRef& aRef)
     -> void;
   auto LapseWorkers(Time aNow) -> void;
+  auto EndEarlierLives(Time aNow, const WorkerSlot& aSlot) -> void;
   auto SetBorn(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
   // Placement (cellplace.cpp).
@@ -263,6 +278,9 @@
   const CellOptions options;
   const std::uint64_t fencingToken;
   const Time takenAt;
+  const Millis earlierLease;
+  const std::map<WorkerId, Time> earlierLapses;
+  Time confirmedAt;
   DecisionLog& log;
   std::shared_ptr<const SiteConfig> config;
   std::set<DomainId> evacuated;
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -108,6 +108,16 @@
       this->SendRenewal(aNow, slot, Millis{ 0 });
       continue;
     }
+    // A report that may still wait for long does not do where a neighbour has
+    // come that may disturb.
+    if (slot.fillingCpu > 0 && !slot.serving.empty() && slot.reconciled &&
+        !slot.silent && slot.renewals.size() == 1 &&
+        aNow > slot.reportedAt + kWatchedPatience + kRenewGap &&
+        aNow > slot.lookedAt + kWatchedPatience) {
+      slot.lookedAt = aNow;
+      this->SendRenewal(aNow, slot, Millis{ 0 });
+      continue;
+    }
     if (!slot.renewals.empty() || aNow < slot.nextRenewal) {
       continue;
     }
@@ -139,7 +149,9 @@
   call.recordedEnds = aSlot.RecordedEnds();
   // A worker that does not answer gets no longer lease: its tasks could never
   // be started elsewhere.
-  const auto answering = aSlot.reconciled && !aSlot.silent;
+  const auto answering =
+    aSlot.reconciled && !aSlot.silent && !aSlot.toldSilent &&
+    aNow < this->confirmedAt + this->options.authority;
   if (answering && !aSlot.runs.empty()) {
     call.leaseEndMs = this->LeaseEndFor(aNow, aSlot, this->options.lease);
   }
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -85,18 +85,10 @@
       }
     }
     for (const auto& known : mark.runs) {
-      auto [slot, fresh] = this->workers.try_emplace(known.worker);
-      if (fresh) {
-        slot->second.entry.id = known.worker;
-        slot->second.entry.bornUnixMs = known.bornUnixMs;
-        slot->second.unknownLeaseEnd =
-          this->takenAt + this->options.earlierOwnerBound +
-          this->options.leaseMax + this->options.leaseMax * kClockDrift / 1000 +
-          kClockMargin;
-      }
+      auto& slot = this->InheritWorker(known);
       auto run = Run{};
       run.number = known.number;
-      run.worker = &slot->second;
+      run.worker = &slot;
       run.bornUnixMs = known.bornUnixMs;
       run.phase = RunPhase::Inherited;
       run.since = this->takenAt;
@@ -105,13 +97,33 @@
         run.stopping = StopReason::Cancelled;
       }
       task.runs.push_back(run);
-      slot->second.Attach(
+      slot.Attach(
         { { aJob.Id(), mark.occurrence, mark.step, mark.index }, run.number },
         *place.spec);
     }
   }
 }
 
+// The slot of a worker that an earlier owner started runs on.
+auto
+Cell::InheritWorker(const JobRecord::RunMark& aMark) -> WorkerSlot&
+{
+  auto [item, added] = this->workers.try_emplace(aMark.worker);
+  auto& slot = item->second;
+  if (added) {
+    slot.entry.id = aMark.worker;
+    slot.entry.bornUnixMs = aMark.bornUnixMs;
+    slot.entry.machine = aMark.machine;
+    const auto told = this->earlierLapses.find(aMark.worker);
+    slot.unknownLeaseEnd =
+      told != this->earlierLapses.end()
+        ? told->second
+        : this->takenAt + this->options.authority +
+            WithWorkerDrift(this->earlierLease + kClockMargin);
+  }
+  return slot;
+}
+
 auto
 Cell::OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void
 {
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -132,6 +132,9 @@
         (aStep.fillsIdle && idle < aStep.size.cpuMillis)) {
       continue;
     }
+    if (aStep.fillsIdle && (slot.sufferingSince || slot.resting)) {
+      continue;
+    }
     const auto harm = aStep.fillsIdle ? this->Harm(aNow, slot, aStep) : 0.0;
     if (harm > kHeavyDisturbance) {
       continue;
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -131,7 +131,10 @@
     }
   }
   auto fills = this->FillsOn(aNow, aSlot, suffering);
-  aSlot.watched = !fills.empty() && !aSlot.serving.empty();
+  aSlot.watched = aSlot.fillingCpu > 0 && !aSlot.serving.empty();
+  aSlot.resting = std::any_of(fills.begin(), fills.end(), [](const Fill& aFill) {
+    return aFill.run->pace < 100;
+  });
   if (suffering.empty()) {
     aSlot.sufferingSince.reset();
   } else if (!aSlot.sufferingSince) {
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -45,6 +45,7 @@
       this->OnNewLife(aNow, slot, entry.bornUnixMs);
     }
     slot.listed = true;
+    this->EndEarlierLives(aNow, slot);
     if (!slot.clock && entry.bornUnixMs == slot.entry.bornUnixMs) {
       slot.clock = ClockSample{ entry.clockMs, aNow };
     }
@@ -57,6 +58,31 @@
   }
 }
 
+// A machine has one life at a time: what ran in an earlier one is gone.
+auto
+Cell::EndEarlierLives(Time aNow, const WorkerSlot& aSlot) -> void
+{
+  if (aSlot.entry.machine.Empty()) {
+    return;
+  }
+  for (auto& [id, other] : this->workers) {
+    if (&other == &aSlot || other.entry.machine != aSlot.entry.machine ||
+        other.entry.bornUnixMs >= aSlot.entry.bornUnixMs ||
+        other.runs.empty()) {
+      continue;
+    }
+    this->log.Write("machine_lives_anew",
+                    { { "machine", aSlot.entry.machine.text },
+                      { "worker", id.text },
+                      { "now", aSlot.entry.id.text },
+                      { "runs", std::to_string(other.runs.size()) } });
+    const auto lost = other.runs;
+    for (const auto& ref : lost) {
+      this->ForgetRun(aNow, ref, "its machine lives anew");
+    }
+  }
+}
+
 auto
 Cell::OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void
 {
@@ -221,6 +247,7 @@
   }
   if (clock >= aSlot.reportedMs) {
     aSlot.reportedMs = clock;
+    aSlot.reportedAt = aNow;
     auto seen = std::set<RunRef>{};
     for (const auto& report : aAnswer.running) {
       this->OnRunning(aNow, aSlot, report, seen);
@@ -471,7 +498,7 @@
   for (auto item = this->workers.begin(); item != this->workers.end();) {
     auto& slot = item->second;
     const auto silent = !slot.listed || slot.silent || !slot.reconciled;
-    if (silent && !slot.runs.empty() && slot.Lapsed(aNow)) {
+    if (silent && !slot.runs.empty() && aNow > slot.LapsedBy()) {
       this->log.Write("worker_lapsed",
                       { { "worker", slot.entry.id.text },
                         { "listed", slot.listed ? "yes" : "no" },
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -34,7 +34,10 @@
   }
   for (const auto& run : aTask.runs) {
     mark.runs.push_back(
-      { run.number, run.worker->entry.id, run.bornUnixMs });
+      { run.number,
+        run.worker->entry.id,
+        run.bornUnixMs,
+        run.worker->entry.machine });
   }
   return mark;
 }
@@ -44,7 +47,7 @@
 {
   auto runs = nlohmann::json::array();
   for (const auto& run : aMark.runs) {
-    runs.push_back({ run.number, run.worker, run.bornUnixMs });
+    runs.push_back({ run.number, run.worker, run.bornUnixMs, run.machine });
   }
   return { aMark.occurrence,
            aMark.step,
@@ -69,7 +72,8 @@
   for (const auto& run : aJson.at(7)) {
     mark.runs.push_back({ run.at(0).get<std::uint32_t>(),
                           run.at(1).get<WorkerId>(),
-                          run.at(2).get<std::int64_t>() });
+                          run.at(2).get<std::int64_t>(),
+                          run.at(3).get<MachineId>() });
   }
   return mark;
 }
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -182,6 +182,7 @@
     std::uint32_t number = 0;
     WorkerId worker;
     std::int64_t bornUnixMs = 0;
+    MachineId machine;
 
     auto operator==(const RunMark&) const -> bool = default;
   };
--- a/cells/src/ownerrow.cpp
+++ b/cells/src/ownerrow.cpp
@@ -11,6 +11,8 @@
                                                 batch,
                                                 beat,
                                                 pending,
+                                                leaseMs,
+                                                silent,
                                                 released)
 
 auto
--- a/cells/src/ownerrow.h
+++ b/cells/src/ownerrow.h
@@ -26,6 +26,12 @@
   std::uint64_t beat = 0;
   // Jobs of each queue for which nothing was started yet; none if absent.
   std::map<std::string, std::size_t> pending;
+  // Leases that this owner gives to workers.
+  std::int64_t leaseMs = 0;
+  // Workers that do not answer, and the time on the store's steady clock by
+  // which their leases are surely over. The owner gives such a worker no longer
+  // lease before it has written a row without it.
+  std::map<std::string, std::int64_t> silent;
   // The owner has given the cell up: anybody may take it at once.
   bool released = false;
 
--- a/cells/src/recorder.cpp
+++ b/cells/src/recorder.cpp
@@ -59,6 +59,12 @@
   this->owner.pending = std::move(aPending);
 }
 
+auto
+Recorder::SetSilent(std::map<std::string, std::int64_t> aSilent) -> void
+{
+  this->owner.silent = std::move(aSilent);
+}
+
 auto
 Recorder::Write(const RecordBatch& aBatch) -> RowsCommit
 {
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -56,6 +56,7 @@
 
   // Told to other instances with the next transaction.
   auto SetPending(std::map<std::string, std::size_t> aPending) -> void;
+  auto SetSilent(std::map<std::string, std::int64_t> aSilent) -> void;
   // The transaction for a batch; only one may be under way.
   auto Write(const RecordBatch& aBatch) -> RowsCommit;
   // One that only shows that the owner is alive, or gives the cell up.
--- a/cells/src/tableport.h
+++ b/cells/src/tableport.h
@@ -81,6 +81,8 @@
   // Conflict: the rows of the conditions as they are.
   std::vector<StoredRow> current;
   std::string reason;
+  // The store's own steady clock when it answered; 0 if it does not say.
+  std::int64_t storeMs = 0;
 };
 
 struct RowsRange
@@ -99,6 +101,8 @@
   // The newest version of any row when this was read.
   std::uint64_t version = 0;
   std::string reason;
+  // The store's own steady clock when it answered; 0 if it does not say.
+  std::int64_t storeMs = 0;
 };
 
 struct FeedOutcome
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -17,6 +17,13 @@
 // rounding to whole milliseconds on both sides.
 inline constexpr Millis kClockMargin{ 30 };
 
+// Stretches a duration on a worker's clock to one that surely covers it on ours.
+constexpr auto
+WithWorkerDrift(Millis aDuration) -> Millis
+{
+  return aDuration + aDuration * kClockDrift / 1000 + Millis{ 1 };
+}
+
 // A start order that arrives later than this is refused by its worker: long
 // enough for a slow instance's queue, short enough that no order is carried out
 // after its failure domain was emptied or its job cancelled (bounds of 2 s and
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -35,12 +35,14 @@
 }
 
 auto
-WorkerSlot::Lapsed(Time aNow) const -> bool
+WorkerSlot::LapsedBy() const -> Time
 {
-  if (this->leaseEndMs && this->clock) {
-    return this->ClockAtLeast(aNow) > *this->leaseEndMs + kClockMargin.count();
+  if (!this->leaseEndMs || !this->clock) {
+    return this->unknownLeaseEnd;
   }
-  return aNow > this->unknownLeaseEnd;
+  const auto left = std::max<std::int64_t>(
+    0, *this->leaseEndMs + kClockMargin.count() - this->clock->clockMs);
+  return this->clock->at + WithWorkerDrift(Millis{ left });
 }
 
 auto
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -68,11 +68,16 @@
   bool lookNow = false;
   // The last renewal got no answer.
   bool silent = false;
+  // The owner's row may say so.
+  bool toldSilent = false;
   // Ends were recorded that the worker was not told of.
   bool unacknowledged = false;
   // Worker's clock of the newest report that was read.
   std::int64_t reportedMs = 0;
   Time lastAnswer{};
+  // When the newest report came, and when an extra one was asked for.
+  Time reportedAt{};
+  Time lookedAt{};
 
   // Takes no new runs until then.
   Time avoidUntil{};
@@ -91,14 +96,17 @@
   };
   std::vector<GoneFill> goneFills;
   bool watched = false;
+  // Some task there that fills idle processors is paced down.
+  bool resting = false;
 
   auto Room() const -> Resources;
   // Processors that nobody is expected to use.
   auto IdleCpu() const -> std::int64_t;
   // Estimate of its clock; at least as much as it surely shows.
   auto ClockAtLeast(Time aNow) const -> std::int64_t;
-  // Everything that ran there has ended by its lease, whatever it answers.
-  auto Lapsed(Time aNow) const -> bool;
+  // Own time after which everything that ran there has ended by its lease,
+  // whatever it answers.
+  auto LapsedBy() const -> Time;
   auto Attach(const RunRef& aRun, const StepSpec& aStep) -> void;
   auto Detach(const RunRef& aRun, const StepSpec& aStep) -> void;
   auto NoteEnd(std::uint64_t aEnd) -> void;
--- a/eventio/src/eventloop.cpp
+++ b/eventio/src/eventloop.cpp
@@ -1,5 +1,7 @@
 #include "eventloop.h"
 
+#include <ctime>
+
 #include <boost/asio/post.hpp>
 
 namespace gooseberry {
@@ -17,7 +19,13 @@
 auto
 EventLoop::Now() const -> Time
 {
-  return std::chrono::time_point_cast<Micros>(std::chrono::steady_clock::now());
+  // Counts the time of a suspended machine as well: what other machines do
+  // goes on meanwhile.
+  auto now = timespec{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time{ std::chrono::seconds{ now.tv_sec } +
+               std::chrono::duration_cast<Micros>(
+                 std::chrono::nanoseconds{ now.tv_nsec }) };
 }
 
 auto
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -11,6 +11,11 @@
 constexpr Millis kOwnerSilence{ 1500 };
 // An owner with nothing to record shows this often that it is alive.
 constexpr Millis kBeatInterval{ 500 };
+// Lease that workers are given: longer ones outlive longer cuts and outages,
+// shorter ones free the tasks of a lost worker sooner.
+constexpr Millis kLeaseGiven{ 5000 };
+// Kept below the longest lease that workers accept, so that none is shortened.
+constexpr Millis kLeaseReserve{ 200 };
 // Longest rest between two rounds of decisions.
 constexpr Millis kStepInterval{ 25 };
 constexpr Millis kStoreTimeout{ 1000 };
@@ -66,8 +71,10 @@
   this->ports.tables.Read(
     { owner.table, owner.part, "", "" },
     kStoreTimeout,
-    [weak = this->weak_from_this()](const cells::RowsOutcome& aOutcome) {
+    [weak = this->weak_from_this(),
+     asked = this->ports.loop.Now()](const cells::RowsOutcome& aOutcome) {
       if (const auto self = weak.lock()) {
+        self->NoteStoreClock(aOutcome.storeMs, asked);
         self->OnOwnerRow(aOutcome);
       }
     });
@@ -82,6 +89,7 @@
     return;
   }
   if (aOutcome.rows.empty()) {
+    this->earlier.reset();
     this->TakeOver(0, 1);
     return;
   }
@@ -99,6 +107,7 @@
   // A row with the own name is of an earlier life of this process.
   const auto ownEarlier = owner->owner.text == this->settings.instance;
   if (owner->released || ownEarlier || now > this->seenAt + kOwnerSilence) {
+    this->earlier = owner;
     this->TakeOver(row.version, owner->fencingToken + 1);
   }
 }
@@ -113,6 +122,7 @@
   auto owner = cells::OwnerRow{ { this->settings.instance },
                                 this->settings.address,
                                 aToken };
+  owner.leaseMs = this->LeaseGiven().count();
   auto commit = cells::RowsCommit{};
   commit.conditions.push_back({ this->rows.Owner(), aVersion });
   commit.puts.push_back({ this->rows.Owner(), cells::EncodeOwner(owner) });
@@ -142,6 +152,52 @@
     });
 }
 
+auto
+CellKeeper::LeaseGiven() const -> Millis
+{
+  return std::min(kLeaseGiven, this->settings.bounds.leaseMax - kLeaseReserve);
+}
+
+auto
+CellKeeper::NoteStoreClock(std::int64_t aStoreMs, Time aAsked) -> void
+{
+  if (aStoreMs > 0) {
+    this->storeClock = StoreClock{ aStoreMs, aAsked, this->ports.loop.Now() };
+  }
+}
+
+// The latest own times at which leases are over that the row tells.
+auto
+CellKeeper::LapsesOf(const cells::OwnerRow& aOwner) const
+  -> std::map<WorkerId, Time>
+{
+  auto lapses = std::map<WorkerId, Time>{};
+  if (!this->storeClock) {
+    return lapses;
+  }
+  for (const auto& [worker, storeMs] : aOwner.silent) {
+    lapses.emplace(WorkerId{ worker },
+                   this->storeClock->answered +
+                     Millis{ storeMs - this->storeClock->storeMs });
+  }
+  return lapses;
+}
+
+auto
+CellKeeper::SilentForRow() -> std::map<std::string, std::int64_t>
+{
+  auto silent = std::map<std::string, std::int64_t>{};
+  if (!this->storeClock) {
+    return silent;
+  }
+  for (const auto& [worker, lapse] : this->cell->SilentWorkers()) {
+    silent.emplace(worker.text,
+                   this->storeClock->storeMs +
+                     ToMillis(lapse - this->storeClock->asked).count());
+  }
+  return silent;
+}
+
 auto
 CellKeeper::LoadRecords() -> void
 {
@@ -191,6 +247,10 @@
   takeover.fencingToken = this->recorder->Owner().fencingToken;
   takeover.now = this->ports.loop.Now();
   takeover.nowUnixMs = UnixMillis();
+  if (this->earlier) {
+    takeover.earlierLease = Millis{ this->earlier->leaseMs };
+    takeover.lapses = this->LapsesOf(*this->earlier);
+  }
   auto reason = std::string{};
   auto records = std::map<std::string, cells::JobRecord>{};
   for (const auto& row : loaded->records) {
@@ -227,8 +287,7 @@
       { "records", std::to_string(records.size()) } });
   auto options = cells::CellOptions{};
   options.leaseMax = this->settings.bounds.leaseMax;
-  options.lease =
-    std::min(options.lease, options.leaseMax - Millis{ 200 });
+  options.lease = this->LeaseGiven();
   options.stopBound = this->settings.bounds.stop;
   options.keepEnded = this->settings.bounds.keepEnded;
   options.remoteFactor = this->settings.bounds.remoteFactor;
@@ -399,6 +458,7 @@
   }
   const auto now = this->ports.loop.Now();
   this->recorder->SetPending(this->cell->Pending());
+  this->recorder->SetSilent(this->SilentForRow());
   if (const auto batch = this->cell->NextBatch(now)) {
     this->Commit(this->recorder->Write(*batch));
   } else if (this->releasing || now > this->lastWrite + kBeatInterval) {
@@ -413,18 +473,26 @@
   this->ports.tables.Commit(
     aCommit,
     kStoreTimeout,
-    [weak = this->weak_from_this(), at = this->term](
-      const cells::CommitOutcome& aOutcome) {
+    [weak = this->weak_from_this(),
+     at = this->term,
+     asked = this->lastWrite](const cells::CommitOutcome& aOutcome) {
       const auto self = weak.lock();
       if (!self || !self->cell || self->term != at) {
         return;
       }
+      self->NoteStoreClock(aOutcome.storeMs, asked);
+      if (aOutcome.end == cells::TableEnd::Done) {
+        self->cell->OnConfirmed(asked);
+      }
       if (aOutcome.end != cells::TableEnd::Done) {
         self->ports.log.Write("record_not_written",
                               { { "end", ToText(aOutcome.end) },
                                 { "reason", aOutcome.reason } });
       }
       self->Apply(self->recorder->OnOutcome(aOutcome));
+      if (self->cell && aOutcome.end == cells::TableEnd::Done) {
+        self->cell->OnSilentWritten(self->recorder->Owner().silent);
+      }
     });
 }
 
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -80,7 +80,23 @@
   const cells::CellRows rows;
   KeeperPorts ports;
 
+  // The store's steady clock: at least and at most, at an own time.
+  struct StoreClock
+  {
+    std::int64_t storeMs = 0;
+    Time asked{};
+    Time answered{};
+  };
+  auto LeaseGiven() const -> Millis;
+  auto NoteStoreClock(std::int64_t aStoreMs, Time aAsked) -> void;
+  auto LapsesOf(const cells::OwnerRow& aOwner) const
+    -> std::map<WorkerId, Time>;
+  auto SilentForRow() -> std::map<std::string, std::int64_t>;
+
   // Watching.
+  std::optional<StoreClock> storeClock;
+  // The owner's row as this instance replaced it.
+  std::optional<cells::OwnerRow> earlier;
   std::uint64_t seenVersion = 0;
   Time seenAt{};
   bool taking = false;
