--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -123,6 +123,11 @@
                                 this->settings.address,
                                 aToken };
   owner.leaseMs = this->LeaseGiven().count();
+  if (this->earlier) {
+    // Not known better before the records are read.
+    owner.pending = this->earlier->pending;
+    owner.silent = this->earlier->silent;
+  }
   auto commit = cells::RowsCommit{};
   commit.conditions.push_back({ this->rows.Owner(), aVersion });
   commit.puts.push_back({ this->rows.Owner(), cells::EncodeOwner(owner) });
