Neighbours by a model of tails: loads and pressures are estimated, paces follow from them

Change: tail = T x / (1 - r x), x - 1 = sum of the pairs' pressures times the shares of processors in use. Measured with one image of each and a steady load: tails depend on the shares' sum alone (1 to 10 neighbours), pair factor 3.8 to 4.6 or none. A Kalman filter for each pair, loads from undisturbed tasks of the same job.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -177,14 +177,17 @@
 auto
 Cell::OnTick(Time aNow, std::int64_t aNowUnixMs) -> void
 {
-  for (auto& [id, job] : this->jobs) {
-    if (job->Spec().Timed() && !IsFinal(job->state)) {
+  for (auto& [id, job] : this->activeJobs) {
+    if (job->Spec().Timed()) {
       this->OpenOccurrences(*job, aNowUnixMs);
     }
   }
   this->LapseWorkers(aNow);
-  if (this->planNeeded) {
+  const auto due = this->planNeeded || aNow >= this->planAgain;
+  if (due && aNow >= this->plannedAt + kPlanGap) {
     this->planNeeded = false;
+    this->planAgain = Time::max();
+    this->plannedAt = aNow;
     this->PlanStarts(aNow);
   }
   this->SendStops(aNow);
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -165,8 +165,10 @@
     RunRef ref;
     Run* run = nullptr;
     const StepSpec* spec = nullptr;
-    // How much it disturbs the images that suffer, as far as is known.
-    double blame = 0.0;
+    // Share of the worker's processors that it uses at full pace.
+    double share = 0.0;
+    // How much it disturbs what is there most, at full pace.
+    double pressure = 0.0;
   };
 
   // What a batch holds besides the records.
@@ -236,12 +238,15 @@
   auto PickWorker(Time aNow,
                   const Job& aJob,
                   const StepSpec& aStep,
-                  const std::map<const WorkerSlot*, std::uint32_t>& aPlaced)
-    -> WorkerSlot*;
+                  const std::map<const WorkerSlot*, std::uint32_t>& aPlaced,
+                  double aLeastPace) -> WorkerSlot*;
+  auto ProbesAllowed(Time aNow,
+                     const WorkerSlot& aSlot,
+                     const StepSpec& aStep) const -> bool;
   auto Score(const WorkerSlot& aSlot,
              const StepSpec& aStep,
              std::int64_t aIdleCpu,
-             double aHarm) const -> double;
+             double aPace) const -> double;
   auto MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const
     -> bool;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
@@ -251,17 +256,24 @@
                 const WorkerSlot& aSlot,
                 Run& aRun,
                 double aMeasured) -> void;
-  auto LearnDisturbance(Time aNow, WorkerSlot& aSlot) -> void;
-  auto Relieve(Time aNow, WorkerSlot& aSlot) -> void;
-  auto Harm(Time aNow, const WorkerSlot& aSlot, const StepSpec& aStep) const
-    -> double;
-  auto FillsOn(Time aNow, const WorkerSlot& aSlot,
-               const std::vector<std::string>& aSuffering)
-    -> std::vector<Fill>;
-  auto PaceDown(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills)
+  auto LearnFrom(Time aNow, WorkerSlot& aSlot) -> void;
+  auto BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
+    -> std::vector<Beside>;
+  auto UnloadedTail(const StepSpec& aStep) const -> double;
+  auto LoadOf(Time aNow, const Job& aJob) const -> double;
+  // Pressure that each serving image there may still take.
+  auto SlackOn(Time aNow, const WorkerSlot& aSlot)
+    -> std::map<std::string, double>;
+  // Pace that one more task would have there, from 0 to 1.
+  auto PaceFor(Time aNow,
+               const WorkerSlot& aSlot,
+               const StepSpec& aStep,
+               const std::map<std::string, double>& aSlack) const -> double;
+  auto TakeSlack(Time aNow, WorkerSlot& aSlot, const StepSpec& aStep) const
     -> void;
-  auto PaceUp(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills) -> void;
-  auto HasBetterPlace(Time aNow, const Fill& aFill) -> bool;
+  auto FillsOn(const WorkerSlot& aSlot) -> std::vector<Fill>;
+  auto SetPaces(Time aNow, WorkerSlot& aSlot) -> void;
+  auto Displace(Time aNow, const Fill& aFill) -> bool;
   auto SetPace(Time aNow, const RunRef& aRef, Run& aRun, int aPercent) -> void;
 
   // Calls (cellcalls.cpp).
@@ -285,6 +297,8 @@
   std::shared_ptr<const SiteConfig> config;
   std::set<DomainId> evacuated;
   std::unordered_map<JobId, std::unique_ptr<Job>> jobs;
+  // Of these, the ones that have not ended.
+  std::map<JobId, Job*> activeJobs;
   std::map<WorkerId, WorkerSlot> workers;
   // Cancellations of jobs that are not known yet.
   std::set<JobId> earlyCancels;
@@ -305,10 +319,15 @@
   std::vector<WorkerCall> calls;
   std::uint64_t lastCall = 0;
   bool planNeeded = true;
+  Time plannedAt{};
+  // Something waits for time to pass before it can be placed.
+  Time planAgain{};
   bool fenced = false;
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
   Disturbance disturbance;
+  // The lowest tail of each serving image, in milliseconds.
+  std::map<std::string, double> tailFloors;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -132,7 +132,8 @@
     }
     if (!slot.runs.empty()) {
       this->SendRenewal(
-        aNow, slot, slot.watched ? kWatchedPatience : kRenewPatience);
+        aNow, slot, slot.fillingCpu > 0 && !slot.serving.empty() ? kWatchedPatience
+                                                      : kRenewPatience);
     } else if (unrecorded || aNow >= slot.lastAnswer + kIdleRenewInterval ||
                slot.unacknowledged) {
       this->SendRenewal(aNow, slot, Millis{ 0 });
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -46,8 +46,11 @@
   if (job.state == JobState::Queued && !job.Spec().Timed()) {
     ++this->pending[aRow.queue];
   }
-  if (job.Spec().Timed() && !IsFinal(job.state)) {
-    this->OpenOccurrences(job, aNowUnixMs);
+  if (!IsFinal(job.state)) {
+    this->activeJobs.emplace(job.Id(), &job);
+    if (job.Spec().Timed()) {
+      this->OpenOccurrences(job, aNowUnixMs);
+    }
   }
   this->planNeeded = true;
   return job;
@@ -200,6 +203,7 @@
   }
   aJob.state = aState;
   aJob.endedAt = aNow;
+  this->activeJobs.erase(aJob.Id());
   this->endedJobs.emplace(aNow + this->options.keepEnded, aJob.Id());
   this->Count(aState == JobState::Completed ? CellEvent::Completed
               : aState == JobState::Failed  ? CellEvent::FailedJob
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -19,10 +19,7 @@
 Cell::ReadySteps(Time aNow) -> std::vector<ReadyStep>
 {
   auto ready = std::vector<ReadyStep>{};
-  for (auto& [id, job] : this->jobs) {
-    if (IsFinal(job->state)) {
-      continue;
-    }
+  for (auto& [id, job] : this->activeJobs) {
     for (auto& [number, occurrence] : job->occurrences) {
       if (occurrence.openSteps == 0) {
         continue;
@@ -37,7 +34,7 @@
               return !occurrence.steps[aEarlier].AllDone();
             });
         if (!blocked) {
-          ready.push_back({ job.get(),
+          ready.push_back({ job,
                             number,
                             step,
                             job->row.policy.priority,
@@ -77,13 +74,22 @@
       continue;
     }
     if (task.notBefore > aNow) {
-      this->planNeeded = true;
+      this->planAgain = std::min(this->planAgain, task.notBefore);
       continue;
     }
-    auto* const slot = this->PickWorker(aNow, job, spec, placed);
+    if (!task.waitingSince) {
+      task.waitingSince = aNow;
+    }
+    const auto least = aNow > *task.waitingSince + kPoorPaceAfter ? kPoorPace
+                                                                  : kGoodPace;
+    auto* const slot = this->PickWorker(aNow, job, spec, placed, least);
     if (slot == nullptr) {
+      if (spec.fillsIdle) {
+        this->planAgain = std::min(this->planAgain, aNow + kPlanAgain);
+      }
       return;
     }
+    task.waitingSince.reset();
     this->PlanRun(aNow, { job.Id(), aReady.occurrence, aReady.step, index },
                   *slot);
     ++placed[slot];
@@ -105,8 +111,8 @@
 Cell::PickWorker(Time aNow,
                  const Job& aJob,
                  const StepSpec& aStep,
-                 const std::map<const WorkerSlot*, std::uint32_t>& aPlaced)
-  -> WorkerSlot*
+                 const std::map<const WorkerSlot*, std::uint32_t>& aPlaced,
+                 double aLeastPace) -> WorkerSlot*
 {
   WorkerSlot* best = nullptr;
   auto bestScore = 0.0;
@@ -132,14 +138,18 @@
         (aStep.fillsIdle && idle < aStep.size.cpuMillis)) {
       continue;
     }
-    if (aStep.fillsIdle && (slot.sufferingSince || slot.resting)) {
-      continue;
-    }
-    const auto harm = aStep.fillsIdle ? this->Harm(aNow, slot, aStep) : 0.0;
-    if (harm > kHeavyDisturbance) {
-      continue;
+    auto pace = 1.0;
+    if (aStep.fillsIdle && !slot.serving.empty()) {
+      if (slot.sufferingSince || aNow < slot.restUntil ||
+          !this->ProbesAllowed(aNow, slot, aStep)) {
+        continue;
+      }
+      pace = this->PaceFor(aNow, slot, aStep, slot.slack);
+      if (pace < aLeastPace) {
+        continue;
+      }
     }
-    const auto score = this->Score(slot, aStep, idle, harm);
+    const auto score = this->Score(slot, aStep, idle, pace);
     if (best == nullptr || score > bestScore) {
       best = &slot;
       bestScore = score;
@@ -154,7 +164,7 @@
 Cell::Score(const WorkerSlot& aSlot,
             const StepSpec& aStep,
             std::int64_t aIdleCpu,
-            double aHarm) const -> double
+            double aPace) const -> double
 {
   const auto capacity = static_cast<double>(
     std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
@@ -171,8 +181,9 @@
              : same                                     ? 1.0
                                                         : 0.0;
   } else if (aStep.fillsIdle) {
-    constexpr double kHarmWeight = 5.0;
-    score -= kHarmWeight * aHarm;
+    constexpr double kPaceWeight = 3.0;
+    score += kPaceWeight * aPace;
+    score += aSlot.serving.empty() ? 1.0 : 0.0;
   } else if (!aSlot.serving.empty()) {
     score += 1.0;
   }
@@ -183,6 +194,32 @@
   return score;
 }
 
+// Beside an image that it was not seen beside, an image is tried with a few
+// runs first.
+auto
+Cell::ProbesAllowed(Time aNow,
+                    const WorkerSlot& aSlot,
+                    const StepSpec& aStep) const -> bool
+{
+  for (const auto& [image, tasks] : aSlot.serving) {
+    if (this->disturbance.Between(aNow, image, aStep.image).variance <
+        kProbeVariance) {
+      continue;
+    }
+    auto probes = 0;
+    for (const auto& [id, slot] : this->workers) {
+      const auto there = slot.filling.find(aStep.image);
+      if (there != slot.filling.end() && slot.serving.contains(image)) {
+        probes += there->second;
+      }
+    }
+    if (probes >= kProbes) {
+      return false;
+    }
+  }
+  return true;
+}
+
 auto
 Cell::PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void
 {
@@ -196,6 +233,9 @@
   run.checkpoint = task.checkpoint;
   task.runs.push_back(run);
   aSlot.Attach({ aName, run.number }, *place.spec);
+  if (place.spec->fillsIdle) {
+    this->TakeSlack(aNow, aSlot, *place.spec);
+  }
   auto& job = *place.job;
   if (job.state == JobState::Queued) {
     job.state = JobState::Running;
@@ -211,10 +251,7 @@
                       { "worker", aSlot.entry.id.text },
                       { "room_cpu", std::to_string(aSlot.Room().cpuMillis) },
                       { "idle_cpu", std::to_string(aSlot.IdleCpu()) },
-                    { "disturbs",
-                      place.spec->fillsIdle
-                        ? std::to_string(this->Harm(aNow, aSlot, *place.spec))
-                        : "" } });
+                    { "serving", std::to_string(aSlot.serving.size()) } });
   }
 }
 
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -11,12 +11,6 @@
 
 namespace {
 
-auto
-TailOf(const Run& aRun, const StepSpec& aSpec) -> double
-{
-  return aRun.tailNow / static_cast<double>(aSpec.tailTarget.count());
-}
-
 // The part of a span of time in which a run was at work.
 auto
 Overlap(Time aFrom, Time aTo, Time aBegin, Time aEnd) -> double
@@ -59,180 +53,258 @@
 }
 
 auto
-Cell::LearnDisturbance(Time aNow, WorkerSlot& aSlot) -> void
+Cell::UnloadedTail(const StepSpec& aStep) const -> double
+{
+  const auto floor = this->tailFloors.find(aStep.image);
+  const auto target = static_cast<double>(aStep.tailTarget.count());
+  return floor == this->tailFloors.end() ? target / kTargetUnits
+                                         : floor->second * kFloorPart;
+}
+
+auto
+Cell::LoadOf(Time aNow, const Job& aJob) const -> double
+{
+  return aJob.loadSeenAt && aNow < *aJob.loadSeenAt + kLoadAge ? aJob.load
+                                                               : kUnknownLoad;
+}
+
+// Shares of the worker's processors that filling tasks used since then.
+auto
+Cell::BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
+  -> std::vector<Beside>
 {
   constexpr double kWhole = 100.0;
+  auto beside = std::vector<Beside>{};
+  for (const auto& gone : aSlot.goneFills) {
+    beside.push_back({ gone.image,
+                       gone.share *
+                         Overlap(aSince, aNow, gone.from, gone.to) });
+  }
+  for (const auto& fill : this->FillsOn(aSlot)) {
+    const auto from = std::max(fill.run->startedAt, fill.run->pacedAt);
+    beside.push_back({ fill.spec->image,
+                       fill.share * fill.run->pace / kWhole *
+                         Overlap(aSince, aNow, from, aNow) });
+  }
+  return beside;
+}
+
+// A task beside which all is known shows the load of its job; the others show
+// the pressure that they are under.
+auto
+Cell::LearnFrom(Time aNow, WorkerSlot& aSlot) -> void
+{
   std::erase_if(aSlot.goneFills, [aNow](const auto& aFill) {
     return aNow > aFill.to + kRenewPatience + kRenewTimeout;
   });
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
     if (run == nullptr || place.spec->tailTarget.count() == 0 ||
-        run->phase != RunPhase::Running || run->measuredAt != aNow) {
+        run->phase != RunPhase::Running || run->measuredAt != aNow ||
+        run->percent < kReadyPercent) {
       continue;
     }
-    auto beside = std::vector<Beside>{};
-    for (const auto& gone : aSlot.goneFills) {
-      beside.push_back(
-        { gone.image,
-          Overlap(run->measuredBefore, aNow, gone.from, gone.to) });
+    auto& job = *place.job;
+    const auto beside = this->BesideSince(aNow, aSlot, run->measuredBefore);
+    const auto expected =
+      this->disturbance.Sum(aNow, place.spec->image, beside);
+    const auto certain = std::sqrt(expected.variance) < kCertainPressure;
+    const auto calm = certain && expected.mean < kCertainPressure;
+    if (calm && run->smoothed > 0.0) {
+      // The smoothed figure: what is computed from it may be off downwards.
+      const auto [floor, added] =
+        this->tailFloors.try_emplace(place.spec->image, run->smoothed);
+      floor->second = std::min(floor->second, run->smoothed);
     }
-    for (const auto& other : aSlot.runs) {
-      const auto [there, fill] = this->FindActive(other);
-      if (fill != nullptr && there.spec->fillsIdle &&
-          fill->phase == RunPhase::Running) {
-        const auto from = std::max(fill->startedAt, fill->pacedAt);
-        beside.push_back(
-          { there.spec->image,
-            Overlap(run->measuredBefore, aNow, from, aNow) * fill->pace /
-              kWhole });
-      }
+    const auto units = run->tailNow / this->UnloadedTail(*place.spec);
+    if (calm) {
+      const auto load = LoadFrom(units, expected.mean);
+      const auto fresh =
+        job.loadSeenAt && aNow < *job.loadSeenAt + kTailHalfLife * 2;
+      job.load = fresh ? (job.load + load) / 2.0 : load;
+      job.loadSeenAt = aNow;
     }
-    if (!beside.empty()) {
-      this->disturbance.Observe(
-        aNow,
-        place.spec->image,
-        beside,
-        std::clamp(
-          TailOf(*run, *place.spec) - kCalmTail, 0.0, kMostDisturbance));
+    if (beside.empty() || !job.loadSeenAt) {
+      continue;
     }
+    const auto age =
+      std::chrono::duration<double>(aNow - *job.loadSeenAt).count();
+    constexpr double kLoadDrift = 0.07;
+    const auto slowed = 1.0 + PressureFrom(units, job.load);
+    const auto doubt = slowed * slowed * kLoadDrift * age;
+    this->disturbance.Observe(aNow,
+                              place.spec->image,
+                              beside,
+                              slowed - 1.0,
+                              kPressureError + doubt * doubt);
   }
 }
 
 auto
-Cell::Harm(Time aNow, const WorkerSlot& aSlot, const StepSpec& aStep) const
-  -> double
+Cell::FillsOn(const WorkerSlot& aSlot) -> std::vector<Fill>
 {
-  auto harm = 0.0;
-  for (const auto& [image, tasks] : aSlot.serving) {
-    harm = std::max(harm, this->disturbance.Between(aNow, image, aStep.image));
-  }
-  return harm;
-}
-
-// Tails beyond their target ask for relief: the neighbour that is known or
-// suspected to disturb most is paced down at once; those that are known to be
-// harmless only when the tail stays beyond its target for long.
-auto
-Cell::Relieve(Time aNow, WorkerSlot& aSlot) -> void
-{
-  auto suffering = std::vector<std::string>{};
-  auto calm = true;
+  auto fills = std::vector<Fill>{};
+  const auto capacity = static_cast<double>(
+    std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
-    if (run == nullptr || run->phase != RunPhase::Running ||
-        place.spec->tailTarget.count() == 0) {
+    if (run == nullptr || !place.spec->fillsIdle ||
+        run->phase == RunPhase::Stopping) {
       continue;
     }
-    const auto tail = TailOf(*run, *place.spec);
-    calm = calm && tail < kReliefCalmTail;
-    if (tail > kSufferingTail) {
-      suffering.push_back(place.spec->image);
+    auto cpu = static_cast<double>(place.spec->size.cpuMillis);
+    if (run->pace == 100 && run->measured > 0.0) {
+      cpu = std::min(cpu, run->measured);
     }
+    fills.push_back({ ref, run, place.spec, cpu / capacity, 0.0 });
   }
-  auto fills = this->FillsOn(aNow, aSlot, suffering);
-  aSlot.watched = aSlot.fillingCpu > 0 && !aSlot.serving.empty();
-  aSlot.resting = std::any_of(fills.begin(), fills.end(), [](const Fill& aFill) {
-    return aFill.run->pace < 100;
-  });
-  if (suffering.empty()) {
-    aSlot.sufferingSince.reset();
-  } else if (!aSlot.sufferingSince) {
-    aSlot.sufferingSince = aNow;
-  }
-  if (!calm) {
-    aSlot.calmSince = aNow;
-  }
-  if (aNow < aSlot.nextRelief || fills.empty()) {
-    return;
-  }
-  if (!suffering.empty()) {
-    this->PaceDown(aNow, aSlot, fills);
-  } else if (aNow > aSlot.calmSince + kReliefCalm) {
-    this->PaceUp(aNow, aSlot, fills);
-  }
+  return fills;
 }
 
 auto
-Cell::FillsOn(Time aNow,
-              const WorkerSlot& aSlot,
-              const std::vector<std::string>& aSuffering) -> std::vector<Fill>
+Cell::SlackOn(Time aNow, const WorkerSlot& aSlot)
+  -> std::map<std::string, double>
 {
-  auto fills = std::vector<Fill>{};
+  auto slack = std::map<std::string, double>{};
+  if (aSlot.serving.empty()) {
+    return slack;
+  }
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
-    if (run == nullptr || !place.spec->fillsIdle ||
-        run->phase != RunPhase::Running) {
+    if (run == nullptr || place.spec->tailTarget.count() == 0) {
       continue;
     }
-    auto fill = Fill{ ref, run, place.spec, 0.0 };
-    for (const auto& image : aSuffering) {
-      fill.blame = std::max(
-        fill.blame,
-        this->disturbance.Between(aNow, image, place.spec->image));
-    }
-    fills.push_back(fill);
+    const auto limit = kTailLimit *
+                       static_cast<double>(place.spec->tailTarget.count()) /
+                       this->UnloadedTail(*place.spec);
+    const auto most =
+      MostPressure(limit, this->LoadOf(aNow, *place.job) + kLoadGrowth);
+    const auto [item, added] = slack.try_emplace(place.spec->image, most);
+    item->second = std::min(item->second, most);
   }
-  return fills;
+  return slack;
 }
 
 auto
-Cell::PaceDown(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills) -> void
+Cell::TakeSlack(Time aNow, WorkerSlot& aSlot, const StepSpec& aStep) const
+  -> void
 {
-  const auto urgent = aNow > *aSlot.sufferingSince + kReliefUrgent;
-  std::sort(
-    aFills.begin(), aFills.end(), [](const Fill& aLeft, const Fill& aRight) {
-      return aLeft.blame * aLeft.run->pace > aRight.blame * aRight.run->pace;
-    });
-  for (auto& fill : aFills) {
-    if (fill.run->pace == 0 || (fill.blame < kSuspicion && !urgent)) {
-      continue;
-    }
-    aSlot.nextRelief = aNow + kReliefPause;
-    if (fill.blame > kHeavyDisturbance && this->HasBetterPlace(aNow, fill)) {
-      this->StopRun(aNow, fill.ref, *fill.run, StopReason::Displaced);
-    } else {
-      this->SetPace(aNow, fill.ref, *fill.run, 0);
-    }
-    if (!urgent) {
-      return;
-    }
+  const auto share =
+    static_cast<double>(aStep.size.cpuMillis) /
+    static_cast<double>(
+      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  for (auto& [image, left] : aSlot.slack) {
+    left -= this->disturbance.Pressure(aNow, image, aStep.image) * share;
   }
 }
 
 auto
-Cell::PaceUp(Time aNow, WorkerSlot& aSlot, std::vector<Fill>& aFills) -> void
+Cell::PaceFor(Time aNow,
+              const WorkerSlot& aSlot,
+              const StepSpec& aStep,
+              const std::map<std::string, double>& aSlack) const -> double
 {
-  Fill* mildest = nullptr;
-  auto mildestHarm = 0.0;
-  for (auto& fill : aFills) {
-    const auto harm = this->Harm(aNow, aSlot, *fill.spec);
-    const auto most = harm > kHeavyDisturbance ? kHeavyPace : 100;
-    if (fill.run->pace < most && (mildest == nullptr || harm < mildestHarm)) {
-      mildest = &fill;
-      mildestHarm = harm;
+  const auto share =
+    static_cast<double>(aStep.size.cpuMillis) /
+    static_cast<double>(
+      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  auto pace = 1.0;
+  for (const auto& [image, slack] : aSlack) {
+    const auto pressure =
+      this->disturbance.Pressure(aNow, image, aStep.image) * share;
+    if (pressure > 0.0) {
+      pace = std::min(pace, std::max(0.0, slack) / pressure);
     }
   }
-  if (mildest == nullptr) {
+  return pace;
+}
+
+// Gives each filling task the pace that the lasting ones beside it can bear,
+// first to those that disturb least.
+auto
+Cell::SetPaces(Time aNow, WorkerSlot& aSlot) -> void
+{
+  auto suffering = false;
+  for (const auto& ref : aSlot.runs) {
+    const auto [place, run] = this->FindActive(ref);
+    suffering = suffering ||
+                (run != nullptr && place.spec->tailTarget.count() > 0 &&
+                 run->phase == RunPhase::Running &&
+                 run->tailNow >
+                   static_cast<double>(place.spec->tailTarget.count()));
+  }
+  if (!suffering) {
+    aSlot.sufferingSince.reset();
+  } else if (!aSlot.sufferingSince) {
+    aSlot.sufferingSince = aNow;
+  } else if (aNow > *aSlot.sufferingSince + kReliefUrgent) {
+    aSlot.restUntil = aNow + kReliefRest;
+  }
+  auto fills = this->FillsOn(aSlot);
+  aSlot.slack = this->SlackOn(aNow, aSlot);
+  auto& slack = aSlot.slack;
+  if (fills.empty() || slack.empty()) {
     return;
   }
-  aSlot.nextRelief = aNow + kReliefPause;
-  if (mildestHarm > kHeavyDisturbance) {
-    if (this->HasBetterPlace(aNow, *mildest)) {
-      this->StopRun(aNow, mildest->ref, *mildest->run, StopReason::Displaced);
-    } else {
-      this->SetPace(aNow, mildest->ref, *mildest->run, kHeavyPace);
+  for (auto& fill : fills) {
+    for (const auto& [image, left] : slack) {
+      fill.pressure = std::max(
+        fill.pressure,
+        this->disturbance.Pressure(aNow, image, fill.spec->image) * fill.share);
+    }
+  }
+  std::sort(fills.begin(),
+            fills.end(),
+            [](const Fill& aLeft, const Fill& aRight) {
+              return aLeft.pressure < aRight.pressure;
+            });
+  constexpr double kWhole = 100.0;
+  for (const auto& fill : fills) {
+    auto pace = aNow < aSlot.restUntil ? 0.0 : 1.0;
+    for (const auto& [image, left] : slack) {
+      const auto pressure =
+        this->disturbance.Pressure(aNow, image, fill.spec->image) * fill.share;
+      if (pressure > 0.0) {
+        pace = std::min(pace, std::max(0.0, left) / pressure);
+      }
+    }
+    for (auto& [image, left] : slack) {
+      left -=
+        this->disturbance.Pressure(aNow, image, fill.spec->image) *
+        fill.share * pace;
+    }
+    if (fill.run->phase != RunPhase::Running) {
+      continue;
+    }
+    auto percent = static_cast<int>(pace * kWhole);
+    percent = percent < kPaceStep / 2 ? 0 : percent;
+    if (percent >= kLowPace) {
+      fill.run->lowSince = aNow;
+    } else if (aNow > fill.run->lowSince + kLowPaceFor &&
+               this->Displace(aNow, fill)) {
+      continue;
+    }
+    const auto step = std::abs(percent - fill.run->pace);
+    const auto bound = percent == 0 || percent == 100;
+    if (step > 0 && (step >= kPaceStep || bound) &&
+        aNow > fill.run->pacedAt + kPacePause) {
+      this->SetPace(aNow, fill.ref, *fill.run, percent);
     }
-  } else {
-    this->SetPace(aNow, mildest->ref, *mildest->run, 100);
   }
 }
 
+// Stops a task that is held to a low pace if it would do better elsewhere.
 auto
-Cell::HasBetterPlace(Time aNow, const Fill& aFill) -> bool
+Cell::Displace(Time aNow, const Fill& aFill) -> bool
 {
   const auto place = this->Find(aFill.ref.task);
-  return this->PickWorker(aNow, *place.job, *place.spec, {}) != nullptr;
+  auto elsewhere = std::map<const WorkerSlot*, std::uint32_t>{};
+  if (this->PickWorker(aNow, *place.job, *place.spec, elsewhere, 1.0) ==
+      nullptr) {
+    return false;
+  }
+  this->StopRun(aNow, aFill.ref, *aFill.run, StopReason::Displaced);
+  return true;
 }
 
 auto
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -155,6 +155,7 @@
       run->phase = RunPhase::Running;
       run->since = aNow;
       run->startedAt = aNow;
+      run->lowSince = aNow;
       run->progressAt = aNow;
       run->confirmedMs = aAnswer.clockMs.value_or(0);
       slot.nextRenewal = std::min(slot.nextRenewal, aNow + kRenewGap);
@@ -202,7 +203,7 @@
     return;
   }
   if (aAnswer.end == CallEnd::Done) {
-    run->confirmedMs = aAnswer.clockMs.value_or(0);
+    run->stopConfirmedMs = aAnswer.clockMs.value_or(0);
     if (run->stopping == StopReason::Settled) {
       run->worker->lookNow = true;
     }
@@ -245,18 +246,21 @@
       gone = true;
     }
   }
+  // Answers may overtake each other. One of the same millisecond may be of the
+  // moment before: what it does not list may have come since.
   if (clock >= aSlot.reportedMs) {
+    const auto newer = clock > aSlot.reportedMs;
     aSlot.reportedMs = clock;
     aSlot.reportedAt = aNow;
     auto seen = std::set<RunRef>{};
     for (const auto& report : aAnswer.running) {
       this->OnRunning(aNow, aSlot, report, seen);
     }
-    if (aAnswer.unreadable == 0) {
+    if (aAnswer.unreadable == 0 && newer) {
       this->OnUnlisted(aNow, aSlot, seen, clock);
     }
-    this->LearnDisturbance(aNow, aSlot);
-    this->Relieve(aNow, aSlot);
+    this->LearnFrom(aNow, aSlot);
+    this->SetPaces(aNow, aSlot);
   }
   aSlot.nextRenewal = aNow + kRenewGap;
   this->planNeeded = this->planNeeded || gone;
@@ -288,6 +292,7 @@
                                                    : RunPhase::Stopping;
     run->since = aNow;
     run->progressAt = aNow;
+    run->confirmedMs = std::max(run->confirmedMs, aSlot.reportedMs);
     run->stopSent = false;
     if (run->phase == RunPhase::Stopping) {
       this->toStop.insert(ref);
@@ -409,7 +414,7 @@
         }
         break;
       case RunPhase::Stopping:
-        if (run->confirmedMs > 0 && aClockMs > run->confirmedMs) {
+        if (run->stopConfirmedMs > 0 && aClockMs > run->stopConfirmedMs) {
           this->ForgetRun(aNow, ref, "not there");
         }
         break;
@@ -483,8 +488,15 @@
 {
   auto* const run = aPlace.task->FindRun(aRef.run);
   if (aPlace.spec->fillsIdle && run->phase != RunPhase::Planned) {
+    constexpr double kWhole = 100.0;
+    const auto capacity = static_cast<double>(
+      std::max<std::int64_t>(run->worker->entry.capacity.cpuMillis, 1));
     run->worker->goneFills.push_back(
-      { aPlace.spec->image, std::max(run->startedAt, run->pacedAt), aNow });
+      { aPlace.spec->image,
+        static_cast<double>(aPlace.spec->size.cpuMillis) / capacity *
+          run->pace / kWhole,
+        std::max(run->startedAt, run->pacedAt),
+        aNow });
   }
   run->worker->Detach(aRef, *aPlace.spec);
   std::erase_if(aPlace.task->runs, [&](const Run& aRun) {
--- a/cells/src/disturbance.cpp
+++ b/cells/src/disturbance.cpp
@@ -7,81 +7,112 @@
 
 namespace gooseberry::cells {
 
-namespace {
+auto
+TailUnder(double aLoad, double aPressure) -> double
+{
+  const auto slowed = 1.0 + aPressure;
+  const auto idle = std::max(kLeastIdle, 1.0 - aLoad * slowed);
+  return slowed / idle;
+}
+
+auto
+PressureFrom(double aTail, double aLoad) -> double
+{
+  return std::max(0.0, aTail / (1.0 + aLoad * aTail) - 1.0);
+}
 
 auto
-Faded(const Disturbance::Estimate& aEstimate, Time aNow) -> double
+LoadFrom(double aTail, double aPressure) -> double
 {
-  const auto age = std::chrono::duration<double>(aNow - aEstimate.at) /
-                   std::chrono::duration<double>(kReportHalfLife);
-  return aEstimate.weight * std::exp2(-std::max(0.0, age));
+  const auto slowed = 1.0 + aPressure;
+  return std::clamp((1.0 - slowed / std::max(aTail, slowed)) / slowed,
+                    0.0,
+                    1.0 - kLeastIdle);
 }
 
-} // namespace
+auto
+MostPressure(double aLimit, double aLoad) -> double
+{
+  return PressureFrom(aLimit, aLoad);
+}
 
-// What the estimates do not explain is divided among the neighbours by their
-// shares, and more of it goes to those of which less is known.
+// A Kalman filter with one state for each pair; what is observed is the sum of
+// the pairs' pressures.
 auto
 Disturbance::Observe(Time aNow,
                      const std::string& aServing,
                      const std::vector<Beside>& aBeside,
-                     double aExcess) -> void
+                     double aPressure,
+                     double aError) -> void
 {
   auto shares = std::map<std::string, double>{};
   for (const auto& beside : aBeside) {
     shares[beside.image] += beside.share;
   }
-  auto explained = 0.0;
-  auto total = 0.0;
+  auto expected = 0.0;
+  auto variance = aError;
   for (const auto& [image, share] : shares) {
-    explained += share * this->Between(aNow, aServing, image);
-    total += share * share / (1.0 + this->Weight(aNow, aServing, image));
+    const auto known = this->Between(aNow, aServing, image);
+    expected += known.mean * share;
+    variance += known.variance * share * share;
   }
-  const auto rest = aExcess - explained;
+  const auto surprise = aPressure - expected;
+  // A pair that has changed shows in a report that its variance does not allow.
+  const auto changed = surprise * surprise > kChangeFactor * variance;
   for (const auto& [image, share] : shares) {
-    if (share < kLeastShare) {
-      continue;
+    auto known = this->Between(aNow, aServing, image);
+    if (changed) {
+      variance += (kPairVariance - known.variance) * share * share;
+      known.variance = kPairVariance;
     }
-    const auto known = this->Between(aNow, aServing, image);
-    const auto weight = this->Weight(aNow, aServing, image);
-    const auto sample = std::clamp(
-      known + rest * share / (1.0 + weight) / total, 0.0, kMostDisturbance);
-    auto& estimate = this->estimates[{ aServing, image }];
-    // A pair disturbs only while the task's load is high, so what was seen
-    // counts more than what was not.
-    const auto counts = std::min(share, 1.0);
-    const auto rate = sample > known
-                        ? std::max(kRiseRate, 1.0 / (1.0 + weight))
-                        : 1.0 / (kUnknownWeight + weight + 1.0);
-    estimate.mean = known + (sample - known) * rate * counts;
-    estimate.weight = std::min(weight + counts, kMostReportWeight);
-    estimate.at = aNow;
+    const auto gain = known.variance * share / variance;
+    known.mean =
+      std::clamp(known.mean + gain * surprise, 0.0, kMostPairPressure);
+    known.variance =
+      std::max(kLeastPairVariance, known.variance * (1.0 - gain * share));
+    known.at = aNow;
+    this->estimates[{ aServing, image }] = known;
   }
 }
 
 auto
 Disturbance::Between(Time aNow,
                      const std::string& aServing,
-                     const std::string& aFilling) const -> double
+                     const std::string& aFilling) const -> Estimate
 {
   const auto found = this->estimates.find({ aServing, aFilling });
   if (found == this->estimates.end()) {
-    return kUnknownDisturbance;
+    return { kPairPressure, kPairVariance, aNow };
   }
-  // The fresh estimate counts in full; it fades into the guess.
-  const auto trust = found->second.weight <= 0.0
-                       ? 0.0
-                       : Faded(found->second, aNow) / found->second.weight;
-  return kUnknownDisturbance * (1.0 - trust) + found->second.mean * trust;
+  const auto age = std::chrono::duration<double>(aNow - found->second.at) /
+                   std::chrono::duration<double>(kPairHalfLife);
+  const auto kept = std::exp2(-std::max(0.0, age));
+  return { kPairPressure + (found->second.mean - kPairPressure) * kept,
+           kPairVariance + (found->second.variance - kPairVariance) * kept,
+           aNow };
 }
 
 auto
-Disturbance::Weight(Time aNow,
-                    const std::string& aServing,
-                    const std::string& aFilling) const -> double
+Disturbance::Sum(Time aNow,
+                 const std::string& aServing,
+                 const std::vector<Beside>& aBeside) const -> Estimate
 {
-  const auto found = this->estimates.find({ aServing, aFilling });
-  return found == this->estimates.end() ? 0.0 : Faded(found->second, aNow);
+  auto sum = Estimate{ 0.0, 0.0, aNow };
+  for (const auto& beside : aBeside) {
+    const auto known = this->Between(aNow, aServing, beside.image);
+    sum.mean += known.mean * beside.share;
+    sum.variance += known.variance * beside.share * beside.share;
+  }
+  return sum;
+}
+
+auto
+Disturbance::Pressure(Time aNow,
+                      const std::string& aServing,
+                      const std::string& aFilling) const -> double
+{
+  const auto known = this->Between(aNow, aServing, aFilling);
+  return known.mean < kHarmlessPressure ? 0.0 : known.mean;
 }
 
 auto
--- a/cells/src/disturbance.h
+++ b/cells/src/disturbance.h
@@ -1,8 +1,13 @@
 #ifndef GOOSEBERRY_DISTURBANCE_H
 #define GOOSEBERRY_DISTURBANCE_H
 
-// Learns from the tails of lasting tasks which images that fill idle processors
-// disturb which images that answer users, and how strongly.
+// How tasks that fill idle processors slow down lasting ones that answer users,
+// learnt from the tails of the latter.
+//
+// The model, as measured: a lasting task under load r has the tail
+// T * x / (1 - r * x), where T is the tail without any load, and x - 1, the
+// pressure, grows with the share of the worker's processors that each
+// neighbour uses, by a factor that belongs to the pair of images.
 
 #include <map>
 #include <string>
@@ -13,22 +18,35 @@
 
 namespace gooseberry::cells {
 
-// What ran beside a lasting task since its report before.
+// The tail of a task under load and pressure, in units of its tail without.
+auto
+TailUnder(double aLoad, double aPressure) -> double;
+// The pressure under which a task with this load has this tail.
+auto
+PressureFrom(double aTail, double aLoad) -> double;
+// The load with which a task under this pressure has this tail.
+auto
+LoadFrom(double aTail, double aPressure) -> double;
+// The most pressure under which the tail stays within a limit.
+auto
+MostPressure(double aLimit, double aLoad) -> double;
+
+// What runs beside a lasting task: an image and the share of the worker's
+// processors that it uses.
 struct Beside
 {
   std::string image;
-  // Of that time and of its full speed, from 0 to 1.
-  double share = 1.0;
+  double share = 0.0;
 };
 
 class Disturbance
 {
 public:
+  // Pressure for each full share of the processors: mean and variance.
   struct Estimate
   {
     double mean = 0.0;
-    // Grows with each report and fades with time, since pairs change.
-    double weight = 0.0;
+    double variance = 0.0;
     Time at{};
 
     auto operator==(const Estimate&) const -> bool = default;
@@ -36,25 +54,31 @@
 
   using Table = std::map<std::pair<std::string, std::string>, Estimate>;
 
-  // One report of a lasting task: by how much its tail was worse than calm, as
-  // a part of its target.
+  // One report: the pressure that a task of the image was under.
+  // aError: variance of what was observed.
   auto Observe(Time aNow,
                const std::string& aServing,
                const std::vector<Beside>& aBeside,
-               double aExcess) -> void;
-  // Expected excess at full speed; a guess while little is known.
+               double aPressure,
+               double aError) -> void;
+  // What is known of a pair by now; fades into a guess, since pairs change.
   auto Between(Time aNow,
                const std::string& aServing,
-               const std::string& aFilling) const -> double;
+               const std::string& aFilling) const -> Estimate;
+  // Pressure and its variance from all that runs beside.
+  auto Sum(Time aNow,
+           const std::string& aServing,
+           const std::vector<Beside>& aBeside) const -> Estimate;
+
+  // Expected pressure at full use; none for a pair that is known to be harmless.
+  auto Pressure(Time aNow,
+                const std::string& aServing,
+                const std::string& aFilling) const -> double;
 
   auto Estimates() const -> const Table&;
   auto Restore(Table aEstimates) -> void;
 
 private:
-  auto Weight(Time aNow,
-              const std::string& aServing,
-              const std::string& aFilling) const -> double;
-
   Table estimates;
 };
 
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -82,8 +82,9 @@
   Time startedAt{};
   // Lease end in the start order, on the worker's clock.
   std::int64_t startLeaseEndMs = 0;
-  // The worker's clock when it confirmed the start or the stop.
+  // The worker's clock when it confirmed the start, and the stop; 0: not yet.
   std::int64_t confirmedMs = 0;
+  std::int64_t stopConfirmedMs = 0;
   std::string checkpoint;
   double percent = 0.0;
   double measured = 0.0;
@@ -101,6 +102,8 @@
   // Share of its speed that it may use, and since when.
   int pace = 100;
   Time pacedAt{};
+  // Since when it is held to a low pace.
+  Time lowSince{};
 };
 
 enum class TaskPhase
@@ -122,6 +125,8 @@
   std::vector<Run> runs;
   // No start before.
   Time notBefore{};
+  // Since when it could start but for a place.
+  std::optional<Time> waitingSince;
 
   auto FindRun(std::uint32_t aNumber) -> Run*;
 };
@@ -169,6 +174,10 @@
   // The record must not wait.
   bool hasty = false;
   std::vector<PendingEnd> unrecordedEnds;
+  // Load of its lasting tasks, all of which answer the same users, and when it
+  // was seen.
+  double load = 0.0;
+  std::optional<Time> loadSeenAt;
 
   auto Id() const -> const JobId& { return this->row.id; }
   auto Spec() const -> const JobSpec& { return this->row.spec; }
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -68,6 +68,11 @@
 // Most records in one transaction; the wire takes 100 entries.
 inline constexpr std::size_t kMaxRecordsPerCommit = 90;
 
+// Least time between two rounds of placement; a round costs some 0.1 ms.
+inline constexpr Millis kPlanGap{ 8 };
+// Tasks that wait for their neighbours to calm down are looked at this often.
+inline constexpr Millis kPlanAgain{ 100 };
+
 // Back-off of a task that failed, doubled with each failure.
 inline constexpr Millis kFailureBackoff{ 20 };
 inline constexpr Millis kFailureBackoffMax{ 2000 };
@@ -75,45 +80,64 @@
 // Part of their reserved processors that lasting tasks are expected to use.
 inline constexpr double kLastingUse = 0.5;
 
-// Tails are judged as parts of their target. Alone, lasting tasks are at 0.3 to
-// 0.6 of it over their load's wave (measured on quiet days of both sites).
-inline constexpr double kCalmTail = 0.6;
-// What a tail counts for at most, so that one report does not decide.
-inline constexpr double kMostDisturbance = 1.5;
-// A tail beyond this part of its target asks for relief.
-inline constexpr double kSufferingTail = 0.95;
-// A pair of images that were not seen together yet, and for how many reports
-// this guess counts.
-inline constexpr double kUnknownDisturbance = 0.12;
-inline constexpr double kUnknownWeight = 1.0;
-// Most reports that an estimate stands for, and after which time it stands for
-// half as many: pairs were seen to change some 20 s into a day.
-inline constexpr double kMostReportWeight = 12.0;
-inline constexpr Millis kReportHalfLife{ 10000 };
-// Part of the difference by which an estimate rises at least.
-inline constexpr double kRiseRate = 0.5;
+// A lasting task is at work when it reports this percentage.
+inline constexpr double kReadyPercent = 100.0;
+
+// Pressure of a neighbour that uses all processors of a worker: measured at 3.8
+// to 4.6 for images that disturb, near 0 for all others; which of the two holds
+// is not known at first.
+inline constexpr double kPairPressure = 1.8;
+inline constexpr double kPairVariance = 4.0;
+inline constexpr double kLeastPairVariance = 0.05;
+inline constexpr double kMostPairPressure = 8.0;
+// Pairs with a lower estimate do not disturb at all: estimates of harmless pairs
+// were seen up to 0.7, of others from 1.9 on.
+inline constexpr double kHarmlessPressure = 1.0;
+// After which time a pair is known half as well: pairs were seen to change
+// within a day of 40 s.
+inline constexpr Millis kPairHalfLife{ 12000 };
+// A report so many times its variance off the expected one tells of a change.
+inline constexpr double kChangeFactor = 9.0;
+// Least idle part of a lasting task that the model knows.
+inline constexpr double kLeastIdle = 0.02;
+// Target in units of the tail without load, while it is not known.
+inline constexpr double kTargetUnits = 6.0;
+// The lowest tail seen is at a load of about 0.2.
+inline constexpr double kFloorPart = 0.9;
+// Tails are kept below this part of their target.
+inline constexpr double kTailLimit = 0.6;
+// A load is expected to grow by so much before the next look.
+inline constexpr double kLoadGrowth = 0.08;
+// Load of a lasting task that has not shown it yet.
+inline constexpr double kUnknownLoad = 0.55;
+// A load that was seen so long ago is not known any more.
+inline constexpr Millis kLoadAge{ 4000 };
+// Variance of one observed pressure: tails are rough by a tenth.
+inline constexpr double kPressureError = 0.03;
+// Standard deviation of pressure below which a task shows its load.
+inline constexpr double kCertainPressure = 0.1;
 // The reported tail is smoothed: with each of these spans it halves its
 // distance to the true one (measured after the ends of neighbours).
 inline constexpr Millis kTailHalfLife{ 250 };
 // Reports closer together than this say nothing about the time between.
 inline constexpr Millis kTailSpan{ 200 };
-// Neighbours with a smaller share teach nothing.
-inline constexpr double kLeastShare = 0.3;
-// Disturbance beyond which two images are kept apart. Pairs were seen either
-// below 0.1 or above 0.3.
-inline constexpr double kHeavyDisturbance = 0.22;
-// Known disturbance below which a neighbour is not suspected at once.
-inline constexpr double kSuspicion = 0.08;
+// Paces are changed in steps of at least so many percent, and no more often.
+inline constexpr int kPaceStep = 20;
+inline constexpr Millis kPacePause{ 300 };
 // A tail may be beyond its target for 4 s; then everything beside it rests.
 inline constexpr Millis kReliefUrgent{ 1200 };
-// All tails below this part of their target: paces may be raised.
-inline constexpr double kReliefCalmTail = 0.8;
-// Pace of what disturbs its neighbours and has no better place, in percent.
-inline constexpr int kHeavyPace = 40;
-// After a change of pace its effect is awaited.
-inline constexpr Millis kReliefPause{ 500 };
-// So long must all tails be calm before a pace is raised.
-inline constexpr Millis kReliefCalm{ 1200 };
+inline constexpr Millis kReliefRest{ 700 };
+// Least expected pace with which a task is placed beside lasting ones; the
+// second one after it has waited for some time.
+inline constexpr double kGoodPace = 1.0;
+inline constexpr double kPoorPace = 0.7;
+inline constexpr Millis kPoorPaceAfter{ 700 };
+// A task that is held to less goes elsewhere if it can.
+inline constexpr int kLowPace = 40;
+inline constexpr Millis kLowPaceFor{ 800 };
+// Runs of one image beside an image that it was not seen beside yet.
+inline constexpr int kProbes = 2;
+inline constexpr double kProbeVariance = 2.0;
 
 // A worker that refused or did not answer an order takes no new ones for this.
 inline constexpr Millis kAvoidRefusing{ 300 };
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -58,6 +58,7 @@
   }
   if (aStep.fillsIdle) {
     this->fillingCpu += size.cpuMillis;
+    ++this->filling[aStep.image];
     size.cpuMillis = 0;
   }
   this->reserved += size;
@@ -78,6 +79,9 @@
   }
   if (aStep.fillsIdle) {
     this->fillingCpu -= size.cpuMillis;
+    if (--this->filling[aStep.image] == 0) {
+      this->filling.erase(aStep.image);
+    }
     size.cpuMillis = 0;
   }
   this->reserved -= size;
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -82,22 +82,25 @@
   // Takes no new runs until then.
   Time avoidUntil{};
 
-  // Lasting tasks there by image, and the state of relief for them.
+  // Lasting tasks there by image, and tasks that fill idle processors.
   std::map<std::string, int> serving;
-  Time nextRelief{};
-  Time calmSince{};
-  std::optional<Time> sufferingSince;
+  std::map<std::string, int> filling;
   // Runs that filled idle processors until a moment ago.
   struct GoneFill
   {
     std::string image;
+    double share = 0.0;
     Time from{};
     Time to{};
   };
   std::vector<GoneFill> goneFills;
-  bool watched = false;
-  // Some task there that fills idle processors is paced down.
-  bool resting = false;
+  // Pressure that each serving image there may still take, as of the newest
+  // report and less what was placed there since.
+  std::map<std::string, double> slack;
+  // Since when some tail has been beyond its target, and until when all that
+  // fills rests for it.
+  std::optional<Time> sufferingSince;
+  Time restUntil{};
 
   auto Room() const -> Resources;
   // Processors that nobody is expected to use.
