--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -105,7 +105,7 @@
 // The lowest tail seen is at a load of about 0.2.
 inline constexpr double kFloorPart = 0.9;
 // Tails are kept below this part of their target.
-inline constexpr double kTailLimit = 0.6;
+inline constexpr double kTailLimit = 0.5;
 // A load is expected to grow by so much before the next look.
 inline constexpr double kLoadGrowth = 0.08;
 // Load of a lasting task that has not shown it yet.
@@ -129,8 +129,8 @@
 inline constexpr Millis kReliefRest{ 700 };
 // Least expected pace with which a task is placed beside lasting ones; the
 // second one after it has waited for some time.
-inline constexpr double kGoodPace = 1.0;
-inline constexpr double kPoorPace = 0.7;
+inline constexpr double kGoodPace = 0.95;
+inline constexpr double kPoorPace = 0.8;
 inline constexpr Millis kPoorPaceAfter{ 700 };
 // A task that is held to less goes elsewhere if it can.
 inline constexpr int kLowPace = 40;
