--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -155,6 +155,7 @@
   place.step = &place.occurrence->steps[aName.step];
   place.spec = &place.job->Spec().steps[aName.step];
   place.task = &place.step->tasks[aName.index];
+  place.image = place.job->images[aName.step];
   return place;
 }
 
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -148,6 +148,7 @@
     StepProgress* step = nullptr;
     const StepSpec* spec = nullptr;
     Task* task = nullptr;
+    ImageId image = 0;
   };
 
   struct ReadyStep
@@ -159,12 +160,57 @@
     Time order{};
   };
 
+  // What a filling image does to the serving ones.
+  struct FillPressures
+  {
+    struct Pair
+    {
+      double pressure = 0.0;
+      // Not known: tried with few runs at first.
+      bool probing = false;
+      int probes = 0;
+    };
+
+    std::map<ImageId, Pair> pairs;
+  };
+
+  struct PlacementQuery
+  {
+    const Job* job = nullptr;
+    const StepSpec* step = nullptr;
+    ImageId image = 0;
+    // Runs of the step by worker, where their number is bounded.
+    const std::map<const WorkerSlot*, std::uint32_t>* placed = nullptr;
+    double leastPace = 1.0;
+  };
+
+  // Facts that hold for all placements of one moment.
+  struct PlacementRound
+  {
+    // A kind of task for which there was no place.
+    struct Failure
+    {
+      ServiceId service;
+      ImageId image = 0;
+      bool fillsIdle = false;
+      std::string neededLabel;
+      Resources size;
+      double leastPace = 1.0;
+    };
+
+    Time now{};
+    std::vector<WorkerSlot*> open;
+    std::map<ImageId, FillPressures> pressures;
+    std::vector<Failure> failures;
+  };
+
   // A run that fills idle processors beside lasting tasks.
   struct Fill
   {
     RunRef ref;
     Run* run = nullptr;
     const StepSpec* spec = nullptr;
+    ImageId image = 0;
     // Share of the worker's processors that it uses at full pace.
     double share = 0.0;
     // How much it disturbs what is there most, at full pace.
@@ -194,6 +240,8 @@
   auto Restore(Job& aJob, const JobRecord& aRecord) -> void;
   auto InheritWorker(const JobRecord::RunMark& aMark) -> WorkerSlot&;
   auto OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void;
+  // A worker has begun one of its tasks.
+  auto NoteStarted(Job& aJob) -> void;
   auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
   auto EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void;
   auto StopRuns(Time aNow,
@@ -234,21 +282,22 @@
   // Placement (cellplace.cpp).
   auto PlanStarts(Time aNow) -> void;
   auto ReadySteps(Time aNow) -> std::vector<ReadyStep>;
-  auto PlanStep(Time aNow, const ReadyStep& aReady) -> void;
-  auto PickWorker(Time aNow,
-                  const Job& aJob,
-                  const StepSpec& aStep,
-                  const std::map<const WorkerSlot*, std::uint32_t>& aPlaced,
-                  double aLeastPace) -> WorkerSlot*;
-  auto ProbesAllowed(Time aNow,
-                     const WorkerSlot& aSlot,
-                     const StepSpec& aStep) const -> bool;
+  auto PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
+    -> void;
+  auto NewRound(Time aNow) -> PlacementRound;
+  auto PressuresOf(PlacementRound& aRound, ImageId aFilling)
+    -> const FillPressures&;
+  auto PickWorker(PlacementRound& aRound, const PlacementQuery& aQuery)
+    -> WorkerSlot*;
+  auto Fits(const WorkerSlot& aSlot, const PlacementQuery& aQuery) const
+    -> bool;
+  auto PaceFor(const WorkerSlot& aSlot,
+               const StepSpec& aStep,
+               const FillPressures& aPressures) const -> double;
   auto Score(const WorkerSlot& aSlot,
-             const StepSpec& aStep,
-             std::int64_t aIdleCpu,
+             const PlacementQuery& aQuery,
              double aPace) const -> double;
-  auto MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const
-    -> bool;
+  auto MayTake(Time aNow, const WorkerSlot& aSlot) const -> bool;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
   // Neighbours on one worker (cellrelief.cpp).
@@ -259,18 +308,15 @@
   auto LearnFrom(Time aNow, WorkerSlot& aSlot) -> void;
   auto BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
     -> std::vector<Beside>;
-  auto UnloadedTail(const StepSpec& aStep) const -> double;
+  auto UnloadedTail(const StepSpec& aStep, ImageId aImage) const -> double;
   auto LoadOf(Time aNow, const Job& aJob) const -> double;
   // Pressure that each serving image there may still take.
   auto SlackOn(Time aNow, const WorkerSlot& aSlot)
-    -> std::map<std::string, double>;
-  // Pace that one more task would have there, from 0 to 1.
-  auto PaceFor(Time aNow,
-               const WorkerSlot& aSlot,
-               const StepSpec& aStep,
-               const std::map<std::string, double>& aSlack) const -> double;
-  auto TakeSlack(Time aNow, WorkerSlot& aSlot, const StepSpec& aStep) const
-    -> void;
+    -> std::map<ImageId, double>;
+  auto TakeSlack(Time aNow,
+                 WorkerSlot& aSlot,
+                 const StepSpec& aStep,
+                 ImageId aImage) const -> void;
   auto FillsOn(const WorkerSlot& aSlot) -> std::vector<Fill>;
   auto SetPaces(Time aNow, WorkerSlot& aSlot) -> void;
   auto Displace(Time aNow, const Fill& aFill) -> bool;
@@ -325,9 +371,10 @@
   bool fenced = false;
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
+  Images images;
   Disturbance disturbance;
   // The lowest tail of each serving image, in milliseconds.
-  std::map<std::string, double> tailFloors;
+  std::map<ImageId, double> tailFloors;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -50,7 +50,7 @@
   auto* const run = aPlace.task->FindRun(aRef.run);
   auto& slot = *run->worker;
   if (run->stopping != StopReason::None || aPlace.task->phase != TaskPhase::Open ||
-      !this->MayTake(Time::max(), slot, *aPlace.job) ||
+      !this->MayTake(Time::max(), slot) ||
       slot.entry.bornUnixMs != run->bornUnixMs) {
     this->ForgetRun(aNow, aRef, "withdrawn before its start");
     return;
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -36,6 +36,9 @@
   job.objective = aNow + aRow.policy.target +
                   std::chrono::duration_cast<Millis>(
                     chain * aRow.policy.slackFactor);
+  for (const auto& step : aRow.spec.steps) {
+    job.images.push_back(this->images.Number(step.image));
+  }
   this->jobs.emplace(aRow.id, std::move(owned));
   if (!job.Spec().Timed()) {
     job.occurrences.emplace(0, NewOccurrence(job.Spec()));
@@ -102,7 +105,8 @@
       task.runs.push_back(run);
       slot.Attach(
         { { aJob.Id(), mark.occurrence, mark.step, mark.index }, run.number },
-        *place.spec);
+        *place.spec,
+        place.image);
     }
   }
 }
@@ -165,6 +169,19 @@
     aNow, *found->second, JobState::Cancelled, StopReason::Cancelled);
 }
 
+auto
+Cell::NoteStarted(Job& aJob) -> void
+{
+  if (aJob.state != JobState::Queued) {
+    return;
+  }
+  aJob.state = JobState::Running;
+  if (!aJob.Spec().Timed()) {
+    --this->pending[aJob.row.queue];
+  }
+  this->Touch(aJob, false);
+}
+
 auto
 Cell::EndTask(Time aNow, const TaskPlace& aPlace) -> void
 {
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -10,11 +10,25 @@
 auto
 Cell::PlanStarts(Time aNow) -> void
 {
+  auto round = this->NewRound(aNow);
   for (const auto& ready : this->ReadySteps(aNow)) {
-    this->PlanStep(aNow, ready);
+    this->PlanStep(aNow, round, ready);
   }
 }
 
+auto
+Cell::NewRound(Time aNow) -> PlacementRound
+{
+  auto round = PlacementRound{};
+  round.now = aNow;
+  for (auto& [id, slot] : this->workers) {
+    if (this->MayTake(aNow, slot)) {
+      round.open.push_back(&slot);
+    }
+  }
+  return round;
+}
+
 auto
 Cell::ReadySteps(Time aNow) -> std::vector<ReadyStep>
 {
@@ -57,17 +71,22 @@
 }
 
 auto
-Cell::PlanStep(Time aNow, const ReadyStep& aReady) -> void
+Cell::PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
+  -> void
 {
   auto& job = *aReady.job;
   const auto& spec = job.Spec().steps[aReady.step];
   auto& tasks = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
   auto placed = std::map<const WorkerSlot*, std::uint32_t>{};
-  for (const auto& task : tasks) {
-    for (const auto& run : task.runs) {
-      ++placed[run.worker];
+  if (spec.maxPerWorker > 0) {
+    for (const auto& task : tasks) {
+      for (const auto& run : task.runs) {
+        ++placed[run.worker];
+      }
     }
   }
+  auto query =
+    PlacementQuery{ &job, &spec, job.images[aReady.step], &placed, kGoodPace };
   for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
     auto& task = tasks[index];
     if (task.phase != TaskPhase::Open || !task.runs.empty()) {
@@ -80,9 +99,9 @@
     if (!task.waitingSince) {
       task.waitingSince = aNow;
     }
-    const auto least = aNow > *task.waitingSince + kPoorPaceAfter ? kPoorPace
-                                                                  : kGoodPace;
-    auto* const slot = this->PickWorker(aNow, job, spec, placed, least);
+    query.leastPace =
+      aNow > *task.waitingSince + kPoorPaceAfter ? kPoorPace : kGoodPace;
+    auto* const slot = this->PickWorker(aRound, query);
     if (slot == nullptr) {
       if (spec.fillsIdle) {
         this->planAgain = std::min(this->planAgain, aNow + kPlanAgain);
@@ -90,136 +109,193 @@
       return;
     }
     task.waitingSince.reset();
-    this->PlanRun(aNow, { job.Id(), aReady.occurrence, aReady.step, index },
-                  *slot);
-    ++placed[slot];
+    this->PlanRun(
+      aNow, { job.Id(), aReady.occurrence, aReady.step, index }, *slot);
+    if (spec.maxPerWorker > 0) {
+      ++placed[slot];
+    }
+    if (spec.fillsIdle) {
+      for (auto& [image, pair] : aRound.pressures[query.image].pairs) {
+        pair.probes += slot->serving.contains(image) ? 1 : 0;
+      }
+    }
   }
 }
 
 auto
-Cell::MayTake(Time aNow, const WorkerSlot& aSlot, const Job& aJob) const -> bool
+Cell::MayTake(Time aNow, const WorkerSlot& aSlot) const -> bool
 {
   return aSlot.listed && aSlot.reconciled && !aSlot.silent &&
          !aSlot.entry.leaving &&
-         aSlot.entry.service == aJob.row.policy.service &&
          !this->evacuated.contains(aSlot.entry.domain) &&
          aNow >= aSlot.avoidUntil &&
          (aSlot.guardsCapacity || aSlot.orphans.empty());
 }
 
 auto
-Cell::PickWorker(Time aNow,
-                 const Job& aJob,
-                 const StepSpec& aStep,
-                 const std::map<const WorkerSlot*, std::uint32_t>& aPlaced,
-                 double aLeastPace) -> WorkerSlot*
+Cell::PickWorker(PlacementRound& aRound, const PlacementQuery& aQuery)
+  -> WorkerSlot*
 {
+  const auto& step = *aQuery.step;
+  const auto& service = aQuery.job->row.policy.service;
+  const auto hopeless =
+    std::any_of(aRound.failures.begin(),
+                aRound.failures.end(),
+                [&](const PlacementRound::Failure& aFailure) {
+                  return aFailure.service == service &&
+                         aFailure.fillsIdle == step.fillsIdle &&
+                         (!step.fillsIdle || aFailure.image == aQuery.image) &&
+                         aFailure.neededLabel == step.neededLabel &&
+                         aFailure.leastPace <= aQuery.leastPace &&
+                         aFailure.size.FitsIn(step.size);
+                });
+  if (hopeless) {
+    return nullptr;
+  }
   WorkerSlot* best = nullptr;
   auto bestScore = 0.0;
-  for (auto& [id, slot] : this->workers) {
-    if (!this->MayTake(aNow, slot, aJob)) {
-      continue;
-    }
-    if (!aStep.neededLabel.empty() && !slot.entry.HasLabel(aStep.neededLabel)) {
-      continue;
-    }
-    const auto here = aPlaced.find(&slot);
-    if (aStep.maxPerWorker > 0 && here != aPlaced.end() &&
-        here->second >= aStep.maxPerWorker) {
-      continue;
-    }
-    auto need = aStep.size;
-    const auto room = slot.Room();
-    const auto idle = slot.IdleCpu();
-    if (aStep.fillsIdle) {
-      need.cpuMillis = 0;
-    }
-    if (!need.FitsIn(room) ||
-        (aStep.fillsIdle && idle < aStep.size.cpuMillis)) {
+  for (auto* const slot : aRound.open) {
+    if (slot->entry.service != service || !this->Fits(*slot, aQuery)) {
       continue;
     }
     auto pace = 1.0;
-    if (aStep.fillsIdle && !slot.serving.empty()) {
-      if (slot.sufferingSince || aNow < slot.restUntil ||
-          !this->ProbesAllowed(aNow, slot, aStep)) {
+    if (step.fillsIdle && !slot->serving.empty()) {
+      if (slot->sufferingSince || aRound.now < slot->restUntil) {
         continue;
       }
-      pace = this->PaceFor(aNow, slot, aStep, slot.slack);
-      if (pace < aLeastPace) {
+      pace =
+        this->PaceFor(*slot, step, this->PressuresOf(aRound, aQuery.image));
+      if (pace < aQuery.leastPace) {
         continue;
       }
     }
-    const auto score = this->Score(slot, aStep, idle, pace);
+    const auto score = this->Score(*slot, aQuery, pace);
     if (best == nullptr || score > bestScore) {
-      best = &slot;
+      best = slot;
       bestScore = score;
     }
   }
+  if (best == nullptr && step.maxPerWorker == 0) {
+    aRound.failures.push_back({ service,
+                                aQuery.image,
+                                step.fillsIdle,
+                                step.neededLabel,
+                                step.size,
+                                aQuery.leastPace });
+  }
   return best;
 }
 
+auto
+Cell::Fits(const WorkerSlot& aSlot, const PlacementQuery& aQuery) const -> bool
+{
+  const auto& step = *aQuery.step;
+  auto need = step.size;
+  if (step.fillsIdle) {
+    need.cpuMillis = 0;
+    if (aSlot.IdleCpu() < step.size.cpuMillis) {
+      return false;
+    }
+  }
+  if (!need.FitsIn(aSlot.Room()) ||
+      (!step.neededLabel.empty() && !aSlot.entry.HasLabel(step.neededLabel))) {
+    return false;
+  }
+  if (step.maxPerWorker == 0 || aQuery.placed == nullptr) {
+    return true;
+  }
+  const auto here = aQuery.placed->find(&aSlot);
+  return here == aQuery.placed->end() || here->second < step.maxPerWorker;
+}
+
+// Pressures of one image on all that serve, once a round.
+auto
+Cell::PressuresOf(PlacementRound& aRound, ImageId aFilling)
+  -> const FillPressures&
+{
+  auto [item, added] = aRound.pressures.try_emplace(aFilling);
+  if (!added) {
+    return item->second;
+  }
+  auto& pairs = item->second.pairs;
+  for (const auto& [id, slot] : this->workers) {
+    const auto there = slot.filling.find(aFilling);
+    for (const auto& [image, tasks] : slot.serving) {
+      auto [pair, fresh] = pairs.try_emplace(image);
+      if (fresh) {
+        pair->second.pressure =
+          this->disturbance.Pressure(aRound.now, image, aFilling);
+        pair->second.probing =
+          this->disturbance.Between(aRound.now, image, aFilling).variance >
+          kProbeVariance;
+      }
+      pair->second.probes += there == slot.filling.end() ? 0 : there->second;
+    }
+  }
+  return item->second;
+}
+
+// Pace that one more task would have there, from 0 to 1.
+auto
+Cell::PaceFor(const WorkerSlot& aSlot,
+              const StepSpec& aStep,
+              const FillPressures& aPressures) const -> double
+{
+  const auto share =
+    static_cast<double>(aStep.size.cpuMillis) /
+    static_cast<double>(
+      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  auto pace = 1.0;
+  for (const auto& [image, tasks] : aSlot.serving) {
+    const auto& pair = aPressures.pairs.at(image);
+    if (pair.probing && pair.probes >= kProbes) {
+      return 0.0;
+    }
+    const auto pressure = pair.pressure * share;
+    const auto slack = aSlot.slack.find(image);
+    if (pressure > 0.0 && slack != aSlot.slack.end()) {
+      pace = std::min(pace, std::max(0.0, slack->second) / pressure);
+    }
+  }
+  return pace;
+}
+
 // Lasting tasks are packed, equal images together, so that other workers stay
 // free of them. Tasks that fill idle processors go where nobody minds them.
 auto
 Cell::Score(const WorkerSlot& aSlot,
-            const StepSpec& aStep,
-            std::int64_t aIdleCpu,
+            const PlacementQuery& aQuery,
             double aPace) const -> double
 {
+  const auto& step = *aQuery.step;
   const auto capacity = static_cast<double>(
     std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
-  const auto idle = static_cast<double>(aIdleCpu) / capacity;
+  const auto idle = static_cast<double>(aSlot.IdleCpu()) / capacity;
   auto score = idle;
-  if (aStep.lasting) {
+  if (step.lasting) {
     // Alone with its image, else on a worker of its own, else mixed.
     constexpr double kSameImage = 3.0;
     constexpr double kFree = 1.5;
-    const auto same = aSlot.serving.contains(aStep.image);
+    const auto same = aSlot.serving.contains(aQuery.image);
     score = -idle;
-    score += aSlot.serving.empty()                      ? kFree
-             : same && aSlot.serving.size() == 1        ? kSameImage
-             : same                                     ? 1.0
-                                                        : 0.0;
-  } else if (aStep.fillsIdle) {
+    score += aSlot.serving.empty()               ? kFree
+             : same && aSlot.serving.size() == 1 ? kSameImage
+             : same                              ? 1.0
+                                                 : 0.0;
+  } else if (step.fillsIdle) {
     constexpr double kPaceWeight = 3.0;
     score += kPaceWeight * aPace;
     score += aSlot.serving.empty() ? 1.0 : 0.0;
   } else if (!aSlot.serving.empty()) {
     score += 1.0;
   }
-  if (!aStep.dataRack.empty() && aSlot.entry.HasLabel(aStep.dataRack)) {
+  if (!step.dataRack.empty() && aSlot.entry.HasLabel(step.dataRack)) {
     constexpr double kNearData = 10.0;
     score += kNearData;
   }
   return score;
 }
 
-// Beside an image that it was not seen beside, an image is tried with a few
-// runs first.
-auto
-Cell::ProbesAllowed(Time aNow,
-                    const WorkerSlot& aSlot,
-                    const StepSpec& aStep) const -> bool
-{
-  for (const auto& [image, tasks] : aSlot.serving) {
-    if (this->disturbance.Between(aNow, image, aStep.image).variance <
-        kProbeVariance) {
-      continue;
-    }
-    auto probes = 0;
-    for (const auto& [id, slot] : this->workers) {
-      const auto there = slot.filling.find(aStep.image);
-      if (there != slot.filling.end() && slot.serving.contains(image)) {
-        probes += there->second;
-      }
-    }
-    if (probes >= kProbes) {
-      return false;
-    }
-  }
-  return true;
-}
-
 auto
 Cell::PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void
 {
@@ -232,18 +308,11 @@
   run.since = aNow;
   run.checkpoint = task.checkpoint;
   task.runs.push_back(run);
-  aSlot.Attach({ aName, run.number }, *place.spec);
+  aSlot.Attach({ aName, run.number }, *place.spec, place.image);
   if (place.spec->fillsIdle) {
-    this->TakeSlack(aNow, aSlot, *place.spec);
-  }
-  auto& job = *place.job;
-  if (job.state == JobState::Queued) {
-    job.state = JobState::Running;
-    if (!job.Spec().Timed()) {
-      --this->pending[job.row.queue];
-    }
+    this->TakeSlack(aNow, aSlot, *place.spec, place.image);
   }
-  this->Touch(job, true);
+  this->Touch(*place.job, true);
   if (this->log.Follows(aName.job)) {
     this->log.Write("run_planned",
                     { { "task", ToText(aName) },
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -53,9 +53,9 @@
 }
 
 auto
-Cell::UnloadedTail(const StepSpec& aStep) const -> double
+Cell::UnloadedTail(const StepSpec& aStep, ImageId aImage) const -> double
 {
-  const auto floor = this->tailFloors.find(aStep.image);
+  const auto floor = this->tailFloors.find(aImage);
   const auto target = static_cast<double>(aStep.tailTarget.count());
   return floor == this->tailFloors.end() ? target / kTargetUnits
                                          : floor->second * kFloorPart;
@@ -82,7 +82,7 @@
   }
   for (const auto& fill : this->FillsOn(aSlot)) {
     const auto from = std::max(fill.run->startedAt, fill.run->pacedAt);
-    beside.push_back({ fill.spec->image,
+    beside.push_back({ fill.image,
                        fill.share * fill.run->pace / kWhole *
                          Overlap(aSince, aNow, from, aNow) });
   }
@@ -107,16 +107,16 @@
     auto& job = *place.job;
     const auto beside = this->BesideSince(aNow, aSlot, run->measuredBefore);
     const auto expected =
-      this->disturbance.Sum(aNow, place.spec->image, beside);
+      this->disturbance.Sum(aNow, place.image, beside);
     const auto certain = std::sqrt(expected.variance) < kCertainPressure;
     const auto calm = certain && expected.mean < kCertainPressure;
     if (calm && run->smoothed > 0.0) {
       // The smoothed figure: what is computed from it may be off downwards.
       const auto [floor, added] =
-        this->tailFloors.try_emplace(place.spec->image, run->smoothed);
+        this->tailFloors.try_emplace(place.image, run->smoothed);
       floor->second = std::min(floor->second, run->smoothed);
     }
-    const auto units = run->tailNow / this->UnloadedTail(*place.spec);
+    const auto units = run->tailNow / this->UnloadedTail(*place.spec, place.image);
     if (calm) {
       const auto load = LoadFrom(units, expected.mean);
       const auto fresh =
@@ -133,7 +133,7 @@
     const auto slowed = 1.0 + PressureFrom(units, job.load);
     const auto doubt = slowed * slowed * kLoadDrift * age;
     this->disturbance.Observe(aNow,
-                              place.spec->image,
+                              place.image,
                               beside,
                               slowed - 1.0,
                               kPressureError + doubt * doubt);
@@ -156,16 +156,17 @@
     if (run->pace == 100 && run->measured > 0.0) {
       cpu = std::min(cpu, run->measured);
     }
-    fills.push_back({ ref, run, place.spec, cpu / capacity, 0.0 });
+    fills.push_back(
+      { ref, run, place.spec, place.image, cpu / capacity, 0.0 });
   }
   return fills;
 }
 
 auto
 Cell::SlackOn(Time aNow, const WorkerSlot& aSlot)
-  -> std::map<std::string, double>
+  -> std::map<ImageId, double>
 {
-  auto slack = std::map<std::string, double>{};
+  auto slack = std::map<ImageId, double>{};
   if (aSlot.serving.empty()) {
     return slack;
   }
@@ -176,47 +177,28 @@
     }
     const auto limit = kTailLimit *
                        static_cast<double>(place.spec->tailTarget.count()) /
-                       this->UnloadedTail(*place.spec);
+                       this->UnloadedTail(*place.spec, place.image);
     const auto most =
       MostPressure(limit, this->LoadOf(aNow, *place.job) + kLoadGrowth);
-    const auto [item, added] = slack.try_emplace(place.spec->image, most);
+    const auto [item, added] = slack.try_emplace(place.image, most);
     item->second = std::min(item->second, most);
   }
   return slack;
 }
 
 auto
-Cell::TakeSlack(Time aNow, WorkerSlot& aSlot, const StepSpec& aStep) const
-  -> void
+Cell::TakeSlack(Time aNow,
+                WorkerSlot& aSlot,
+                const StepSpec& aStep,
+                ImageId aImage) const -> void
 {
   const auto share =
     static_cast<double>(aStep.size.cpuMillis) /
     static_cast<double>(
       std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
   for (auto& [image, left] : aSlot.slack) {
-    left -= this->disturbance.Pressure(aNow, image, aStep.image) * share;
-  }
-}
-
-auto
-Cell::PaceFor(Time aNow,
-              const WorkerSlot& aSlot,
-              const StepSpec& aStep,
-              const std::map<std::string, double>& aSlack) const -> double
-{
-  const auto share =
-    static_cast<double>(aStep.size.cpuMillis) /
-    static_cast<double>(
-      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
-  auto pace = 1.0;
-  for (const auto& [image, slack] : aSlack) {
-    const auto pressure =
-      this->disturbance.Pressure(aNow, image, aStep.image) * share;
-    if (pressure > 0.0) {
-      pace = std::min(pace, std::max(0.0, slack) / pressure);
-    }
+    left -= this->disturbance.Pressure(aNow, image, aImage) * share;
   }
-  return pace;
 }
 
 // Gives each filling task the pace that the lasting ones beside it can bear,
@@ -250,7 +232,7 @@
     for (const auto& [image, left] : slack) {
       fill.pressure = std::max(
         fill.pressure,
-        this->disturbance.Pressure(aNow, image, fill.spec->image) * fill.share);
+        this->disturbance.Pressure(aNow, image, fill.image) * fill.share);
     }
   }
   std::sort(fills.begin(),
@@ -263,14 +245,14 @@
     auto pace = aNow < aSlot.restUntil ? 0.0 : 1.0;
     for (const auto& [image, left] : slack) {
       const auto pressure =
-        this->disturbance.Pressure(aNow, image, fill.spec->image) * fill.share;
+        this->disturbance.Pressure(aNow, image, fill.image) * fill.share;
       if (pressure > 0.0) {
         pace = std::min(pace, std::max(0.0, left) / pressure);
       }
     }
     for (auto& [image, left] : slack) {
       left -=
-        this->disturbance.Pressure(aNow, image, fill.spec->image) *
+        this->disturbance.Pressure(aNow, image, fill.image) *
         fill.share * pace;
     }
     if (fill.run->phase != RunPhase::Running) {
@@ -298,9 +280,10 @@
 Cell::Displace(Time aNow, const Fill& aFill) -> bool
 {
   const auto place = this->Find(aFill.ref.task);
-  auto elsewhere = std::map<const WorkerSlot*, std::uint32_t>{};
-  if (this->PickWorker(aNow, *place.job, *place.spec, elsewhere, 1.0) ==
-      nullptr) {
+  auto round = this->NewRound(aNow);
+  const auto query =
+    PlacementQuery{ place.job, place.spec, place.image, nullptr, 1.0 };
+  if (this->PickWorker(round, query) == nullptr) {
     return false;
   }
   this->StopRun(aNow, aFill.ref, *aFill.run, StopReason::Displaced);
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -152,6 +152,7 @@
   }
   switch (aAnswer.end) {
     case CallEnd::Done:
+      this->NoteStarted(*place.job);
       run->phase = RunPhase::Running;
       run->since = aNow;
       run->startedAt = aNow;
@@ -288,6 +289,7 @@
   }
   if (run->phase == RunPhase::Starting || run->phase == RunPhase::Unsettled ||
       run->phase == RunPhase::Inherited) {
+    this->NoteStarted(*place.job);
     run->phase = run->stopping == StopReason::None ? RunPhase::Running
                                                    : RunPhase::Stopping;
     run->since = aNow;
@@ -329,6 +331,7 @@
   }
   auto& job = *place.job;
   auto& task = *place.task;
+  this->NoteStarted(job);
   if (this->log.Follows(job.Id())) {
     this->log.Write("run_ended",
                     { { "task", ToText(ref.task) },
@@ -492,13 +495,13 @@
     const auto capacity = static_cast<double>(
       std::max<std::int64_t>(run->worker->entry.capacity.cpuMillis, 1));
     run->worker->goneFills.push_back(
-      { aPlace.spec->image,
+      { aPlace.image,
         static_cast<double>(aPlace.spec->size.cpuMillis) / capacity *
           run->pace / kWhole,
         std::max(run->startedAt, run->pacedAt),
         aNow });
   }
-  run->worker->Detach(aRef, *aPlace.spec);
+  run->worker->Detach(aRef, *aPlace.spec, aPlace.image);
   std::erase_if(aPlace.task->runs, [&](const Run& aRun) {
     return aRun.number == aRef.run;
   });
--- a/cells/src/disturbance.cpp
+++ b/cells/src/disturbance.cpp
@@ -40,12 +40,12 @@
 // the pairs' pressures.
 auto
 Disturbance::Observe(Time aNow,
-                     const std::string& aServing,
+                     ImageId aServing,
                      const std::vector<Beside>& aBeside,
                      double aPressure,
                      double aError) -> void
 {
-  auto shares = std::map<std::string, double>{};
+  auto shares = std::map<ImageId, double>{};
   for (const auto& beside : aBeside) {
     shares[beside.image] += beside.share;
   }
@@ -77,8 +77,8 @@
 
 auto
 Disturbance::Between(Time aNow,
-                     const std::string& aServing,
-                     const std::string& aFilling) const -> Estimate
+                     ImageId aServing,
+                     ImageId aFilling) const -> Estimate
 {
   const auto found = this->estimates.find({ aServing, aFilling });
   if (found == this->estimates.end()) {
@@ -94,7 +94,7 @@
 
 auto
 Disturbance::Sum(Time aNow,
-                 const std::string& aServing,
+                 ImageId aServing,
                  const std::vector<Beside>& aBeside) const -> Estimate
 {
   auto sum = Estimate{ 0.0, 0.0, aNow };
@@ -108,8 +108,8 @@
 
 auto
 Disturbance::Pressure(Time aNow,
-                      const std::string& aServing,
-                      const std::string& aFilling) const -> double
+                      ImageId aServing,
+                      ImageId aFilling) const -> double
 {
   const auto known = this->Between(aNow, aServing, aFilling);
   return known.mean < kHarmlessPressure ? 0.0 : known.mean;
--- a/cells/src/disturbance.h
+++ b/cells/src/disturbance.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "images.h"
 #include "types.h"
 
 namespace gooseberry::cells {
@@ -35,7 +36,7 @@
 // processors that it uses.
 struct Beside
 {
-  std::string image;
+  ImageId image = 0;
   double share = 0.0;
 };
 
@@ -52,28 +53,28 @@
     auto operator==(const Estimate&) const -> bool = default;
   };
 
-  using Table = std::map<std::pair<std::string, std::string>, Estimate>;
+  using Table = std::map<std::pair<ImageId, ImageId>, Estimate>;
 
   // One report: the pressure that a task of the image was under.
   // aError: variance of what was observed.
   auto Observe(Time aNow,
-               const std::string& aServing,
+               ImageId aServing,
                const std::vector<Beside>& aBeside,
                double aPressure,
                double aError) -> void;
   // What is known of a pair by now; fades into a guess, since pairs change.
   auto Between(Time aNow,
-               const std::string& aServing,
-               const std::string& aFilling) const -> Estimate;
+               ImageId aServing,
+               ImageId aFilling) const -> Estimate;
   // Pressure and its variance from all that runs beside.
   auto Sum(Time aNow,
-           const std::string& aServing,
+           ImageId aServing,
            const std::vector<Beside>& aBeside) const -> Estimate;
 
   // Expected pressure at full use; none for a pair that is known to be harmless.
   auto Pressure(Time aNow,
-                const std::string& aServing,
-                const std::string& aFilling) const -> double;
+                ImageId aServing,
+                ImageId aFilling) const -> double;
 
   auto Estimates() const -> const Table&;
   auto Restore(Table aEstimates) -> void;
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -2,8 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
-#include <nlohmann/json.hpp>
+#include <msgpack.hpp>
 
 #include "workerslot.h"
 
@@ -11,14 +12,26 @@
 
 namespace {
 
-// Tasks that are done, fail no more and run nowhere are kept as one text of
-// ranges for each step; all others have a mark of their own.
+// Tasks that are done and run nowhere are kept as ranges for each step; all
+// others have a mark of their own.
 auto
 IsPlainlyDone(const JobRecord::TaskMark& aMark) -> bool
 {
   return aMark.phase == TaskPhase::Done && aMark.runs.empty();
 }
 
+using DoneRange = std::array<std::uint32_t, 4>;
+using RunTuple =
+  std::tuple<std::uint32_t, std::string, std::int64_t, std::string>;
+using MarkTuple = std::tuple<std::uint32_t,
+                             std::uint32_t,
+                             std::uint32_t,
+                             int,
+                             std::uint32_t,
+                             std::uint32_t,
+                             std::string,
+                             std::vector<RunTuple>>;
+
 auto
 MarkOf(const Task& aTask,
        std::uint32_t aOccurrence,
@@ -43,11 +56,12 @@
 }
 
 auto
-ToJson(const JobRecord::TaskMark& aMark) -> nlohmann::json
+ToTuple(const JobRecord::TaskMark& aMark) -> MarkTuple
 {
-  auto runs = nlohmann::json::array();
+  auto runs = std::vector<RunTuple>{};
   for (const auto& run : aMark.runs) {
-    runs.push_back({ run.number, run.worker, run.bornUnixMs, run.machine });
+    runs.emplace_back(
+      run.number, run.worker.text, run.bornUnixMs, run.machine.text);
   }
   return { aMark.occurrence,
            aMark.step,
@@ -60,20 +74,17 @@
 }
 
 auto
-MarkFromJson(const nlohmann::json& aJson) -> JobRecord::TaskMark
+MarkFrom(const MarkTuple& aTuple) -> JobRecord::TaskMark
 {
-  auto mark = JobRecord::TaskMark{ aJson.at(0).get<std::uint32_t>(),
-                                   aJson.at(1).get<std::uint32_t>(),
-                                   aJson.at(2).get<std::uint32_t>() };
-  mark.phase = static_cast<TaskPhase>(aJson.at(3).get<int>());
-  mark.failures = aJson.at(4).get<std::uint32_t>();
-  mark.lastRun = aJson.at(5).get<std::uint32_t>();
-  mark.checkpoint = aJson.at(6).get<std::string>();
-  for (const auto& run : aJson.at(7)) {
-    mark.runs.push_back({ run.at(0).get<std::uint32_t>(),
-                          run.at(1).get<WorkerId>(),
-                          run.at(2).get<std::int64_t>(),
-                          run.at(3).get<MachineId>() });
+  auto mark = JobRecord::TaskMark{ std::get<0>(aTuple),
+                                   std::get<1>(aTuple),
+                                   std::get<2>(aTuple),
+                                   static_cast<TaskPhase>(std::get<3>(aTuple)),
+                                   std::get<4>(aTuple),
+                                   std::get<5>(aTuple),
+                                   std::get<6>(aTuple) };
+  for (const auto& [number, worker, born, machine] : std::get<7>(aTuple)) {
+    mark.runs.push_back({ number, { worker }, born, { machine } });
   }
   return mark;
 }
@@ -146,56 +157,55 @@
 auto
 EncodeRecord(const JobRecord& aRecord) -> std::string
 {
-  auto marks = nlohmann::json::array();
-  // Done tasks: occurrence, step, then first and last index of each range.
-  auto done = nlohmann::json::array();
+  auto marks = std::vector<MarkTuple>{};
+  // Done tasks: occurrence, step, first and last index of each range.
+  auto done = std::vector<DoneRange>{};
   for (const auto& mark : aRecord.tasks) {
     if (!IsPlainlyDone(mark)) {
-      marks.push_back(ToJson(mark));
+      marks.push_back(ToTuple(mark));
       continue;
     }
-    const auto extends = !done.empty() && done.back().at(0) == mark.occurrence &&
-                         done.back().at(1) == mark.step &&
-                         done.back().at(3) == mark.index - 1;
+    const auto extends = !done.empty() && done.back()[0] == mark.occurrence &&
+                         done.back()[1] == mark.step &&
+                         done.back()[3] + 1 == mark.index;
     if (extends) {
-      done.back().at(3) = mark.index;
+      done.back()[3] = mark.index;
     } else {
       done.push_back({ mark.occurrence, mark.step, mark.index, mark.index });
     }
   }
-  auto bytes = std::string{};
-  nlohmann::json::to_msgpack({ { "s", static_cast<int>(aRecord.state) },
-                               { "f", aRecord.finishedOccurrences },
-                               { "t", std::move(marks) },
-                               { "d", std::move(done) } },
-                             bytes);
-  return bytes;
+  auto buffer = msgpack::sbuffer{};
+  msgpack::pack(buffer,
+                std::tuple{ static_cast<int>(aRecord.state),
+                            aRecord.finishedOccurrences,
+                            marks,
+                            done });
+  return { buffer.data(), buffer.size() };
 }
 
 auto
 DecodeRecord(const std::string& aBytes, std::string& aReason)
   -> std::optional<JobRecord>
 {
+  using RecordTuple = std::
+    tuple<int, std::uint32_t, std::vector<MarkTuple>, std::vector<DoneRange>>;
   try {
-    const auto json = nlohmann::json::from_msgpack(aBytes);
-    auto record = JobRecord{};
-    record.state = static_cast<JobState>(json.at("s").get<int>());
-    record.finishedOccurrences = json.at("f").get<std::uint32_t>();
-    for (const auto& mark : json.at("t")) {
-      record.tasks.push_back(MarkFromJson(mark));
+    const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
+    const auto [state, finished, marks, done] =
+      handle.get().as<RecordTuple>();
+    auto record = JobRecord{ static_cast<JobState>(state), finished, {} };
+    for (const auto& mark : marks) {
+      record.tasks.push_back(MarkFrom(mark));
     }
-    for (const auto& range : json.at("d")) {
-      auto mark = JobRecord::TaskMark{ range.at(0).get<std::uint32_t>(),
-                                       range.at(1).get<std::uint32_t>(),
-                                       range.at(2).get<std::uint32_t>() };
+    for (const auto& range : done) {
+      auto mark = JobRecord::TaskMark{ range[0], range[1], range[2] };
       mark.phase = TaskPhase::Done;
-      const auto last = range.at(3).get<std::uint32_t>();
-      for (; mark.index <= last; ++mark.index) {
+      for (; mark.index <= range[3]; ++mark.index) {
         record.tasks.push_back(mark);
       }
     }
     return record;
-  } catch (const nlohmann::json::exception& fault) {
+  } catch (const std::exception& fault) {
     aReason = fault.what();
     return std::nullopt;
   }
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "images.h"
 #include "jobspec.h"
 #include "workercall.h"
 
@@ -158,6 +159,8 @@
 struct Job
 {
   JobRow row;
+  // Of each step.
+  std::vector<ImageId> images;
   JobState state = JobState::Queued;
   // The state that the store holds, which callers may see.
   JobState recorded = JobState::Queued;
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -46,26 +46,30 @@
 }
 
 auto
-WorkerSlot::Attach(const RunRef& aRun, const StepSpec& aStep) -> void
+WorkerSlot::Attach(const RunRef& aRun,
+                   const StepSpec& aStep,
+                   ImageId aImage) -> void
 {
   if (!this->runs.insert(aRun).second) {
     return;
   }
   auto size = aStep.size;
   if (aStep.lasting) {
-    ++this->serving[aStep.image];
+    ++this->serving[aImage];
     this->lastingCpu += size.cpuMillis;
   }
   if (aStep.fillsIdle) {
     this->fillingCpu += size.cpuMillis;
-    ++this->filling[aStep.image];
+    ++this->filling[aImage];
     size.cpuMillis = 0;
   }
   this->reserved += size;
 }
 
 auto
-WorkerSlot::Detach(const RunRef& aRun, const StepSpec& aStep) -> void
+WorkerSlot::Detach(const RunRef& aRun,
+                   const StepSpec& aStep,
+                   ImageId aImage) -> void
 {
   if (this->runs.erase(aRun) == 0) {
     return;
@@ -73,14 +77,14 @@
   auto size = aStep.size;
   if (aStep.lasting) {
     this->lastingCpu -= size.cpuMillis;
-    if (--this->serving[aStep.image] == 0) {
-      this->serving.erase(aStep.image);
+    if (--this->serving[aImage] == 0) {
+      this->serving.erase(aImage);
     }
   }
   if (aStep.fillsIdle) {
     this->fillingCpu -= size.cpuMillis;
-    if (--this->filling[aStep.image] == 0) {
-      this->filling.erase(aStep.image);
+    if (--this->filling[aImage] == 0) {
+      this->filling.erase(aImage);
     }
     size.cpuMillis = 0;
   }
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <vector>
 
+#include "images.h"
 #include "job.h"
 #include "site.h"
 
@@ -83,12 +84,12 @@
   Time avoidUntil{};
 
   // Lasting tasks there by image, and tasks that fill idle processors.
-  std::map<std::string, int> serving;
-  std::map<std::string, int> filling;
+  std::map<ImageId, int> serving;
+  std::map<ImageId, int> filling;
   // Runs that filled idle processors until a moment ago.
   struct GoneFill
   {
-    std::string image;
+    ImageId image = 0;
     double share = 0.0;
     Time from{};
     Time to{};
@@ -96,7 +97,7 @@
   std::vector<GoneFill> goneFills;
   // Pressure that each serving image there may still take, as of the newest
   // report and less what was placed there since.
-  std::map<std::string, double> slack;
+  std::map<ImageId, double> slack;
   // Since when some tail has been beyond its target, and until when all that
   // fills rests for it.
   std::optional<Time> sufferingSince;
@@ -110,8 +111,10 @@
   // Own time after which everything that ran there has ended by its lease,
   // whatever it answers.
   auto LapsedBy() const -> Time;
-  auto Attach(const RunRef& aRun, const StepSpec& aStep) -> void;
-  auto Detach(const RunRef& aRun, const StepSpec& aStep) -> void;
+  auto Attach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
+    -> void;
+  auto Detach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
+    -> void;
   auto NoteEnd(std::uint64_t aEnd) -> void;
   // The end may be forgotten by the worker as soon as all before it may.
   auto NoteRecorded(std::uint64_t aEnd) -> void;
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -305,6 +305,7 @@
       this->ports.loop,
       this->ports.tables,
       FollowerOptions{ aTable, aPart, kJobPatience, Millis{ 0 } },
+      this->ports.log,
       [weak = this->weak_from_this(), aHandler](
         const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
         const auto self = weak.lock();
--- a/fleet/src/sitewatch.cpp
+++ b/fleet/src/sitewatch.cpp
@@ -32,6 +32,7 @@
     this->loop,
     this->tables,
     FollowerOptions{ wire::kOperatorTable, "", kOperatorPatience, Millis{ 0 } },
+    this->log,
     [this](const std::vector<cells::StoredRow>& aRows, bool aWhole) {
       this->OnOperatorRows(aRows, aWhole);
     });
@@ -63,6 +64,7 @@
     this->loop,
     this->tables,
     FollowerOptions{ wire::kWorkerTable, "", kWorkerPatience, kWorkerRest },
+    this->log,
     [this](const std::vector<cells::StoredRow>& aRows, bool aWhole) {
       this->OnWorkerRows(aRows, aWhole);
     });
--- a/fleet/src/tablefollower.cpp
+++ b/fleet/src/tablefollower.cpp
@@ -15,10 +15,12 @@
 TableFollower::TableFollower(EventLoop& aLoop,
                              cells::TablePort& aTables,
                              FollowerOptions aOptions,
+                             cells::DecisionLog& aLog,
                              OnRows aOnRows)
   : loop(aLoop)
   , tables(aTables)
   , options(std::move(aOptions))
+  , log(aLog)
   , onRows(std::move(aOnRows))
 {
 }
@@ -61,6 +63,7 @@
       if (self->stopped) {
         return;
       }
+      self->NoteEnd(aOutcome.end, aOutcome.reason);
       if (aOutcome.end != cells::TableEnd::Done) {
         self->Later(kRetry, true);
         return;
@@ -85,6 +88,7 @@
       if (self->stopped) {
         return;
       }
+      self->NoteEnd(aOutcome.end, aOutcome.reason);
       switch (aOutcome.end) {
         case cells::TableEnd::Done: {
           self->version = std::max(self->version, aOutcome.version);
@@ -109,6 +113,31 @@
     });
 }
 
+auto
+TableFollower::NoteEnd(cells::TableEnd aEnd, const std::string& aReason) -> void
+{
+  const auto now = this->loop.Now();
+  if (aEnd == cells::TableEnd::Done) {
+    if (this->lostAt) {
+      this->log.Write(
+        "table_back",
+        { { "table", this->options.table },
+          { "after_ms", std::to_string(ToMillis(now - *this->lostAt).count()) },
+          { "version", std::to_string(this->version) } });
+      this->lostAt.reset();
+    }
+  } else if (!this->lostAt) {
+    this->lostAt = now;
+    this->log.Write(
+      "table_lost",
+      { { "table", this->options.table },
+        { "end", ToText(aEnd) },
+        { "reason", aReason },
+        { "known_ms", std::to_string(ToMillis(now - this->freshAt).count()) },
+        { "version", std::to_string(this->version) } });
+  }
+}
+
 auto
 TableFollower::Later(Millis aDelay, bool aWhole) -> void
 {
--- a/fleet/src/tablefollower.h
+++ b/fleet/src/tablefollower.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "decisionlog.h"
 #include "eventloop.h"
 #include "tableport.h"
 
@@ -34,6 +35,7 @@
   TableFollower(EventLoop& aLoop,
                 cells::TablePort& aTables,
                 FollowerOptions aOptions,
+                cells::DecisionLog& aLog,
                 OnRows aOnRows);
 
   auto Start() -> void;
@@ -47,14 +49,18 @@
   auto ReadAll() -> void;
   auto Follow() -> void;
   auto Later(Millis aDelay, bool aWhole) -> void;
+  auto NoteEnd(cells::TableEnd aEnd, const std::string& aReason) -> void;
 
   EventLoop& loop;
   cells::TablePort& tables;
   const FollowerOptions options;
+  cells::DecisionLog& log;
   const OnRows onRows;
   std::uint64_t version = 0;
   Time freshAt{};
   TimerHandle timer;
+  // Since when the store has not answered.
+  std::optional<Time> lostAt;
   bool stopped = false;
 };
 
