--- /dev/null
+++ b/bench/src/fleetworld.cpp
@@ -0,0 +1,882 @@
+#include "fleetworld.h"
+
+#include <cstdio>
+
+#include "wirecallers.h"
+#include "wiresite.h"
+#include "wiretables.h"
+
+namespace gooseberry {
+
+namespace {
+
+using cells::RowKey;
+using cells::TableEnd;
+
+constexpr Millis kWorldTick{ 10 };
+constexpr Millis kStoreTakes{ 8 };
+constexpr Millis kHop{ 1 };
+constexpr Millis kStateInterval{ 400 };
+constexpr Millis kListedFor{ 1500 };
+// A caller without an answer tries again after this.
+constexpr Millis kAgain{ 600 };
+constexpr std::size_t kPage = 500;
+constexpr const char* kHost = "jobs.example";
+constexpr const char* kPrefix = "/q/";
+constexpr const char* kService = "pool";
+
+} // namespace
+
+TraceLog::TraceLog(const EventQueue& aQueue,
+                   const std::string& aTrace,
+                   std::string aInstance)
+  : queue(aQueue)
+  , trace(aTrace)
+  , instance(std::move(aInstance))
+{
+}
+
+auto
+TraceLog::Follows(const cells::JobId& /*aJob*/) const -> bool
+{
+  return !this->trace.empty();
+}
+
+auto
+TraceLog::Write(const char* aEvent,
+                std::initializer_list<cells::DecisionField> aFields) -> void
+{
+  if (this->trace.empty()) {
+    return;
+  }
+  auto line = std::to_string(MillisOf(this->queue.Now())) + " " +
+              this->instance + " " + aEvent;
+  for (const auto& field : aFields) {
+    line += std::string{ " " } + field.key + "=" + field.value;
+  }
+  if (line.find(this->trace) != std::string::npos) {
+    std::printf("%s\n", line.c_str());
+  }
+}
+
+struct FleetWorld::Instance
+{
+  fleet::FleetSettings settings;
+  StoreTreatment treatment;
+  std::unique_ptr<TraceLog> log;
+  std::unique_ptr<VirtualLoop> loop;
+  std::unique_ptr<InstanceTables> tables;
+  std::unique_ptr<InstanceWorkers> workers;
+  std::unique_ptr<fleet::SiteWatch> site;
+  std::shared_ptr<fleet::CellKeeper> keeper;
+  std::unique_ptr<fleet::Entry> entry;
+  // Everything of dead processes, for calls that are still on their way.
+  std::vector<std::shared_ptr<void>> graveyard;
+  int life = 0;
+};
+
+// The store as one instance reaches it.
+class FleetWorld::InstanceTables : public cells::TablePort
+{
+public:
+  InstanceTables(FleetWorld& aWorld, Instance& aInstance)
+    : world(aWorld)
+    , instance(aInstance)
+    , loop(*aInstance.loop)
+  {
+  }
+
+  auto Commit(const cells::RowsCommit& aCommit,
+              Millis aTimeout,
+              std::function<void(cells::CommitOutcome)> aDone) -> void override
+  {
+    this->Call<cells::CommitOutcome>(
+      aTimeout,
+      std::move(aDone),
+      [this, aCommit] {
+        auto outcome = this->world.table.Commit(aCommit);
+        outcome.storeMs = MillisOf(this->world.queue.Now());
+        this->world.WakeFeeds();
+        return outcome;
+      },
+      true);
+  }
+
+  auto Read(const cells::RowsRange& aRange,
+            Millis aTimeout,
+            std::function<void(cells::RowsOutcome)> aDone) -> void override
+  {
+    this->Call<cells::RowsOutcome>(
+      aTimeout,
+      std::move(aDone),
+      [this, aRange] {
+        auto more = true;
+        auto range = aRange;
+        auto all = cells::RowsOutcome{};
+        while (more) {
+          auto page = this->world.table.Read(range, kPage, more);
+          if (all.version == 0) {
+            all.version = page.version;
+          }
+          all.end = page.end;
+          std::move(
+            page.rows.begin(), page.rows.end(), std::back_inserter(all.rows));
+          if (more) {
+            range.from = all.rows.back().key.key + "!";
+          }
+        }
+        all.storeMs = MillisOf(this->world.queue.Now());
+        return all;
+      },
+      false);
+  }
+
+  auto Feed(const std::string& aTable,
+            std::uint64_t aAfter,
+            Millis aPatience,
+            std::function<void(cells::FeedOutcome)> aDone) -> void override
+  {
+    if (this->instance.treatment.mode != StoreTreatment::Mode::Serves) {
+      this->Fail<cells::FeedOutcome>(aPatience, aDone);
+      return;
+    }
+    this->feeds.push_back({ aTable,
+                            aAfter,
+                            this->world.queue.Now() + aPatience,
+                            std::move(aDone) });
+  }
+
+  // Answers the feeds that have something to tell, or waited long enough.
+  auto Wake() -> void
+  {
+    const auto now = this->world.queue.Now();
+    for (auto feed = this->feeds.begin(); feed != this->feeds.end();) {
+      const auto changes = this->world.table.Changes(feed->table, feed->after);
+      if (changes && changes->rows.empty() && now < feed->until) {
+        ++feed;
+        continue;
+      }
+      auto outcome =
+        changes ? *changes
+                : cells::FeedOutcome{ TableEnd::HistoryGone, {}, 0, "gone" };
+      this->Deliver<cells::FeedOutcome>(kHop, feed->done, outcome);
+      feed = this->feeds.erase(feed);
+    }
+  }
+
+private:
+  struct PendingFeed
+  {
+    std::string table;
+    std::uint64_t after = 0;
+    Time until{};
+    std::function<void(cells::FeedOutcome)> done;
+  };
+
+  template<class Outcome>
+  auto Deliver(Millis aDelay,
+               const std::function<void(Outcome)>& aDone,
+               Outcome aOutcome) -> void
+  {
+    this->world.queue.After(aDelay, [this, aDone, aOutcome] {
+      this->loop.Post([aDone, aOutcome] { aDone(aOutcome); });
+    });
+  }
+
+  template<class Outcome>
+  auto Fail(Millis aTimeout, const std::function<void(Outcome)>& aDone) -> void
+  {
+    const auto silent =
+      this->instance.treatment.mode == StoreTreatment::Mode::Silent;
+    auto outcome = Outcome{};
+    outcome.end = silent ? TableEnd::Unknown : TableEnd::Refused;
+    outcome.reason = silent ? "silent" : "refused";
+    this->Deliver<Outcome>(silent ? aTimeout : kHop, aDone, outcome);
+  }
+
+  // Carries a call out as the store treats this instance at present.
+  template<class Outcome, class Effect>
+  auto Call(Millis aTimeout,
+            std::function<void(Outcome)> aDone,
+            Effect aEffect,
+            bool aWrite) -> void
+  {
+    const auto& treatment = this->instance.treatment;
+    if (treatment.mode != StoreTreatment::Mode::Serves) {
+      this->Fail<Outcome>(aTimeout, aDone);
+      return;
+    }
+    auto chance = std::uniform_real_distribution{ 0.0, 1.0 };
+    if (aWrite && chance(this->world.random) < treatment.lost) {
+      const auto late =
+        treatment.late.count() == 0
+          ? kStoreTakes
+          : Millis{ std::uniform_int_distribution<std::int64_t>{
+              0, treatment.late.count() }(this->world.random) };
+      this->world.queue.After(late, [aEffect] { aEffect(); });
+      auto outcome = Outcome{};
+      outcome.end = TableEnd::Unknown;
+      outcome.reason = "lost";
+      this->Deliver<Outcome>(aTimeout, aDone, outcome);
+      return;
+    }
+    const auto takes = std::chrono::duration_cast<Millis>(
+      std::chrono::duration<double, std::milli>(kStoreTakes) * treatment.slow);
+    if (takes > aTimeout) {
+      this->world.queue.After(takes, [aEffect] { aEffect(); });
+      auto outcome = Outcome{};
+      outcome.end = TableEnd::Unknown;
+      outcome.reason = "slow";
+      this->Deliver<Outcome>(aTimeout, aDone, outcome);
+      return;
+    }
+    this->world.queue.After(takes, [this, aEffect, aDone] {
+      this->Deliver<Outcome>(kHop, aDone, aEffect());
+    });
+  }
+
+  FleetWorld& world;
+  Instance& instance;
+  // Of the process that uses this; it outlives the process.
+  VirtualLoop& loop;
+  std::vector<PendingFeed> feeds;
+};
+
+// Workers as one instance reaches them.
+class FleetWorld::InstanceWorkers : public cells::WorkerPort
+{
+public:
+  InstanceWorkers(FleetWorld& aWorld, Instance& aInstance)
+    : world(aWorld)
+    , loop(*aInstance.loop)
+  {
+  }
+
+  auto Call(const cells::WorkerCall& aCall,
+            std::function<void(cells::WorkerAnswer)> aDone) -> void override
+  {
+    auto reply = [this, aDone](cells::WorkerAnswer aAnswer) {
+      this->world.queue.After(kHop, [this, aDone, aAnswer] {
+        this->loop.Post([aDone, aAnswer] { aDone(aAnswer); });
+      });
+    };
+    auto lost = cells::WorkerAnswer{ aCall.number };
+    lost.end = cells::CallEnd::Unanswered;
+    lost.reason = "no answer";
+    auto chance = std::uniform_real_distribution{ 0.0, 1.0 };
+    const auto late = aCall.kind != cells::CallKind::Renew &&
+                      chance(this->world.random) < this->world.lateOrders;
+    auto delay = Millis{ kHop };
+    if (late) {
+      delay += Millis{ std::uniform_int_distribution<std::int64_t>{
+        0, this->world.lateBy.count() }(this->world.random) };
+      this->world.queue.After(aCall.timeout, [reply, lost] { reply(lost); });
+    }
+    this->world.queue.After(delay, [this, aCall, reply, lost, late] {
+      auto* const box = this->Find(aCall.address);
+      if (box == nullptr || !box->alive || box->cut) {
+        if (!late) {
+          this->world.queue.After(aCall.timeout,
+                                  [reply, lost] { reply(lost); });
+        }
+        return;
+      }
+      const auto now = this->world.queue.Now();
+      const auto answer =
+        box->worker->Handle(now, aCall, aCall.patience.count() > 0);
+      if (late) {
+        return;
+      }
+      if (answer) {
+        reply(*answer);
+      } else {
+        box->waiting.push_back({ aCall, now + aCall.patience, reply });
+      }
+    });
+  }
+
+private:
+  auto Find(const std::string& aAddress) -> WorkerBox*
+  {
+    for (auto& box : this->world.workers) {
+      if (box->entry.address == aAddress) {
+        return box.get();
+      }
+    }
+    return nullptr;
+  }
+
+  FleetWorld& world;
+  // Of the process that uses this; it outlives the process.
+  VirtualLoop& loop;
+};
+
+class FleetWorld::FakeExchange : public HttpExchange
+{
+public:
+  FakeExchange(HttpRequest aRequest,
+               Time aArrivedAt,
+               std::function<void(int, const std::string&)> aDone)
+    : request(std::move(aRequest))
+    , arrivedAt(aArrivedAt)
+    , done(std::move(aDone))
+  {
+  }
+
+  auto Request() const -> const HttpRequest& override { return this->request; }
+  auto ArrivedAt() const -> Time override { return this->arrivedAt; }
+  auto Answer(int aStatus, std::string aBody, HttpFields /*aFields*/)
+    -> void override
+  {
+    if (const auto callback = std::exchange(this->done, nullptr)) {
+      callback(aStatus, aBody);
+    }
+  }
+  auto CallerGone() const -> bool override { return false; }
+
+private:
+  HttpRequest request;
+  Time arrivedAt;
+  std::function<void(int, const std::string&)> done;
+};
+
+FleetWorld::FleetWorld(FleetWorldOptions aOptions)
+  : options(aOptions)
+  , random(aOptions.seed)
+  , judge(fakes::JudgeBounds{})
+{
+  auto queueOfJobs = cells::Queue{ { "r-1" }, kHost, kPrefix };
+  queueOfJobs.policy.service = { kService };
+  queueOfJobs.policy.maxAttempts = 3;
+  queueOfJobs.policy.slackFactor = 2.0;
+  queueOfJobs.policy.target = Millis{ 500 };
+  this->config.version = 1;
+  this->config.queues.push_back(queueOfJobs);
+  this->config.services.emplace(ServiceId{ kService },
+                                cells::Service{ { kService } });
+  this->SetConfig(this->config);
+  for (auto worker = 0; worker < aOptions.workers; ++worker) {
+    this->workers.push_back(std::make_unique<WorkerBox>());
+    this->NewWorker(worker);
+  }
+  for (auto number = 0; number < aOptions.instances; ++number) {
+    auto instance = std::make_unique<Instance>();
+    instance->settings.instance = "entry-" + std::to_string(number);
+    instance->log = std::make_unique<TraceLog>(
+      this->queue, this->options.trace, instance->settings.instance);
+    this->instances.push_back(std::move(instance));
+    this->Start(number);
+  }
+  this->Tick();
+  this->AskStates();
+}
+
+FleetWorld::~FleetWorld() = default;
+
+auto
+FleetWorld::Queue() -> EventQueue&
+{
+  return this->queue;
+}
+
+auto
+FleetWorld::Judge() -> fakes::JobJudge&
+{
+  return this->judge;
+}
+
+auto
+FleetWorld::Random() -> std::mt19937_64&
+{
+  return this->random;
+}
+
+auto
+FleetWorld::RunFor(Millis aTime) -> void
+{
+  this->queue.RunUntil(this->queue.Now() + aTime);
+}
+
+auto
+FleetWorld::Instances() const -> int
+{
+  return this->options.instances;
+}
+
+auto
+FleetWorld::Workers() const -> int
+{
+  return this->options.workers;
+}
+
+auto
+FleetWorld::Start(int aInstance) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (instance.loop && instance.loop->Alive()) {
+    return;
+  }
+  ++instance.life;
+  instance.loop = std::make_unique<VirtualLoop>(this->queue);
+  instance.tables = std::make_unique<InstanceTables>(*this, instance);
+  instance.workers = std::make_unique<InstanceWorkers>(*this, instance);
+  instance.site = std::make_unique<fleet::SiteWatch>(
+    *instance.loop, *instance.tables, *instance.log);
+  instance.keeper = std::make_shared<fleet::CellKeeper>(
+    instance.settings,
+    "c0",
+    fleet::KeeperPorts{ *instance.loop,
+                        *instance.tables,
+                        *instance.workers,
+                        *instance.site,
+                        *instance.log });
+  instance.entry = std::make_unique<fleet::Entry>(*instance.loop,
+                                                  *instance.tables,
+                                                  *instance.site,
+                                                  *instance.keeper,
+                                                  *instance.log);
+  instance.site->SetOnChange(
+    [raw = &instance] { raw->keeper->OnSiteChanged(); });
+  instance.site->Start();
+  instance.keeper->Start();
+}
+
+auto
+FleetWorld::Kill(int aInstance) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (!instance.loop || !instance.loop->Alive()) {
+    return;
+  }
+  instance.loop->Kill();
+  ++instance.life;
+  const auto bury = [&](auto& aPart) {
+    instance.graveyard.push_back(
+      std::shared_ptr<std::remove_reference_t<decltype(*aPart)>>(
+        std::move(aPart)));
+  };
+  bury(instance.entry);
+  bury(instance.keeper);
+  bury(instance.site);
+  bury(instance.workers);
+  bury(instance.tables);
+  bury(instance.loop);
+}
+
+auto
+FleetWorld::Pause(int aInstance, Millis aTime) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (!instance.loop) {
+    return;
+  }
+  instance.loop->Pause();
+  this->queue.After(aTime, [&instance, life = instance.life] {
+    if (instance.life == life && instance.loop) {
+      instance.loop->Resume();
+    }
+  });
+}
+
+auto
+FleetWorld::Treat(int aInstance, StoreTreatment aTreatment) -> void
+{
+  this->instances.at(static_cast<std::size_t>(aInstance))->treatment =
+    aTreatment;
+}
+
+auto
+FleetWorld::CompactStore() -> void
+{
+  this->table.Compact();
+}
+
+auto
+FleetWorld::Owner() const -> int
+{
+  for (auto number = 0; number < this->options.instances; ++number) {
+    const auto& instance =
+      *this->instances.at(static_cast<std::size_t>(number));
+    if (instance.keeper && instance.keeper->OwnedCell() != nullptr) {
+      return number;
+    }
+  }
+  return -1;
+}
+
+auto
+FleetWorld::SomeInstance() -> Instance*
+{
+  auto alive = std::vector<Instance*>{};
+  for (const auto& instance : this->instances) {
+    if (instance->loop && instance->loop->Alive() && instance->site->Config()) {
+      alive.push_back(instance.get());
+    }
+  }
+  if (alive.empty()) {
+    return nullptr;
+  }
+  return alive[this->random() % alive.size()];
+}
+
+auto
+FleetWorld::Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan) -> cells::JobId
+{
+  auto text = std::array<char, cells::JobId::kDigits + 1>{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%016llx",
+                static_cast<unsigned long long>(++this->nextJob));
+  const auto id = *cells::JobId::Parse(
+    std::string_view{ text.data(), cells::JobId::kDigits });
+  this->jobs.emplace(id, std::pair{ aSpec, aPlan });
+  auto row = cells::JobRow{ id, { "r-1" }, this->config.queues[0].policy };
+  row.spec = std::move(aSpec);
+  this->judge.OnSubmitted(row);
+  this->TryToSubmit(id, 0);
+  return id;
+}
+
+auto
+FleetWorld::TryToSubmit(cells::JobId aJob, int aTries) -> void
+{
+  constexpr int kMostTries = 12;
+  const auto again = [this, aJob, aTries](bool aUnknown) {
+    if (aTries + 1 < kMostTries) {
+      this->queue.After(kAgain, [this, aJob, aTries] {
+        this->TryToSubmit(aJob, aTries + 1);
+      });
+    } else if (!aUnknown) {
+      this->judge.OnRefused(aJob);
+    }
+  };
+  auto* const instance = this->SomeInstance();
+  if (instance == nullptr) {
+    again(true);
+    return;
+  }
+  const auto body = wire::WriteJob(this->jobs.at(aJob).first);
+  auto exchange = std::make_shared<FakeExchange>(
+    HttpRequest{
+      "POST", kPrefix + aJob.Text(), { { "Host", kHost } }, body },
+    this->queue.Now(),
+    [this, aJob, again](int aStatus, const std::string& /*aBody*/) {
+      constexpr int kOk = 200;
+      constexpr int kRefused = 503;
+      if (aStatus == kOk) {
+        this->judge.OnAccepted(aJob);
+      } else {
+        again(aStatus != kRefused);
+      }
+    });
+  instance->loop->Post([instance, exchange] {
+    instance->entry->Handle(exchange);
+  });
+}
+
+auto
+FleetWorld::Cancel(const cells::JobId& aJob) -> void
+{
+  this->judge.OnCancelAsked(aJob);
+  this->TryToCancel(aJob, 0);
+}
+
+auto
+FleetWorld::TryToCancel(cells::JobId aJob, int aTries) -> void
+{
+  constexpr int kMostTries = 20;
+  auto* const instance = this->SomeInstance();
+  const auto again = [this, aJob, aTries] {
+    if (aTries + 1 < kMostTries) {
+      this->queue.After(kAgain, [this, aJob, aTries] {
+        this->TryToCancel(aJob, aTries + 1);
+      });
+    }
+  };
+  if (instance == nullptr) {
+    again();
+    return;
+  }
+  auto exchange = std::make_shared<FakeExchange>(
+    HttpRequest{ "DELETE", kPrefix + aJob.Text(), { { "Host", kHost } }, "" },
+    this->queue.Now(),
+    [this, aJob, again](int aStatus, const std::string& /*aBody*/) {
+      constexpr int kOk = 200;
+      constexpr int kGone = 410;
+      if (aStatus == kOk) {
+        this->judge.OnCancelled(this->queue.Now(), aJob);
+      } else if (aStatus != kGone) {
+        again();
+      }
+    });
+  instance->loop->Post([instance, exchange] {
+    instance->entry->Handle(exchange);
+  });
+}
+
+// A caller now and then asks for the state of a job.
+auto
+FleetWorld::AskStates() -> void
+{
+  auto* const instance = this->SomeInstance();
+  if (instance != nullptr && !this->jobs.empty()) {
+    auto job = this->jobs.begin();
+    std::advance(job,
+                 static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()));
+    const auto id = job->first;
+    auto exchange = std::make_shared<FakeExchange>(
+      HttpRequest{ "GET", kPrefix + id.Text(), { { "Host", kHost } }, "" },
+      this->queue.Now(),
+      [this, id](int aStatus, const std::string& aBody) {
+        constexpr int kOk = 200;
+        if (aStatus == kOk &&
+            aBody == wire::StateBody(cells::JobState::Completed)) {
+          this->judge.OnShownCompleted(this->queue.Now(), id);
+        }
+      });
+    instance->loop->Post([instance, exchange] {
+      instance->entry->Handle(exchange);
+    });
+  }
+  this->queue.After(kStateInterval, [this] { this->AskStates(); });
+}
+
+auto
+FleetWorld::PutRow(const RowKey& aKey, std::optional<std::string> aValue)
+  -> void
+{
+  auto commit = cells::RowsCommit{};
+  if (aValue) {
+    commit.puts.push_back({ aKey, *aValue });
+  } else {
+    commit.removals.push_back(aKey);
+  }
+  this->table.Commit(commit);
+  this->WakeFeeds();
+}
+
+auto
+FleetWorld::WakeFeeds() -> void
+{
+  for (const auto& instance : this->instances) {
+    if (instance->tables) {
+      instance->tables->Wake();
+    }
+  }
+}
+
+auto
+FleetWorld::Evacuate(const DomainId& aDomain, bool aOut) -> void
+{
+  const auto key = RowKey{ wire::kOperatorTable,
+                           "",
+                           wire::WriteOperatorKey(
+                             { wire::OperatorKind::Evacuation, aDomain.text }) };
+  this->PutRow(key, aOut ? std::optional<std::string>{ "{}" } : std::nullopt);
+  this->judge.OnEvacuation(this->queue.Now(), aDomain, aOut);
+}
+
+auto
+FleetWorld::SetConfig(const cells::SiteConfig& aConfig) -> void
+{
+  this->config = aConfig;
+  this->PutRow({ wire::kOperatorTable,
+                 "",
+                 wire::WriteOperatorKey({ wire::OperatorKind::Config, "" }) },
+               wire::WriteConfig(aConfig));
+}
+
+auto
+FleetWorld::PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
+  -> fakes::WorkPlan
+{
+  const auto found = this->jobs.find(aTask.job);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  auto plan = found->second.second;
+  const auto& step = found->second.first.steps.at(aTask.step);
+  plan.size = step.size;
+  plan.lasting = step.lasting;
+  plan.checkpoints = step.checkpoints;
+  plan.fillsIdle = step.fillsIdle;
+  // A twentieth of the runs fail, the same ones each time.
+  constexpr std::uint64_t kOneIn = 20;
+  plan.fails =
+    plan.fails ||
+    StableHash(ToText(aTask) + "#" + std::to_string(aRun)) % kOneIn == 0;
+  return plan;
+}
+
+auto
+FleetWorld::NewWorker(int aWorker) -> void
+{
+  auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  ++box.life;
+  const auto domain = aWorker % this->options.domains;
+  box.entry.id = { "w-" + std::to_string(aWorker) + "-" +
+                   std::to_string(box.life) };
+  box.entry.service = { kService };
+  box.entry.address = "10.0.0." + std::to_string(aWorker) + ":80";
+  box.entry.domain = { "zone-" + std::to_string(domain) };
+  box.entry.machine = { "m-" + std::to_string(aWorker) };
+  constexpr std::int64_t kCpu = 16000;
+  constexpr std::int64_t kMemory = 64000;
+  box.entry.capacity = { kCpu, kMemory, 0 };
+  box.entry.labels = { "a", "r-" + std::to_string(domain) };
+  box.entry.leaving = false;
+  constexpr std::int64_t kEpochMs = 1'700'000'000'000;
+  box.entry.bornUnixMs = kEpochMs + MillisOf(this->queue.Now());
+  auto options = fakes::JobWorkerOptions{};
+  // Up to 2% slow.
+  constexpr std::int64_t kSlowest = 980;
+  constexpr std::int64_t kRates = 21;
+  options.clockRate =
+    kSlowest + static_cast<std::int64_t>(this->random() % kRates);
+  box.worker = std::make_unique<fakes::JobWorker>(
+    box.entry,
+    options,
+    this->queue.Now(),
+    [this](const cells::TaskName& aTask, std::uint32_t aRun) {
+      return this->PlanOf(aTask, aRun);
+    },
+    [this](const fakes::JobEvent& aEvent) { this->judge.OnEvent(aEvent); });
+  box.alive = true;
+  box.waiting.clear();
+  this->judge.OnWorker(box.entry);
+  this->ListWorker(aWorker, true);
+}
+
+auto
+FleetWorld::ListWorker(int aWorker, bool aListed) -> void
+{
+  const auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  const auto key = RowKey{ wire::kWorkerTable, "", box.entry.id.text };
+  if (!aListed) {
+    this->PutRow(key, std::nullopt);
+    return;
+  }
+  this->PutRow(key, wire::WriteWorker(box.worker->Entry(this->queue.Now())));
+}
+
+auto
+FleetWorld::KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void
+{
+  auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  if (!box.alive) {
+    return;
+  }
+  box.alive = false;
+  box.worker->Die(this->queue.Now());
+  for (const auto& call : std::exchange(box.waiting, {})) {
+    this->LoseAnswer(call);
+  }
+  const auto id = box.entry.id.text;
+  this->queue.After(kListedFor * 3, [this, id] {
+    this->PutRow({ wire::kWorkerTable, "", id }, std::nullopt);
+  });
+  if (aComesBack) {
+    this->queue.After(aAfter, [this, aWorker] { this->NewWorker(aWorker); });
+  }
+}
+
+auto
+FleetWorld::LoseAnswer(const WorkerBox::Waiting& aCall) -> void
+{
+  auto lost = cells::WorkerAnswer{ aCall.call.number };
+  lost.end = cells::CallEnd::Unanswered;
+  lost.reason = "no answer";
+  this->queue.After(aCall.call.timeout,
+                    [done = aCall.done, lost] { done(lost); });
+}
+
+auto
+FleetWorld::CutWorker(int aWorker, bool aCut) -> void
+{
+  this->workers.at(static_cast<std::size_t>(aWorker))->cut = aCut;
+}
+
+auto
+FleetWorld::FailWorker(int aWorker, bool aFails) -> void
+{
+  this->workers.at(static_cast<std::size_t>(aWorker))
+    ->worker->SetFailing(aFails);
+}
+
+auto
+FleetWorld::SlowWorker(int aWorker, double aTimes) -> void
+{
+  this->workers.at(static_cast<std::size_t>(aWorker))
+    ->worker->SetSlowness(aTimes);
+}
+
+auto
+FleetWorld::DrainWorker(int aWorker) -> void
+{
+  auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  if (!box.alive) {
+    return;
+  }
+  box.worker->SetLeaving(true);
+  this->ListWorker(aWorker, true);
+  this->judge.OnLeaving(this->queue.Now(), box.entry.id);
+  constexpr Millis kStays{ 6000 };
+  this->queue.After(kStays, [this, aWorker, life = box.life] {
+    auto& later = *this->workers.at(static_cast<std::size_t>(aWorker));
+    if (later.alive && later.life == life) {
+      this->ListWorker(aWorker, false);
+      later.alive = false;
+      later.worker->Die(this->queue.Now());
+      for (const auto& call : std::exchange(later.waiting, {})) {
+        this->LoseAnswer(call);
+      }
+      constexpr Millis kNext{ 4000 };
+      this->queue.After(kNext, [this, aWorker] { this->NewWorker(aWorker); });
+    }
+  });
+}
+
+auto
+FleetWorld::LateOrders(double aPart, Millis aLate) -> void
+{
+  this->lateOrders = aPart;
+  this->lateBy = aLate;
+}
+
+auto
+FleetWorld::RunningTasks() const -> std::size_t
+{
+  auto running = std::size_t{ 0 };
+  for (const auto& box : this->workers) {
+    running += box->alive ? box->worker->Running() : 0;
+  }
+  return running;
+}
+
+auto
+FleetWorld::Tick() -> void
+{
+  const auto now = this->queue.Now();
+  for (const auto& box : this->workers) {
+    if (!box->alive) {
+      continue;
+    }
+    box->worker->Advance(now);
+    auto waiting = std::exchange(box->waiting, {});
+    for (auto& call : waiting) {
+      const auto answer =
+        box->worker->Handle(now, call.call, now < call.until);
+      if (!answer) {
+        box->waiting.push_back(std::move(call));
+      } else if (!box->cut) {
+        call.done(*answer);
+      } else {
+        this->LoseAnswer(call);
+      }
+    }
+  }
+  this->WakeFeeds();
+  this->queue.After(kWorldTick, [this] { this->Tick(); });
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/bench/src/fleetworld.h
@@ -0,0 +1,170 @@
+#ifndef GOOSEBERRY_FLEETWORLD_H
+#define GOOSEBERRY_FLEETWORLD_H
+
+// A whole fleet in virtual time: the shipped code of several instances against
+// models of the platform's tables and of workers, with faults by command.
+
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "cellkeeper.h"
+#include "entry.h"
+#include "fleetsettings.h"
+#include "jobjudge.h"
+#include "jobworker.h"
+#include "rowtable.h"
+#include "sitewatch.h"
+#include "virtualloop.h"
+
+namespace gooseberry {
+
+// Prints the decisions whose line holds a text.
+class TraceLog : public cells::DecisionLog
+{
+public:
+  TraceLog(const EventQueue& aQueue,
+           const std::string& aTrace,
+           std::string aInstance);
+
+  auto Follows(const cells::JobId& aJob) const -> bool override;
+  auto Write(const char* aEvent,
+             std::initializer_list<cells::DecisionField> aFields)
+    -> void override;
+
+private:
+  const EventQueue& queue;
+  const std::string& trace;
+  const std::string instance;
+};
+
+struct FleetWorldOptions
+{
+  // Decisions about what has this text in it are printed; empty for none.
+  std::string trace;
+  int instances = 3;
+  int workers = 12;
+  int domains = 3;
+  std::uint64_t seed = 1;
+};
+
+// How the platform's store treats one instance.
+struct StoreTreatment
+{
+  enum class Mode
+  {
+    Serves,
+    Refuses,
+    Silent
+  };
+
+  Mode mode = Mode::Serves;
+  // Part of the writes whose answer is lost, after or before their effect.
+  double lost = 0.0;
+  // Lost writes take effect up to so much later.
+  Millis late{ 0 };
+  // Answers take so many times as long.
+  double slow = 1.0;
+};
+
+class FleetWorld
+{
+public:
+  explicit FleetWorld(FleetWorldOptions aOptions);
+  FleetWorld(const FleetWorld&) = delete;
+  auto operator=(const FleetWorld&) -> FleetWorld& = delete;
+  ~FleetWorld();
+
+  auto Queue() -> EventQueue&;
+  auto Judge() -> fakes::JobJudge&;
+  auto Random() -> std::mt19937_64&;
+  auto RunFor(Millis aTime) -> void;
+
+  // Callers. A caller tries again, at another instance, until it has an answer.
+  auto Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan) -> cells::JobId;
+  auto Cancel(const cells::JobId& aJob) -> void;
+
+  // Operators.
+  auto Evacuate(const DomainId& aDomain, bool aOut) -> void;
+  auto SetConfig(const cells::SiteConfig& aConfig) -> void;
+
+  // Instances.
+  auto Instances() const -> int;
+  auto Kill(int aInstance) -> void;
+  auto Start(int aInstance) -> void;
+  auto Pause(int aInstance, Millis aTime) -> void;
+  auto Treat(int aInstance, StoreTreatment aTreatment) -> void;
+  auto CompactStore() -> void;
+  // The instance that owns the cell; -1 if none does.
+  auto Owner() const -> int;
+
+  // Workers.
+  auto Workers() const -> int;
+  auto KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void;
+  auto CutWorker(int aWorker, bool aCut) -> void;
+  auto FailWorker(int aWorker, bool aFails) -> void;
+  auto SlowWorker(int aWorker, double aTimes) -> void;
+  auto DrainWorker(int aWorker) -> void;
+  // Part of the orders that get no answer and are carried out up to so much
+  // later.
+  auto LateOrders(double aPart, Millis aLate) -> void;
+  auto RunningTasks() const -> std::size_t;
+
+private:
+  struct Instance;
+
+  struct WorkerBox
+  {
+    // A renewal that waits for an end.
+    struct Waiting
+    {
+      cells::WorkerCall call;
+      Time until{};
+      std::function<void(cells::WorkerAnswer)> done;
+    };
+
+    std::unique_ptr<fakes::JobWorker> worker;
+    cells::WorkerEntry entry;
+    bool alive = false;
+    bool cut = false;
+    int life = 0;
+    std::vector<Waiting> waiting;
+  };
+
+  class InstanceTables;
+  class InstanceWorkers;
+  class FakeExchange;
+
+  auto PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
+    -> fakes::WorkPlan;
+  auto NewWorker(int aWorker) -> void;
+  auto ListWorker(int aWorker, bool aListed) -> void;
+  auto Tick() -> void;
+  auto LoseAnswer(const WorkerBox::Waiting& aCall) -> void;
+  auto TryToSubmit(cells::JobId aJob, int aTries) -> void;
+  auto TryToCancel(cells::JobId aJob, int aTries) -> void;
+  auto AskStates() -> void;
+  auto PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
+    -> void;
+  auto WakeFeeds() -> void;
+  auto SomeInstance() -> Instance*;
+
+  const FleetWorldOptions options;
+  EventQueue queue;
+  std::mt19937_64 random;
+  fakes::RowTable table;
+  fakes::JobJudge judge;
+  cells::SiteConfig config;
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::vector<std::unique_ptr<WorkerBox>> workers;
+  std::map<cells::JobId, std::pair<cells::JobSpec, fakes::WorkPlan>> jobs;
+  std::uint64_t nextJob = 0;
+  double lateOrders = 0.0;
+  Millis lateBy{ 0 };
+};
+
+} // namespace gooseberry
+
+#endif
--- /dev/null
+++ b/bench/src/jobsbench.h
@@ -0,0 +1,38 @@
+#ifndef GOOSEBERRY_JOBSBENCH_H
+#define GOOSEBERRY_JOBSBENCH_H
+
+// Fleets in virtual time with jobs and faults drawn from a seed, judged by what
+// workers, callers and operators saw. A fleet that is left in peace afterwards
+// must finish all its work.
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gooseberry {
+
+struct JobsResult
+{
+  std::uint64_t seed = 0;
+  // The faults that were drawn, in words.
+  std::vector<std::string> faults;
+  std::vector<std::string> violations;
+  std::size_t starts = 0;
+  std::size_t done = 0;
+  std::size_t completedJobs = 0;
+
+  auto Signature() const -> std::uint64_t;
+};
+
+// One fleet over half a minute of faults and a time to recover.
+auto
+RunJobsSeed(std::uint64_t aSeed, const std::string& aTrace = "") -> JobsResult;
+
+// gooseberryctl bench jobs [--seed N] [--seeds N] [--trace TEXT]; 1 if a
+// promise broke.
+auto
+RunJobsBench(const std::vector<std::string>& aWords) -> int;
+
+} // namespace gooseberry
+
+#endif
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -11,10 +11,11 @@
 ToText(CellEvent aEvent) -> const char*
 {
   constexpr std::array<const char*, static_cast<int>(CellEvent::CellEvent_NB)>
-    kNames{ "submission", "repeat",     "start",   "start_refused",
-            "start_unanswered", "done", "failure", "lapse",
-            "lost",       "stop", "pace",       "orphan",  "completed",
-            "failed_job", "cancellation" };
+    kNames{
+      "submission", "repeat",  "start",     "start_refused", "start_unanswered",
+      "done",       "failure", "lapse",     "lost",          "stop",
+      "pace",       "orphan",  "completed", "failed_job",    "cancellation"
+    };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
 
@@ -25,13 +26,12 @@
   , earlierLease(std::max(aTakeover.earlierLease, aOptions.lease))
   , earlierLapses(std::move(aTakeover.lapses))
   , confirmedAt(aTakeover.now)
+  , siteFreshAt(aTakeover.now)
   , log(aLog)
 {
   for (const auto& [row, record] : aTakeover.jobs) {
-    this->AddJob(aTakeover.now,
-                 aTakeover.nowUnixMs,
-                 row,
-                 record ? &*record : nullptr);
+    this->AddJob(
+      aTakeover.now, aTakeover.nowUnixMs, row, record ? &*record : nullptr);
   }
   for (const auto& job : aTakeover.cancelled) {
     this->OnCancel(aTakeover.now, job);
@@ -185,7 +185,8 @@
   }
   this->LapseWorkers(aNow);
   const auto due = this->planNeeded || aNow >= this->planAgain;
-  if (due && aNow >= this->plannedAt + kPlanGap) {
+  const auto known = aNow < this->siteFreshAt + kSiteFreshness;
+  if (due && known && aNow >= this->plannedAt + kPlanGap) {
     this->planNeeded = false;
     this->planAgain = Time::max();
     this->plannedAt = aNow;
@@ -196,6 +197,12 @@
   this->DropEndedJobs(aNow);
 }
 
+auto
+Cell::OnSiteFresh(Time aFreshAt) -> void
+{
+  this->siteFreshAt = aFreshAt;
+}
+
 auto
 Cell::OnConfirmed(Time aAskedAt) -> void
 {
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -109,6 +109,8 @@
   auto OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void;
   // Decides everything that depends on time, and plans starts.
   auto OnTick(Time aNow, std::int64_t aNowUnixMs) -> void;
+  // What operators and workers said was all known at that time.
+  auto OnSiteFresh(Time aFreshAt) -> void;
   // The store confirmed the ownership; aAskedAt: when it was asked.
   auto OnConfirmed(Time aAskedAt) -> void;
 
@@ -160,18 +162,13 @@
     Time order{};
   };
 
-  // What a filling image does to the serving ones.
-  struct FillPressures
+  // What a filling image does to a serving one.
+  struct PairState
   {
-    struct Pair
-    {
-      double pressure = 0.0;
-      // Not known: tried with few runs at first.
-      bool probing = false;
-      int probes = 0;
-    };
-
-    std::map<ImageId, Pair> pairs;
+    double pressure = 0.0;
+    // Not known: tried with few runs at first.
+    bool probing = false;
+    int probes = 0;
   };
 
   struct PlacementQuery
@@ -200,7 +197,7 @@
 
     Time now{};
     std::vector<WorkerSlot*> open;
-    std::map<ImageId, FillPressures> pressures;
+    std::map<std::pair<ImageId, ImageId>, PairState> pairs;
     std::vector<Failure> failures;
   };
 
@@ -244,18 +241,15 @@
   auto NoteStarted(Job& aJob) -> void;
   auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
   auto EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void;
-  auto StopRuns(Time aNow,
-                const TaskName& aName,
-                Task& aTask,
-                StopReason aWhy) -> void;
+  auto StopRuns(Time aNow, const TaskName& aName, Task& aTask, StopReason aWhy)
+    -> void;
   auto StopRun(Time aNow, const RunRef& aRef, Run& aRun, StopReason aWhy)
     -> void;
   auto DropEndedJobs(Time aNow) -> void;
 
   // Runs and workers (cellruns.cpp).
-  auto OnStartAnswer(Time aNow,
-                     const RunRef& aRef,
-                     const WorkerAnswer& aAnswer) -> void;
+  auto OnStartAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
+    -> void;
   auto OnStopAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
     -> void;
   auto OnReport(Time aNow, WorkerSlot& aSlot, const WorkerAnswer& aAnswer)
@@ -285,15 +279,15 @@
   auto PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
     -> void;
   auto NewRound(Time aNow) -> PlacementRound;
-  auto PressuresOf(PlacementRound& aRound, ImageId aFilling)
-    -> const FillPressures&;
+  auto PairOf(PlacementRound& aRound, ImageId aServing, ImageId aFilling)
+    -> PairState&;
   auto PickWorker(PlacementRound& aRound, const PlacementQuery& aQuery)
     -> WorkerSlot*;
   auto Fits(const WorkerSlot& aSlot, const PlacementQuery& aQuery) const
     -> bool;
-  auto PaceFor(const WorkerSlot& aSlot,
-               const StepSpec& aStep,
-               const FillPressures& aPressures) const -> double;
+  auto PaceFor(PlacementRound& aRound,
+               const WorkerSlot& aSlot,
+               const PlacementQuery& aQuery) -> double;
   auto Score(const WorkerSlot& aSlot,
              const PlacementQuery& aQuery,
              double aPace) const -> double;
@@ -301,18 +295,15 @@
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
   // Neighbours on one worker (cellrelief.cpp).
-  auto NoteTail(Time aNow,
-                const WorkerSlot& aSlot,
-                Run& aRun,
-                double aMeasured) -> void;
+  auto NoteTail(Time aNow, const WorkerSlot& aSlot, Run& aRun, double aMeasured)
+    -> void;
   auto LearnFrom(Time aNow, WorkerSlot& aSlot) -> void;
   auto BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
     -> std::vector<Beside>;
   auto UnloadedTail(const StepSpec& aStep, ImageId aImage) const -> double;
   auto LoadOf(Time aNow, const Job& aJob) const -> double;
   // Pressure that each serving image there may still take.
-  auto SlackOn(Time aNow, const WorkerSlot& aSlot)
-    -> std::map<ImageId, double>;
+  auto SlackOn(Time aNow, const WorkerSlot& aSlot) -> std::map<ImageId, double>;
   auto TakeSlack(Time aNow,
                  WorkerSlot& aSlot,
                  const StepSpec& aStep,
@@ -339,6 +330,7 @@
   const Millis earlierLease;
   const std::map<WorkerId, Time> earlierLapses;
   Time confirmedAt;
+  Time siteFreshAt;
   DecisionLog& log;
   std::shared_ptr<const SiteConfig> config;
   std::set<DomainId> evacuated;
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -30,8 +30,7 @@
 Cell::QueueCall(const WorkerCall& aCall) -> void
 {
   this->orders.emplace(
-    aCall.number,
-    std::pair{ aCall.worker, RunRef{ aCall.task, aCall.run } });
+    aCall.number, std::pair{ aCall.worker, RunRef{ aCall.task, aCall.run } });
   this->orderKinds.emplace(aCall.number, aCall.kind);
   this->calls.push_back(aCall);
 }
@@ -49,7 +48,9 @@
 {
   auto* const run = aPlace.task->FindRun(aRef.run);
   auto& slot = *run->worker;
-  if (run->stopping != StopReason::None || aPlace.task->phase != TaskPhase::Open ||
+  if (aNow > this->siteFreshAt + kSiteFreshness ||
+      run->stopping != StopReason::None ||
+      aPlace.task->phase != TaskPhase::Open ||
       !this->MayTake(Time::max(), slot) ||
       slot.entry.bornUnixMs != run->bornUnixMs) {
     this->ForgetRun(aNow, aRef, "withdrawn before its start");
@@ -131,9 +132,11 @@
       continue;
     }
     if (!slot.runs.empty()) {
-      this->SendRenewal(
-        aNow, slot, slot.fillingCpu > 0 && !slot.serving.empty() ? kWatchedPatience
-                                                      : kRenewPatience);
+      this->SendRenewal(aNow,
+                        slot,
+                        slot.fillingCpu > 0 && !slot.serving.empty()
+                          ? kWatchedPatience
+                          : kRenewPatience);
     } else if (unrecorded || aNow >= slot.lastAnswer + kIdleRenewInterval ||
                slot.unacknowledged) {
       this->SendRenewal(aNow, slot, Millis{ 0 });
@@ -150,9 +153,9 @@
   call.recordedEnds = aSlot.RecordedEnds();
   // A worker that does not answer gets no longer lease: its tasks could never
   // be started elsewhere.
-  const auto answering =
-    aSlot.reconciled && !aSlot.silent && !aSlot.toldSilent &&
-    aNow < this->confirmedAt + this->options.authority;
+  const auto answering = aSlot.reconciled && !aSlot.silent &&
+                         !aSlot.toldSilent &&
+                         aNow < this->confirmedAt + this->options.authority;
   if (answering && !aSlot.runs.empty()) {
     call.leaseEndMs = this->LeaseEndFor(aNow, aSlot, this->options.lease);
   }
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -33,9 +33,9 @@
   job.arrivedAt = aNow;
   const auto chain =
     std::chrono::duration<double, std::milli>(LongestChain(aRow.spec));
-  job.objective = aNow + aRow.policy.target +
-                  std::chrono::duration_cast<Millis>(
-                    chain * aRow.policy.slackFactor);
+  job.objective =
+    aNow + aRow.policy.target +
+    std::chrono::duration_cast<Millis>(chain * aRow.policy.slackFactor);
   for (const auto& step : aRow.spec.steps) {
     job.images.push_back(this->images.Number(step.image));
   }
@@ -74,8 +74,8 @@
     if (added) {
       occurrence->second = NewOccurrence(aJob.Spec());
     }
-    const auto place = this->Find(
-      { aJob.Id(), mark.occurrence, mark.step, mark.index });
+    const auto place =
+      this->Find({ aJob.Id(), mark.occurrence, mark.step, mark.index });
     if (place.task == nullptr) {
       continue;
     }
@@ -136,12 +136,11 @@
 {
   const auto& spec = aJob.Spec();
   const auto opened =
-    aJob.finishedOccurrences + static_cast<std::uint32_t>(
-      std::count_if(aJob.occurrences.begin(),
-                    aJob.occurrences.end(),
-                    [&](const auto& aItem) {
-                      return aItem.first >= aJob.finishedOccurrences;
-                    }));
+    aJob.finishedOccurrences +
+    static_cast<std::uint32_t>(std::count_if(
+      aJob.occurrences.begin(), aJob.occurrences.end(), [&](const auto& aItem) {
+        return aItem.first >= aJob.finishedOccurrences;
+      }));
   for (auto next = opened; next < spec.occurrences; ++next) {
     const auto due =
       spec.firstDueUnixMs + static_cast<std::int64_t>(next) * spec.intervalMs;
@@ -230,8 +229,7 @@
       "job_ended",
       { { "job", aJob.Id().Text() },
         { "state", ToText(aState) },
-        { "after_ms",
-          std::to_string(ToMillis(aNow - aJob.arrivedAt).count()) },
+        { "after_ms", std::to_string(ToMillis(aNow - aJob.arrivedAt).count()) },
         { "to_objective_ms",
           std::to_string(ToMillis(aJob.objective - aNow).count()) } });
   }
@@ -265,7 +263,8 @@
     return;
   }
   aRun.stopping = aWhy;
-  // An order that is under way is settled first; an inherited run is looked for.
+  // An order that is under way is settled first; an inherited run is looked
+  // for.
   if (aRun.phase == RunPhase::Running || aRun.phase == RunPhase::Unsettled) {
     aRun.phase = RunPhase::Stopping;
     aRun.since = aNow;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -7,6 +7,23 @@
 
 namespace gooseberry::cells {
 
+namespace {
+
+// Whether tasks of the step are left, and all of the steps before are done.
+auto
+MayStart(const Occurrence& aOccurrence,
+         const JobSpec& aSpec,
+         std::uint32_t aStep) -> bool
+{
+  const auto& after = aSpec.steps[aStep].after;
+  return !aOccurrence.steps[aStep].AllDone() &&
+         std::all_of(after.begin(), after.end(), [&](auto aEarlier) {
+           return aOccurrence.steps[aEarlier].AllDone();
+         });
+}
+
+} // namespace
+
 auto
 Cell::PlanStarts(Time aNow) -> void
 {
@@ -33,40 +50,29 @@
 Cell::ReadySteps(Time aNow) -> std::vector<ReadyStep>
 {
   auto ready = std::vector<ReadyStep>{};
-  for (auto& [id, job] : this->activeJobs) {
-    for (auto& [number, occurrence] : job->occurrences) {
+  for (const auto& [id, job] : this->activeJobs) {
+    for (const auto& [number, occurrence] : job->occurrences) {
       if (occurrence.openSteps == 0) {
         continue;
       }
       for (auto step = std::uint32_t{ 0 }; step < occurrence.steps.size();
            ++step) {
-        const auto& spec = job->Spec().steps[step];
-        const auto blocked =
-          occurrence.steps[step].AllDone() ||
-          std::any_of(
-            spec.after.begin(), spec.after.end(), [&](auto aEarlier) {
-              return !occurrence.steps[aEarlier].AllDone();
-            });
-        if (!blocked) {
-          ready.push_back({ job,
-                            number,
-                            step,
-                            job->row.policy.priority,
-                            job->objective });
+        if (MayStart(occurrence, job->Spec(), step)) {
+          ready.push_back(
+            { job, number, step, job->row.policy.priority, job->objective });
         }
       }
     }
   }
-  std::sort(ready.begin(),
-            ready.end(),
-            [aNow](const ReadyStep& aLeft, const ReadyStep& aRight) {
-              const auto rank = [aNow](const ReadyStep& aStep) {
-                return std::tuple{ aStep.priority,
-                                   aStep.order < aNow,
-                                   aStep.order };
-              };
-              return rank(aLeft) < rank(aRight);
-            });
+  std::sort(
+    ready.begin(),
+    ready.end(),
+    [aNow](const ReadyStep& aLeft, const ReadyStep& aRight) {
+      const auto rank = [aNow](const ReadyStep& aStep) {
+        return std::tuple{ aStep.priority, aStep.order < aNow, aStep.order };
+      };
+      return rank(aLeft) < rank(aRight);
+    });
   return ready;
 }
 
@@ -115,8 +121,8 @@
       ++placed[slot];
     }
     if (spec.fillsIdle) {
-      for (auto& [image, pair] : aRound.pressures[query.image].pairs) {
-        pair.probes += slot->serving.contains(image) ? 1 : 0;
+      for (const auto& [image, count] : slot->serving) {
+        ++this->PairOf(aRound, image, query.image).probes;
       }
     }
   }
@@ -163,8 +169,7 @@
       if (slot->sufferingSince || aRound.now < slot->restUntil) {
         continue;
       }
-      pace =
-        this->PaceFor(*slot, step, this->PressuresOf(aRound, aQuery.image));
+      pace = this->PaceFor(aRound, *slot, aQuery);
       if (pace < aQuery.leastPace) {
         continue;
       }
@@ -208,46 +213,45 @@
   return here == aQuery.placed->end() || here->second < step.maxPerWorker;
 }
 
-// Pressures of one image on all that serve, once a round.
+// Pressures of one image on all that serve; each is looked up once a round.
 auto
-Cell::PressuresOf(PlacementRound& aRound, ImageId aFilling)
-  -> const FillPressures&
+Cell::PairOf(PlacementRound& aRound, ImageId aServing, ImageId aFilling)
+  -> PairState&
 {
-  auto [item, added] = aRound.pressures.try_emplace(aFilling);
+  auto [item, added] = aRound.pairs.try_emplace({ aServing, aFilling });
+  auto& pair = item->second;
   if (!added) {
-    return item->second;
+    return pair;
+  }
+  pair.pressure = this->disturbance.Pressure(aRound.now, aServing, aFilling);
+  pair.probing =
+    this->disturbance.Between(aRound.now, aServing, aFilling).variance >
+    kProbeVariance;
+  if (!pair.probing) {
+    return pair;
   }
-  auto& pairs = item->second.pairs;
   for (const auto& [id, slot] : this->workers) {
     const auto there = slot.filling.find(aFilling);
-    for (const auto& [image, tasks] : slot.serving) {
-      auto [pair, fresh] = pairs.try_emplace(image);
-      if (fresh) {
-        pair->second.pressure =
-          this->disturbance.Pressure(aRound.now, image, aFilling);
-        pair->second.probing =
-          this->disturbance.Between(aRound.now, image, aFilling).variance >
-          kProbeVariance;
-      }
-      pair->second.probes += there == slot.filling.end() ? 0 : there->second;
+    if (there != slot.filling.end() && slot.serving.contains(aServing)) {
+      pair.probes += there->second;
     }
   }
-  return item->second;
+  return pair;
 }
 
 // Pace that one more task would have there, from 0 to 1.
 auto
-Cell::PaceFor(const WorkerSlot& aSlot,
-              const StepSpec& aStep,
-              const FillPressures& aPressures) const -> double
+Cell::PaceFor(PlacementRound& aRound,
+              const WorkerSlot& aSlot,
+              const PlacementQuery& aQuery) -> double
 {
   const auto share =
-    static_cast<double>(aStep.size.cpuMillis) /
+    static_cast<double>(aQuery.step->size.cpuMillis) /
     static_cast<double>(
       std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
   auto pace = 1.0;
   for (const auto& [image, tasks] : aSlot.serving) {
-    const auto& pair = aPressures.pairs.at(image);
+    const auto& pair = this->PairOf(aRound, image, aQuery.image);
     if (pair.probing && pair.probes >= kProbes) {
       return 0.0;
     }
@@ -320,7 +324,7 @@
                       { "worker", aSlot.entry.id.text },
                       { "room_cpu", std::to_string(aSlot.Room().cpuMillis) },
                       { "idle_cpu", std::to_string(aSlot.IdleCpu()) },
-                    { "serving", std::to_string(aSlot.serving.size()) } });
+                      { "serving", std::to_string(aSlot.serving.size()) } });
   }
 }
 
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -1,5 +1,5 @@
-// Neighbours on one worker: tasks that fill idle processors disturb lasting ones
-// that answer users. Which images disturb which is learnt from the tails.
+// Neighbours on one worker: tasks that fill idle processors disturb lasting
+// ones that answer users. Which images disturb which is learnt from the tails.
 
 #include <algorithm>
 #include <cmath>
@@ -40,9 +40,8 @@
     aRun.tailNow = aMeasured;
     aRun.measuredBefore = aRun.startedAt;
   } else {
-    const auto kept =
-      std::exp2(-std::chrono::duration<double>(elapsed) /
-                std::chrono::duration<double>(kTailHalfLife));
+    const auto kept = std::exp2(-std::chrono::duration<double>(elapsed) /
+                                std::chrono::duration<double>(kTailHalfLife));
     aRun.tailNow =
       std::max(0.0, (aMeasured - kept * aRun.smoothed) / (1.0 - kept));
     aRun.measuredBefore = aRun.measuredAt;
@@ -76,9 +75,8 @@
   constexpr double kWhole = 100.0;
   auto beside = std::vector<Beside>{};
   for (const auto& gone : aSlot.goneFills) {
-    beside.push_back({ gone.image,
-                       gone.share *
-                         Overlap(aSince, aNow, gone.from, gone.to) });
+    beside.push_back(
+      { gone.image, gone.share * Overlap(aSince, aNow, gone.from, gone.to) });
   }
   for (const auto& fill : this->FillsOn(aSlot)) {
     const auto from = std::max(fill.run->startedAt, fill.run->pacedAt);
@@ -106,8 +104,7 @@
     }
     auto& job = *place.job;
     const auto beside = this->BesideSince(aNow, aSlot, run->measuredBefore);
-    const auto expected =
-      this->disturbance.Sum(aNow, place.image, beside);
+    const auto expected = this->disturbance.Sum(aNow, place.image, beside);
     const auto certain = std::sqrt(expected.variance) < kCertainPressure;
     const auto calm = certain && expected.mean < kCertainPressure;
     if (calm && run->smoothed > 0.0) {
@@ -116,7 +113,8 @@
         this->tailFloors.try_emplace(place.image, run->smoothed);
       floor->second = std::min(floor->second, run->smoothed);
     }
-    const auto units = run->tailNow / this->UnloadedTail(*place.spec, place.image);
+    const auto units =
+      run->tailNow / this->UnloadedTail(*place.spec, place.image);
     if (calm) {
       const auto load = LoadFrom(units, expected.mean);
       const auto fresh =
@@ -132,11 +130,8 @@
     constexpr double kLoadDrift = 0.07;
     const auto slowed = 1.0 + PressureFrom(units, job.load);
     const auto doubt = slowed * slowed * kLoadDrift * age;
-    this->disturbance.Observe(aNow,
-                              place.image,
-                              beside,
-                              slowed - 1.0,
-                              kPressureError + doubt * doubt);
+    this->disturbance.Observe(
+      aNow, place.image, beside, slowed - 1.0, kPressureError + doubt * doubt);
   }
 }
 
@@ -156,15 +151,13 @@
     if (run->pace == 100 && run->measured > 0.0) {
       cpu = std::min(cpu, run->measured);
     }
-    fills.push_back(
-      { ref, run, place.spec, place.image, cpu / capacity, 0.0 });
+    fills.push_back({ ref, run, place.spec, place.image, cpu / capacity, 0.0 });
   }
   return fills;
 }
 
 auto
-Cell::SlackOn(Time aNow, const WorkerSlot& aSlot)
-  -> std::map<ImageId, double>
+Cell::SlackOn(Time aNow, const WorkerSlot& aSlot) -> std::map<ImageId, double>
 {
   auto slack = std::map<ImageId, double>{};
   if (aSlot.serving.empty()) {
@@ -192,10 +185,9 @@
                 const StepSpec& aStep,
                 ImageId aImage) const -> void
 {
-  const auto share =
-    static_cast<double>(aStep.size.cpuMillis) /
-    static_cast<double>(
-      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  const auto share = static_cast<double>(aStep.size.cpuMillis) /
+                     static_cast<double>(std::max<std::int64_t>(
+                       aSlot.entry.capacity.cpuMillis, 1));
   for (auto& [image, left] : aSlot.slack) {
     left -= this->disturbance.Pressure(aNow, image, aImage) * share;
   }
@@ -209,11 +201,11 @@
   auto suffering = false;
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
-    suffering = suffering ||
-                (run != nullptr && place.spec->tailTarget.count() > 0 &&
-                 run->phase == RunPhase::Running &&
-                 run->tailNow >
-                   static_cast<double>(place.spec->tailTarget.count()));
+    suffering =
+      suffering ||
+      (run != nullptr && place.spec->tailTarget.count() > 0 &&
+       run->phase == RunPhase::Running &&
+       run->tailNow > static_cast<double>(place.spec->tailTarget.count()));
   }
   if (!suffering) {
     aSlot.sufferingSince.reset();
@@ -235,11 +227,10 @@
         this->disturbance.Pressure(aNow, image, fill.image) * fill.share);
     }
   }
-  std::sort(fills.begin(),
-            fills.end(),
-            [](const Fill& aLeft, const Fill& aRight) {
-              return aLeft.pressure < aRight.pressure;
-            });
+  std::sort(
+    fills.begin(), fills.end(), [](const Fill& aLeft, const Fill& aRight) {
+      return aLeft.pressure < aRight.pressure;
+    });
   constexpr double kWhole = 100.0;
   for (const auto& fill : fills) {
     auto pace = aNow < aSlot.restUntil ? 0.0 : 1.0;
@@ -252,8 +243,7 @@
     }
     for (auto& [image, left] : slack) {
       left -=
-        this->disturbance.Pressure(aNow, image, fill.image) *
-        fill.share * pace;
+        this->disturbance.Pressure(aNow, image, fill.image) * fill.share * pace;
     }
     if (fill.run->phase != RunPhase::Running) {
       continue;
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -141,14 +141,14 @@
   }
   auto& slot = *run->worker;
   if (this->log.Follows(aRef.task.job)) {
-    this->log.Write("start_answered",
-                    { { "task", ToText(aRef.task) },
-                      { "run", std::to_string(aRef.run) },
-                      { "worker", slot.entry.id.text },
-                      { "answer", ToText(aAnswer.end) },
-                      { "reason", aAnswer.reason },
-                      { "took_ms",
-                        std::to_string(ToMillis(aNow - run->since).count()) } });
+    this->log.Write(
+      "start_answered",
+      { { "task", ToText(aRef.task) },
+        { "run", std::to_string(aRef.run) },
+        { "worker", slot.entry.id.text },
+        { "answer", ToText(aAnswer.end) },
+        { "reason", aAnswer.reason },
+        { "took_ms", std::to_string(ToMillis(aNow - run->since).count()) } });
   }
   switch (aAnswer.end) {
     case CallEnd::Done:
@@ -333,16 +333,16 @@
   auto& task = *place.task;
   this->NoteStarted(job);
   if (this->log.Follows(job.Id())) {
-    this->log.Write("run_ended",
-                    { { "task", ToText(ref.task) },
-                      { "run", std::to_string(ref.run) },
-                      { "worker", aSlot.entry.id.text },
-                      { "how", ToText(aEnd.how) },
-                      { "stopping", known ? ToText(run->stopping) : "given_up" },
-                      { "ran_ms",
-                        known ? std::to_string(
-                                  ToMillis(aNow - run->startedAt).count())
-                              : "" } });
+    this->log.Write(
+      "run_ended",
+      { { "task", ToText(ref.task) },
+        { "run", std::to_string(ref.run) },
+        { "worker", aSlot.entry.id.text },
+        { "how", ToText(aEnd.how) },
+        { "stopping", known ? ToText(run->stopping) : "given_up" },
+        { "ran_ms",
+          known ? std::to_string(ToMillis(aNow - run->startedAt).count())
+                : "" } });
   }
   if (!aEnd.checkpoint.empty()) {
     task.checkpoint = aEnd.checkpoint;
@@ -358,8 +358,7 @@
   switch (aEnd.how) {
     case RunEnd::Done:
       this->Count(CellEvent::Done);
-      if (!lasting && task.phase == TaskPhase::Open &&
-          !IsFinal(job.state)) {
+      if (!lasting && task.phase == TaskPhase::Open && !IsFinal(job.state)) {
         task.phase = TaskPhase::Done;
         this->StopRuns(aNow, ref.task, task, StopReason::Beaten);
         this->EndTask(aNow, place);
@@ -502,9 +501,8 @@
         aNow });
   }
   run->worker->Detach(aRef, *aPlace.spec, aPlace.image);
-  std::erase_if(aPlace.task->runs, [&](const Run& aRun) {
-    return aRun.number == aRef.run;
-  });
+  std::erase_if(aPlace.task->runs,
+                [&](const Run& aRun) { return aRun.number == aRef.run; });
 }
 
 auto
--- a/cells/src/disturbance.cpp
+++ b/cells/src/disturbance.cpp
@@ -25,9 +25,8 @@
 LoadFrom(double aTail, double aPressure) -> double
 {
   const auto slowed = 1.0 + aPressure;
-  return std::clamp((1.0 - slowed / std::max(aTail, slowed)) / slowed,
-                    0.0,
-                    1.0 - kLeastIdle);
+  return std::clamp(
+    (1.0 - slowed / std::max(aTail, slowed)) / slowed, 0.0, 1.0 - kLeastIdle);
 }
 
 auto
@@ -76,9 +75,8 @@
 }
 
 auto
-Disturbance::Between(Time aNow,
-                     ImageId aServing,
-                     ImageId aFilling) const -> Estimate
+Disturbance::Between(Time aNow, ImageId aServing, ImageId aFilling) const
+  -> Estimate
 {
   const auto found = this->estimates.find({ aServing, aFilling });
   if (found == this->estimates.end()) {
@@ -107,9 +105,8 @@
 }
 
 auto
-Disturbance::Pressure(Time aNow,
-                      ImageId aServing,
-                      ImageId aFilling) const -> double
+Disturbance::Pressure(Time aNow, ImageId aServing, ImageId aFilling) const
+  -> double
 {
   const auto known = this->Between(aNow, aServing, aFilling);
   return known.mean < kHarmlessPressure ? 0.0 : known.mean;
--- a/cells/src/disturbance.h
+++ b/cells/src/disturbance.h
@@ -63,18 +63,15 @@
                double aPressure,
                double aError) -> void;
   // What is known of a pair by now; fades into a guess, since pairs change.
-  auto Between(Time aNow,
-               ImageId aServing,
-               ImageId aFilling) const -> Estimate;
+  auto Between(Time aNow, ImageId aServing, ImageId aFilling) const -> Estimate;
   // Pressure and its variance from all that runs beside.
   auto Sum(Time aNow,
            ImageId aServing,
            const std::vector<Beside>& aBeside) const -> Estimate;
 
-  // Expected pressure at full use; none for a pair that is known to be harmless.
-  auto Pressure(Time aNow,
-                ImageId aServing,
-                ImageId aFilling) const -> double;
+  // Expected pressure at full use; none for a pair that is known to be
+  // harmless.
+  auto Pressure(Time aNow, ImageId aServing, ImageId aFilling) const -> double;
 
   auto Estimates() const -> const Table&;
   auto Restore(Table aEstimates) -> void;
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -46,11 +46,10 @@
     mark.checkpoint = aTask.checkpoint;
   }
   for (const auto& run : aTask.runs) {
-    mark.runs.push_back(
-      { run.number,
-        run.worker->entry.id,
-        run.bornUnixMs,
-        run.worker->entry.machine });
+    mark.runs.push_back({ run.number,
+                          run.worker->entry.id,
+                          run.bornUnixMs,
+                          run.worker->entry.machine });
   }
   return mark;
 }
@@ -63,26 +62,21 @@
     runs.emplace_back(
       run.number, run.worker.text, run.bornUnixMs, run.machine.text);
   }
-  return { aMark.occurrence,
-           aMark.step,
-           aMark.index,
-           static_cast<int>(aMark.phase),
-           aMark.failures,
-           aMark.lastRun,
-           aMark.checkpoint,
-           std::move(runs) };
+  return { aMark.occurrence, aMark.step,
+           aMark.index,      static_cast<int>(aMark.phase),
+           aMark.failures,   aMark.lastRun,
+           aMark.checkpoint, std::move(runs) };
 }
 
 auto
 MarkFrom(const MarkTuple& aTuple) -> JobRecord::TaskMark
 {
-  auto mark = JobRecord::TaskMark{ std::get<0>(aTuple),
-                                   std::get<1>(aTuple),
-                                   std::get<2>(aTuple),
-                                   static_cast<TaskPhase>(std::get<3>(aTuple)),
-                                   std::get<4>(aTuple),
-                                   std::get<5>(aTuple),
-                                   std::get<6>(aTuple) };
+  auto mark = JobRecord::TaskMark{
+    std::get<0>(aTuple), std::get<1>(aTuple),
+    std::get<2>(aTuple), static_cast<TaskPhase>(std::get<3>(aTuple)),
+    std::get<4>(aTuple), std::get<5>(aTuple),
+    std::get<6>(aTuple)
+  };
   for (const auto& [number, worker, born, machine] : std::get<7>(aTuple)) {
     mark.runs.push_back({ number, { worker }, born, { machine } });
   }
@@ -191,8 +185,7 @@
     tuple<int, std::uint32_t, std::vector<MarkTuple>, std::vector<DoneRange>>;
   try {
     const auto handle = msgpack::unpack(aBytes.data(), aBytes.size());
-    const auto [state, finished, marks, done] =
-      handle.get().as<RecordTuple>();
+    const auto [state, finished, marks, done] = handle.get().as<RecordTuple>();
     auto record = JobRecord{ static_cast<JobState>(state), finished, {} };
     for (const auto& mark : marks) {
       record.tasks.push_back(MarkFrom(mark));
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -54,15 +54,15 @@
 enum class StopReason
 {
   None,
-  Cancelled,  // the job was cancelled
-  JobFailed,  // another task of the job failed for good
-  Beaten,     // another run of the task was done first
-  Displaced,  // more urgent work needs the room
-  Drained,    // its worker leaves
-  Evacuated,  // its failure domain is out of service
-  Stuck,      // makes no progress
-  Unknown,    // nobody knows of it
-  Settled,    // its start got no answer
+  Cancelled, // the job was cancelled
+  JobFailed, // another task of the job failed for good
+  Beaten,    // another run of the task was done first
+  Displaced, // more urgent work needs the room
+  Drained,   // its worker leaves
+  Evacuated, // its failure domain is out of service
+  Stuck,     // makes no progress
+  Unknown,   // nobody knows of it
+  Settled,   // its start got no answer
   StopReason_NB
 };
 
--- a/cells/src/jobname.cpp
+++ b/cells/src/jobname.cpp
@@ -38,7 +38,8 @@
 auto
 JobId::Parse(std::string_view aText) -> std::optional<JobId>
 {
-  if (aText.size() != kDigits || !std::all_of(aText.begin(), aText.end(), IsDigit)) {
+  if (aText.size() != kDigits ||
+      !std::all_of(aText.begin(), aText.end(), IsDigit)) {
     return std::nullopt;
   }
   auto id = JobId{};
--- a/cells/src/jobspec.cpp
+++ b/cells/src/jobspec.cpp
@@ -120,8 +120,7 @@
 FaultOf(const JobSpec& aSpec) -> std::optional<std::string>
 {
   if (aSpec.payload.size() > kMaxPayloadBytes) {
-    return "spec is longer than " + std::to_string(kMaxPayloadBytes) +
-           " bytes";
+    return "spec is longer than " + std::to_string(kMaxPayloadBytes) + " bytes";
   }
   if (aSpec.steps.empty() || aSpec.steps.size() > kMaxSteps) {
     return "steps must have 1 to " + std::to_string(kMaxSteps) + " entries";
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -1,8 +1,9 @@
 #ifndef GOOSEBERRY_RECORDER_H
 #define GOOSEBERRY_RECORDER_H
 
-// Writes a cell's batches of records, one transaction after the other, and finds
-// out about those whose answer was lost. Decides only; the caller does the I/O.
+// Writes a cell's batches of records, one transaction after the other, and
+// finds out about those whose answer was lost. Decides only; the caller does
+// the I/O.
 
 #include <optional>
 #include <vector>
--- a/cells/src/site.h
+++ b/cells/src/site.h
@@ -31,7 +31,8 @@
 {
   ServiceId id;
   std::string healthPath;
-  // Workers refuse what does not fit; if not, they start whatever they are told.
+  // Workers refuse what does not fit; if not, they start whatever they are
+  // told.
   bool guardsCapacity = true;
   std::size_t maxConnections = 64;
   // Its machines are off until they are moved to another service.
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -17,7 +17,8 @@
 // rounding to whole milliseconds on both sides.
 inline constexpr Millis kClockMargin{ 30 };
 
-// Stretches a duration on a worker's clock to one that surely covers it on ours.
+// Stretches a duration on a worker's clock to one that surely covers it on
+// ours.
 constexpr auto
 WithWorkerDrift(Millis aDuration) -> Millis
 {
@@ -37,6 +38,11 @@
 // A report may take this much longer than the worker was allowed to wait.
 inline constexpr Millis kRenewTimeout{ 700 };
 
+// Nothing is started by an older knowledge of operators' and workers' words: a
+// failure domain is empty 5 s after it was taken out, a leaving worker gets
+// nothing 2 s after it said so. Their tables are looked at each second.
+inline constexpr Millis kSiteFreshness{ 3000 };
+
 // How long a worker waits for an end before it answers a renewal. The wire's
 // own limit.
 inline constexpr Millis kRenewPatience{ 2000 };
@@ -90,8 +96,8 @@
 inline constexpr double kPairVariance = 4.0;
 inline constexpr double kLeastPairVariance = 0.05;
 inline constexpr double kMostPairPressure = 8.0;
-// Pairs with a lower estimate do not disturb at all: estimates of harmless pairs
-// were seen up to 0.7, of others from 1.9 on.
+// Pairs with a lower estimate do not disturb at all: estimates of harmless
+// pairs were seen up to 0.7, of others from 1.9 on.
 inline constexpr double kHarmlessPressure = 1.0;
 // After which time a pair is known half as well: pairs were seen to change
 // within a day of 40 s.
--- a/cells/src/workercall.cpp
+++ b/cells/src/workercall.cpp
@@ -16,17 +16,18 @@
 ToText(CallEnd aEnd) -> const char*
 {
   constexpr std::array<const char*, static_cast<int>(CallEnd::CallEnd_NB)>
-    kNames{ "done",      "fenced",     "superseded", "too_late",
-            "no_room",   "no_ticket",  "other_life", "unhealthy",
-            "malformed", "not_sent",   "unanswered", "unreadable" };
+    kNames{ "done",      "fenced",    "superseded", "too_late",
+            "no_room",   "no_ticket", "other_life", "unhealthy",
+            "malformed", "not_sent",  "unanswered", "unreadable" };
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
 auto
 ToText(RunEnd aEnd) -> const char*
 {
-  constexpr std::array<const char*, static_cast<int>(RunEnd::RunEnd_NB)>
-    kNames{ "done", "failed", "stopped", "lapsed", "broken", "alone" };
+  constexpr std::array<const char*, static_cast<int>(RunEnd::RunEnd_NB)> kNames{
+    "done", "failed", "stopped", "lapsed", "broken", "alone"
+  };
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
--- a/cells/src/workercall.h
+++ b/cells/src/workercall.h
@@ -38,8 +38,8 @@
   TaskName task;
   std::uint32_t run = 0;
 
-  // Start. The lease of all that runs there, on the worker's clock; a start that
-  // arrives later is refused.
+  // Start. The lease of all that runs there, on the worker's clock; a start
+  // that arrives later is refused.
   std::int64_t leaseEndMs = 0;
   std::string payload;
   std::string checkpoint;
@@ -59,18 +59,18 @@
 // How a call ended.
 enum class CallEnd
 {
-  Done,        // the worker took it
-  Fenced,      // the worker obeys a newer fencing token
-  Superseded,  // the run is not newer than one that ended there
-  TooLate,     // the lease in the call was over
-  NoRoom,      // does not fit
-  NoTicket,    // the ticket is missing or over
-  OtherLife,   // the worker was started anew since
-  Unhealthy,   // the worker did nothing, for now
-  Malformed,   // the worker does not understand it
-  NotSent,     // it surely did not run
-  Unanswered,  // it may have run, or may run later
-  Unreadable,  // answered, but with what can't be read: may have run
+  Done,       // the worker took it
+  Fenced,     // the worker obeys a newer fencing token
+  Superseded, // the run is not newer than one that ended there
+  TooLate,    // the lease in the call was over
+  NoRoom,     // does not fit
+  NoTicket,   // the ticket is missing or over
+  OtherLife,  // the worker was started anew since
+  Unhealthy,  // the worker did nothing, for now
+  Malformed,  // the worker does not understand it
+  NotSent,    // it surely did not run
+  Unanswered, // it may have run, or may run later
+  Unreadable, // answered, but with what can't be read: may have run
   CallEnd_NB
 };
 
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -46,9 +46,8 @@
 }
 
 auto
-WorkerSlot::Attach(const RunRef& aRun,
-                   const StepSpec& aStep,
-                   ImageId aImage) -> void
+WorkerSlot::Attach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
+  -> void
 {
   if (!this->runs.insert(aRun).second) {
     return;
@@ -67,9 +66,8 @@
 }
 
 auto
-WorkerSlot::Detach(const RunRef& aRun,
-                   const StepSpec& aStep,
-                   ImageId aImage) -> void
+WorkerSlot::Detach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
+  -> void
 {
   if (this->runs.erase(aRun) == 0) {
     return;
@@ -101,8 +99,8 @@
 auto
 WorkerSlot::NoteRecorded(std::uint64_t aEnd) -> void
 {
-  this->unacknowledged = this->unrecordedEnds.erase(aEnd) > 0 ||
-                         this->unacknowledged;
+  this->unacknowledged =
+    this->unrecordedEnds.erase(aEnd) > 0 || this->unacknowledged;
 }
 
 auto
--- a/daemon/src/main.cpp
+++ b/daemon/src/main.cpp
@@ -129,8 +129,7 @@
 RunFleet(const CommandLine& aLine, const std::string& aText) -> int
 {
   auto errors = std::vector<YamlError>{};
-  const auto settings =
-    fleet::ParseFleetSettings(aLine.config, aText, errors);
+  const auto settings = fleet::ParseFleetSettings(aLine.config, aText, errors);
   if (!settings) {
     for (const auto& error : errors) {
       std::cerr << "gooseberryd: " << error.Text() << '\n';
--- a/eventio/src/eventloop.cpp
+++ b/eventio/src/eventloop.cpp
@@ -3,13 +3,11 @@
 #include <ctime>
 
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 
-namespace gooseberry {
+#include "wallclock.h"
 
-Timer::Timer(boost::asio::io_context& aContext)
-  : timer(aContext)
-{
-}
+namespace gooseberry {
 
 EventLoop::EventLoop()
   : context(BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO)
@@ -28,6 +26,12 @@
                  std::chrono::nanoseconds{ now.tv_nsec }) };
 }
 
+auto
+EventLoop::UnixMillis() const -> std::int64_t
+{
+  return gooseberry::UnixMillis();
+}
+
 auto
 EventLoop::Run() -> void
 {
@@ -49,19 +53,20 @@
 auto
 EventLoop::After(Micros aDelay, Work aWork) -> TimerHandle
 {
-  auto handle = std::make_shared<Timer>(this->context);
-  handle->timer.expires_after(aDelay);
+  auto timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  timer->expires_after(aDelay);
   // A handle that was let go cancels, also when the time is already over and
   // the call waits for its turn.
-  handle->timer.async_wait(
-    [work = std::move(aWork), held = std::weak_ptr<Timer>(handle)](
+  timer->async_wait(
+    [work = std::move(aWork),
+     held = std::weak_ptr<boost::asio::steady_timer>(timer)](
       const boost::system::error_code& aError) {
       const auto alive = held.lock();
       if (!aError && alive) {
         work();
       }
     });
-  return handle;
+  return timer;
 }
 
 auto
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -14,8 +14,8 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::system::error_code;
 using boost::asio::ip::tcp;
+using boost::system::error_code;
 
 // Largest answer that is read: a page of the table service with some headroom.
 constexpr std::uint64_t kMaxReplyBytes = std::uint64_t{ 16 } << 20U;
@@ -167,41 +167,39 @@
     this->call->sent = true;
     this->message = ToMessage(this->call->request, this->host);
     this->call->request = HttpRequest{};
-    http::async_write(
-      this->socket,
-      this->message,
-      [self = this->shared_from_this()](const error_code& aError,
-                                        std::size_t /*aBytes*/) {
-        if (self->broken) {
-          return;
-        }
-        if (aError) {
-          self->Break("write: " + aError.message());
-          return;
-        }
-        self->Receive();
-      });
+    http::async_write(this->socket,
+                      this->message,
+                      [self = this->shared_from_this()](
+                        const error_code& aError, std::size_t /*aBytes*/) {
+                        if (self->broken) {
+                          return;
+                        }
+                        if (aError) {
+                          self->Break("write: " + aError.message());
+                          return;
+                        }
+                        self->Receive();
+                      });
   }
 
   auto Receive() -> void
   {
     this->parser.emplace();
     this->parser->body_limit(kMaxReplyBytes);
-    http::async_read(
-      this->socket,
-      this->buffer,
-      *this->parser,
-      [self = this->shared_from_this()](const error_code& aError,
-                                        std::size_t /*aBytes*/) {
-        if (self->broken) {
-          return;
-        }
-        if (aError) {
-          self->Break("read: " + aError.message());
-          return;
-        }
-        self->Deliver();
-      });
+    http::async_read(this->socket,
+                     this->buffer,
+                     *this->parser,
+                     [self = this->shared_from_this()](const error_code& aError,
+                                                       std::size_t /*aBytes*/) {
+                       if (self->broken) {
+                         return;
+                       }
+                       if (aError) {
+                         self->Break("read: " + aError.message());
+                         return;
+                       }
+                       self->Deliver();
+                     });
   }
 
   auto Deliver() -> void
@@ -259,16 +257,15 @@
   call->request = std::move(aRequest);
   call->deadline = this->loop.Now() + aTimeout;
   call->done = std::move(aDone);
-  call->timer =
-    this->loop.After(aTimeout,
-                     [self = this->weak_from_this(),
-                      pending = std::weak_ptr<PendingCall>(call)] {
-                       const auto client = self.lock();
-                       const auto expired = pending.lock();
-                       if (client && expired) {
-                         client->OnExpired(expired);
-                       }
-                     });
+  call->timer = this->loop.After(aTimeout,
+                                 [self = this->weak_from_this(),
+                                  pending = std::weak_ptr<PendingCall>(call)] {
+                                   const auto client = self.lock();
+                                   const auto expired = pending.lock();
+                                   if (client && expired) {
+                                     client->OnExpired(expired);
+                                   }
+                                 });
   this->line.push_back(std::move(call));
   this->Dispatch();
 }
--- a/eventio/src/httpserver.cpp
+++ b/eventio/src/httpserver.cpp
@@ -9,8 +9,8 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using boost::system::error_code;
 using boost::asio::ip::tcp;
+using boost::system::error_code;
 
 constexpr int kHttpVersion = 11;
 // Callers that all connect in the same moment must find room in the kernel.
@@ -232,12 +232,11 @@
   auto Arm(Millis aTimeout) -> void
   {
     const auto owner = this->server.lock();
-    this->timer =
-      owner->loop.After(aTimeout, [self = this->weak_from_this()] {
-        if (const auto session = self.lock()) {
-          session->Close();
-        }
-      });
+    this->timer = owner->loop.After(aTimeout, [self = this->weak_from_this()] {
+      if (const auto session = self.lock()) {
+        session->Close();
+      }
+    });
   }
 
   auto Close() -> void
@@ -286,7 +285,7 @@
   ~Exchange() override
   {
     constexpr int kInternalError = 500;
-    this->Answer(kInternalError, R"({"error":"not answered"})", {});
+    this->Send(kInternalError, R"({"error":"not answered"})", {});
   }
 
   auto Request() const -> const HttpRequest& override { return this->request; }
@@ -294,6 +293,17 @@
 
   auto Answer(int aStatus, std::string aBody, HttpFields aFields)
     -> void override
+  {
+    this->Send(aStatus, std::move(aBody), aFields);
+  }
+
+  auto CallerGone() const -> bool override
+  {
+    return !this->session || this->session->Closed();
+  }
+
+private:
+  auto Send(int aStatus, std::string aBody, const HttpFields& aFields) -> void
   {
     const auto open = std::exchange(this->session, nullptr);
     if (!open) {
@@ -305,12 +315,6 @@
     open->Send(aStatus, std::move(aBody), aFields);
   }
 
-  auto CallerGone() const -> bool override
-  {
-    return !this->session || this->session->Closed();
-  }
-
-private:
   HttpRequest request;
   std::shared_ptr<Session> session;
   std::weak_ptr<HttpServer> server;
--- /dev/null
+++ b/fakes/src/jobjudge.cpp
@@ -0,0 +1,294 @@
+#include "jobjudge.h"
+
+#include <algorithm>
+
+namespace gooseberry::fakes {
+
+using cells::JobId;
+using cells::StepSpec;
+
+JobJudge::JobJudge(JudgeBounds aBounds)
+  : bounds(aBounds)
+{
+}
+
+auto
+JobJudge::Break(Time aNow, const std::string& aRule, const TaskName& aTask)
+  -> void
+{
+  this->violations.push_back(std::to_string(MillisOf(aNow)) + " " + aRule +
+                             " " + ToText(aTask));
+}
+
+auto
+JobJudge::OnSubmitted(const cells::JobRow& aRow) -> void
+{
+  this->jobs.try_emplace(aRow.id).first->second.row = aRow;
+}
+
+auto
+JobJudge::OnRefused(const JobId& aJob) -> void
+{
+  auto& job = this->jobs.at(aJob);
+  job.refused = !job.accepted;
+  if (job.refused && !job.tasks.empty()) {
+    this->violations.push_back("refused " + aJob.Text() + " ran");
+  }
+}
+
+auto
+JobJudge::OnAccepted(const JobId& aJob) -> void
+{
+  auto& job = this->jobs.at(aJob);
+  job.accepted = true;
+  job.refused = false;
+}
+
+auto
+JobJudge::OnCancelAsked(const JobId& aJob) -> void
+{
+  this->jobs.at(aJob).cancelAsked = true;
+}
+
+auto
+JobJudge::OnCancelled(Time aNow, const JobId& aJob) -> void
+{
+  this->jobs.at(aJob).cancelledAt = aNow;
+}
+
+auto
+JobJudge::OnEvacuation(Time aNow, const DomainId& aDomain, bool aOut) -> void
+{
+  if (aOut) {
+    this->evacuated[aDomain] = aNow;
+  } else {
+    this->evacuated.erase(aDomain);
+  }
+}
+
+auto
+JobJudge::OnLeaving(Time aNow, const WorkerId& aWorker) -> void
+{
+  this->leaving[aWorker] = aNow;
+}
+
+auto
+JobJudge::OnWorker(const cells::WorkerEntry& aEntry) -> void
+{
+  this->workers[aEntry.id] = aEntry;
+}
+
+auto
+JobJudge::TasksOf(const JobFacts& aJob) const -> std::size_t
+{
+  auto tasks = std::size_t{ 0 };
+  for (const auto& step : aJob.row.spec.steps) {
+    tasks += step.tasks;
+  }
+  return tasks * std::max<std::size_t>(1, aJob.row.spec.occurrences);
+}
+
+auto
+JobJudge::OnShownCompleted(Time aNow, const JobId& aJob) -> void
+{
+  const auto found = this->jobs.find(aJob);
+  if (found == this->jobs.end() ||
+      found->second.done < this->TasksOf(found->second)) {
+    this->Break(aNow, "shown completed too early", { aJob });
+  }
+}
+
+auto
+JobJudge::OnEvent(const JobEvent& aEvent) -> void
+{
+  if (aEvent.kind == JobEventKind::Gone) {
+    this->OnGone(aEvent);
+    return;
+  }
+  const auto found = this->jobs.find(aEvent.task.job);
+  if (found == this->jobs.end()) {
+    this->Break(aEvent.at, "unasked", aEvent.task);
+    return;
+  }
+  switch (aEvent.kind) {
+    case JobEventKind::Start:
+      this->OnStart(found->second, aEvent);
+      break;
+    case JobEventKind::End:
+      this->OnEnd(found->second, aEvent);
+      break;
+    default:
+      this->OnNoted(found->second, aEvent);
+      break;
+  }
+}
+
+auto
+JobJudge::OnStart(JobFacts& aJob, const JobEvent& aEvent) -> void
+{
+  ++this->starts;
+  const auto& name = aEvent.task;
+  const auto& steps = aJob.row.spec.steps;
+  if (name.step >= steps.size() || name.index >= steps[name.step].tasks ||
+      aEvent.payload != aJob.row.spec.payload || aJob.refused) {
+    this->Break(aEvent.at, "unasked", name);
+    return;
+  }
+  const auto& step = steps[name.step];
+  auto& task = aJob.tasks[name];
+  if (!step.speculative && !task.live.empty()) {
+    this->Break(aEvent.at, "twice", name);
+  }
+  if (task.doneNoted && !step.speculative) {
+    this->Break(aEvent.at, "started after its noted end", name);
+  }
+  if (aEvent.run <= task.newestRun) {
+    this->Break(aEvent.at, "run number did not grow", name);
+  }
+  task.newestRun = std::max(task.newestRun, aEvent.run);
+  if (!step.lasting && task.failedNoted >= aJob.row.policy.maxAttempts) {
+    this->Break(aEvent.at, "beyond its attempts", name);
+  }
+  if (aJob.cancelledAt && aEvent.at > *aJob.cancelledAt + this->bounds.cancel) {
+    this->Break(aEvent.at, "started after its cancellation", name);
+  }
+  for (const auto earlier : step.after) {
+    for (auto index = std::uint32_t{ 0 }; index < steps[earlier].tasks;
+         ++index) {
+      const auto before = aJob.tasks.find(
+        { name.job, name.occurrence, earlier, index });
+      if (before == aJob.tasks.end() || !before->second.done) {
+        this->Break(aEvent.at, "before an earlier step", name);
+        break;
+      }
+    }
+  }
+  const auto worker = this->workers.find(aEvent.worker);
+  if (worker != this->workers.end()) {
+    const auto out = this->evacuated.find(worker->second.domain);
+    if (out != this->evacuated.end() &&
+        aEvent.at > out->second + this->bounds.evacuate) {
+      this->Break(aEvent.at, "in a domain out of service", name);
+    }
+    if (!step.neededLabel.empty() &&
+        !worker->second.HasLabel(step.neededLabel)) {
+      this->Break(aEvent.at, "without its label", name);
+    }
+  }
+  const auto leaves = this->leaving.find(aEvent.worker);
+  if (leaves != this->leaving.end() &&
+      aEvent.at > leaves->second + this->bounds.drain) {
+    this->Break(aEvent.at, "on a leaving worker", name);
+  }
+  if (step.maxPerWorker > 0) {
+    auto here = std::uint32_t{ 1 };
+    for (const auto& [other, facts] : aJob.tasks) {
+      for (const auto& [run, alive] : facts.live) {
+        here += other.step == name.step &&
+                    other.occurrence == name.occurrence &&
+                    run.second == aEvent.worker
+                  ? 1
+                  : 0;
+      }
+    }
+    if (here > step.maxPerWorker) {
+      this->Break(aEvent.at, "too many on one worker", name);
+    }
+  }
+  task.live[{ aEvent.run, aEvent.worker }] = true;
+}
+
+auto
+JobJudge::OnEnd(JobFacts& aJob, const JobEvent& aEvent) -> void
+{
+  auto& task = aJob.tasks[aEvent.task];
+  task.live.erase({ aEvent.run, aEvent.worker });
+  if (aEvent.how == RunEnd::Done && !task.done) {
+    task.done = true;
+    ++aJob.done;
+    ++this->done;
+  }
+  task.failed += aEvent.how == RunEnd::Failed ? 1 : 0;
+}
+
+auto
+JobJudge::OnNoted(JobFacts& aJob, const JobEvent& aEvent) -> void
+{
+  if (aEvent.lapsedBetween) {
+    return;
+  }
+  auto& task = aJob.tasks[aEvent.task];
+  task.doneNoted = task.doneNoted || aEvent.how == RunEnd::Done;
+  task.failedNoted += aEvent.how == RunEnd::Failed ? 1 : 0;
+}
+
+auto
+JobJudge::OnGone(const JobEvent& aEvent) -> void
+{
+  for (auto& [id, job] : this->jobs) {
+    for (auto& [name, task] : job.tasks) {
+      std::erase_if(task.live, [&](const auto& aItem) {
+        return aItem.first.second == aEvent.worker;
+      });
+    }
+  }
+}
+
+auto
+JobJudge::Finish() -> void
+{
+  for (const auto& [id, job] : this->jobs) {
+    if (!job.accepted || job.cancelAsked) {
+      continue;
+    }
+    const auto hopeless = std::any_of(
+      job.tasks.begin(), job.tasks.end(), [&](const auto& aItem) {
+        return aItem.second.failed >= job.row.policy.maxAttempts;
+      });
+    if (job.row.spec.Lasting()) {
+      const auto running = std::count_if(
+        job.tasks.begin(), job.tasks.end(), [](const auto& aItem) {
+          return !aItem.second.live.empty();
+        });
+      if (static_cast<std::size_t>(running) < this->TasksOf(job)) {
+        this->violations.push_back("lasting job " + id.Text() + " runs " +
+                                   std::to_string(running) + " tasks of " +
+                                   std::to_string(this->TasksOf(job)));
+      }
+    } else if (!hopeless && job.done < this->TasksOf(job)) {
+      this->violations.push_back("job " + id.Text() + " has done " +
+                                 std::to_string(job.done) + " tasks of " +
+                                 std::to_string(this->TasksOf(job)));
+    }
+  }
+}
+
+auto
+JobJudge::Violations() const -> const std::vector<std::string>&
+{
+  return this->violations;
+}
+
+auto
+JobJudge::Starts() const -> std::size_t
+{
+  return this->starts;
+}
+
+auto
+JobJudge::Done() const -> std::size_t
+{
+  return this->done;
+}
+
+auto
+JobJudge::CompletedJobs() const -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->jobs.begin(), this->jobs.end(), [&](const auto& aItem) {
+      return aItem.second.accepted &&
+             aItem.second.done == this->TasksOf(aItem.second);
+    }));
+}
+
+} // namespace gooseberry::fakes
--- /dev/null
+++ b/fakes/src/jobjudge.h
@@ -0,0 +1,104 @@
+#ifndef GOOSEBERRY_JOBJUDGE_H
+#define GOOSEBERRY_JOBJUDGE_H
+
+// Judges what workers did by the promises about jobs, from the workers' own
+// events and from what callers and operators were told; never from the
+// scheduler's word.
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jobspec.h"
+#include "jobworker.h"
+
+namespace gooseberry::fakes {
+
+struct JudgeBounds
+{
+  // No start later than this after a cancellation was acknowledged.
+  Millis cancel{ 3000 };
+  // No start in a failure domain later than this after it was taken out.
+  Millis evacuate{ 5000 };
+  // No start on a worker later than this after it was seen to leave.
+  Millis drain{ 4000 };
+
+  auto operator==(const JudgeBounds&) const -> bool = default;
+};
+
+class JobJudge
+{
+public:
+  explicit JobJudge(JudgeBounds aBounds);
+
+  // What callers and operators did.
+  auto OnSubmitted(const cells::JobRow& aRow) -> void;
+  // Refused for good: it must never run.
+  auto OnRefused(const cells::JobId& aJob) -> void;
+  auto OnAccepted(const cells::JobId& aJob) -> void;
+  // A cancellation was sent; without an answer it may still be carried out.
+  auto OnCancelAsked(const cells::JobId& aJob) -> void;
+  auto OnCancelled(Time aNow, const cells::JobId& aJob) -> void;
+  auto OnEvacuation(Time aNow, const DomainId& aDomain, bool aOut) -> void;
+  auto OnLeaving(Time aNow, const WorkerId& aWorker) -> void;
+  auto OnShownCompleted(Time aNow, const cells::JobId& aJob) -> void;
+  auto OnWorker(const cells::WorkerEntry& aEntry) -> void;
+
+  // What workers did.
+  auto OnEvent(const JobEvent& aEvent) -> void;
+
+  // At the end, long after the last fault: accepted jobs that are not done.
+  auto Finish() -> void;
+
+  auto Violations() const -> const std::vector<std::string>&;
+  auto Starts() const -> std::size_t;
+  auto Done() const -> std::size_t;
+  // Accepted jobs of which all tasks are done.
+  auto CompletedJobs() const -> std::size_t;
+
+private:
+  struct TaskFacts
+  {
+    // Runs that are alive, by worker.
+    std::map<std::pair<std::uint32_t, WorkerId>, bool> live;
+    bool done = false;
+    bool doneNoted = false;
+    // Runs that ended as failed, and of these the noted ones.
+    std::uint32_t failed = 0;
+    std::uint32_t failedNoted = 0;
+    std::uint32_t newestRun = 0;
+  };
+
+  struct JobFacts
+  {
+    cells::JobRow row;
+    bool accepted = false;
+    bool refused = false;
+    bool cancelAsked = false;
+    std::optional<Time> cancelledAt;
+    std::map<TaskName, TaskFacts> tasks;
+    std::size_t done = 0;
+  };
+
+  auto Break(Time aNow, const std::string& aRule, const TaskName& aTask)
+    -> void;
+  auto OnStart(JobFacts& aJob, const JobEvent& aEvent) -> void;
+  auto OnEnd(JobFacts& aJob, const JobEvent& aEvent) -> void;
+  auto OnNoted(JobFacts& aJob, const JobEvent& aEvent) -> void;
+  auto OnGone(const JobEvent& aEvent) -> void;
+  auto TasksOf(const JobFacts& aJob) const -> std::size_t;
+
+  const JudgeBounds bounds;
+  std::map<cells::JobId, JobFacts> jobs;
+  std::map<WorkerId, cells::WorkerEntry> workers;
+  std::map<DomainId, Time> evacuated;
+  std::map<WorkerId, Time> leaving;
+  std::vector<std::string> violations;
+  std::size_t starts = 0;
+  std::size_t done = 0;
+};
+
+} // namespace gooseberry::fakes
+
+#endif
--- /dev/null
+++ b/fakes/src/jobworker.cpp
@@ -0,0 +1,313 @@
+#include "jobworker.h"
+
+#include <algorithm>
+
+namespace gooseberry::fakes {
+
+using cells::CallEnd;
+using cells::CallKind;
+
+namespace {
+
+constexpr std::int64_t kWhole = 1000;
+constexpr double kPercent = 100.0;
+constexpr std::size_t kMostEnds = 500;
+
+} // namespace
+
+JobWorker::JobWorker(cells::WorkerEntry aEntry,
+                     JobWorkerOptions aOptions,
+                     Time aBorn,
+                     Plan aPlan,
+                     Sink aSink)
+  : entry(std::move(aEntry))
+  , options(aOptions)
+  , born(aBorn)
+  , plan(std::move(aPlan))
+  , sink(std::move(aSink))
+  , last(aBorn)
+{
+}
+
+auto
+JobWorker::ClockMs(Time aNow) const -> std::int64_t
+{
+  constexpr std::int64_t kStart = 100000;
+  const auto lived = std::chrono::floor<Millis>(aNow - this->born).count();
+  return kStart + lived * this->options.clockRate / kWhole;
+}
+
+auto
+JobWorker::Entry(Time aNow) const -> cells::WorkerEntry
+{
+  auto told = this->entry;
+  told.clockMs = this->ClockMs(aNow);
+  return told;
+}
+
+auto
+JobWorker::SetLeaving(bool aLeaving) -> void
+{
+  this->entry.leaving = aLeaving;
+}
+
+auto
+JobWorker::SetFailing(bool aFailing) -> void
+{
+  this->failing = aFailing;
+}
+
+auto
+JobWorker::SetSlowness(double aTimes) -> void
+{
+  this->slowness = aTimes;
+}
+
+auto
+JobWorker::Running() const -> std::size_t
+{
+  return this->running.size();
+}
+
+auto
+JobWorker::Runs(const TaskName& aTask) const -> bool
+{
+  return std::any_of(
+    this->running.begin(), this->running.end(), [&](const auto& aItem) {
+      return aItem.first.task == aTask;
+    });
+}
+
+auto
+JobWorker::Room() const -> Resources
+{
+  auto room = this->entry.capacity;
+  for (const auto& [key, run] : this->running) {
+    auto size = run.plan.size;
+    if (run.plan.fillsIdle) {
+      size.cpuMillis = 0;
+    }
+    room -= size;
+  }
+  return room;
+}
+
+auto
+JobWorker::CheckpointOf(const LiveRun& aRunning) const -> std::string
+{
+  if (!aRunning.plan.checkpoints) {
+    return {};
+  }
+  const auto every = static_cast<double>(this->options.checkpointEvery.count());
+  const auto saved = static_cast<std::int64_t>(aRunning.worked / every);
+  return saved == 0 ? std::string{} : std::to_string(saved);
+}
+
+auto
+JobWorker::Advance(Time aNow) -> void
+{
+  const auto elapsed =
+    std::chrono::duration<double, std::milli>(aNow - this->last).count();
+  this->last = aNow;
+  auto ended = std::vector<std::pair<RunKey, RunEnd>>{};
+  for (auto& [key, run] : this->running) {
+    if (this->slowness > 0.0) {
+      run.worked += elapsed / this->slowness * run.pace / kPercent;
+    }
+    if (run.stopAt && aNow >= *run.stopAt) {
+      ended.emplace_back(key, RunEnd::Stopped);
+    } else if (!run.plan.lasting || run.plan.fails) {
+      if (run.worked >= static_cast<double>(run.plan.duration.count())) {
+        ended.emplace_back(key,
+                           run.plan.fails ? RunEnd::Failed : RunEnd::Done);
+      }
+    }
+  }
+  for (const auto& [key, how] : ended) {
+    this->Finish(aNow, key, how);
+  }
+  this->Lapse(aNow);
+}
+
+auto
+JobWorker::Lapse(Time aNow) -> void
+{
+  if (this->ClockMs(aNow) <= this->leaseEndMs) {
+    return;
+  }
+  this->lapsedUpTo = this->lastEnd;
+  const auto all = this->running;
+  for (const auto& [key, run] : all) {
+    this->Finish(aNow, key, RunEnd::Lapsed);
+  }
+}
+
+auto
+JobWorker::Finish(Time aNow, const RunKey& aKey, RunEnd aHow) -> void
+{
+  const auto found = this->running.find(aKey);
+  auto event = JobEvent{ JobEventKind::End, aNow, this->entry.id, aKey.task };
+  event.run = aKey.run;
+  event.how = aHow;
+  event.checkpoint = this->CheckpointOf(found->second);
+  this->running.erase(found);
+  auto& passedRun = this->passed[aKey.task];
+  passedRun = std::max(passedRun, aKey.run);
+  this->ends.push_back(
+    { ++this->lastEnd, aKey.task, aKey.run, aHow, event.checkpoint });
+  this->sink(event);
+}
+
+auto
+JobWorker::Die(Time aNow) -> void
+{
+  auto event = JobEvent{ JobEventKind::Gone, aNow, this->entry.id };
+  this->running.clear();
+  this->sink(event);
+}
+
+auto
+JobWorker::Handle(Time aNow, const WorkerCall& aCall, bool aMayWait)
+  -> std::optional<WorkerAnswer>
+{
+  this->Advance(aNow);
+  auto answer = WorkerAnswer{ aCall.number };
+  answer.clockMs = this->ClockMs(aNow);
+  if (aCall.worker != this->entry.id) {
+    answer.end = CallEnd::OtherLife;
+    return answer;
+  }
+  if (aCall.fencingToken < this->token) {
+    answer.end = CallEnd::Fenced;
+    return answer;
+  }
+  this->token = aCall.fencingToken;
+  switch (aCall.kind) {
+    case CallKind::Start:
+      answer.end = this->Start(aNow, aCall);
+      return answer;
+    case CallKind::Stop:
+      answer.end = this->Stop(aNow, aCall);
+      return answer;
+    case CallKind::Pace: {
+      const auto found = this->running.find({ aCall.task, aCall.run });
+      answer.end = found == this->running.end() ? CallEnd::Superseded
+                                                : CallEnd::Done;
+      if (found != this->running.end()) {
+        found->second.pace = aCall.percent;
+      }
+      return answer;
+    }
+    default:
+      answer = this->Report(aNow, aCall);
+      if (aMayWait && answer.ended.empty()) {
+        return std::nullopt;
+      }
+      return answer;
+  }
+}
+
+auto
+JobWorker::Start(Time aNow, const WorkerCall& aCall) -> CallEnd
+{
+  const auto clock = this->ClockMs(aNow);
+  const auto key = RunKey{ aCall.task, aCall.run };
+  if (clock > aCall.leaseEndMs) {
+    return CallEnd::TooLate;
+  }
+  const auto most =
+    std::min(aCall.leaseEndMs, clock + this->options.leaseMax.count());
+  this->leaseEndMs = std::max(this->leaseEndMs, most);
+  if (this->running.contains(key)) {
+    return CallEnd::Done;
+  }
+  const auto before = this->passed.find(aCall.task);
+  if (before != this->passed.end() && aCall.run <= before->second) {
+    return CallEnd::Superseded;
+  }
+  auto work = this->plan(aCall.task, aCall.run);
+  if (this->failing) {
+    work.fails = true;
+    work.duration = Millis{ 50 };
+  }
+  auto need = work.size;
+  if (work.fillsIdle) {
+    need.cpuMillis = 0;
+  }
+  if (this->options.guardsCapacity && !need.FitsIn(this->Room())) {
+    return CallEnd::NoRoom;
+  }
+  auto run = LiveRun{ work };
+  if (!aCall.checkpoint.empty()) {
+    run.worked = std::stod(aCall.checkpoint) *
+                 static_cast<double>(this->options.checkpointEvery.count());
+  }
+  this->running.emplace(key, run);
+  auto event = JobEvent{ JobEventKind::Start, aNow, this->entry.id, aCall.task };
+  event.run = aCall.run;
+  event.payload = aCall.payload;
+  event.checkpoint = aCall.checkpoint;
+  event.fencingToken = aCall.fencingToken;
+  this->sink(event);
+  return CallEnd::Done;
+}
+
+auto
+JobWorker::Stop(Time aNow, const WorkerCall& aCall) -> CallEnd
+{
+  auto& passedRun = this->passed[aCall.task];
+  passedRun = std::max(passedRun, aCall.run);
+  for (auto& [key, run] : this->running) {
+    if (key.task == aCall.task && key.run <= aCall.run && !run.stopAt) {
+      run.stopAt = aNow + this->options.stopTakes;
+    }
+  }
+  return CallEnd::Done;
+}
+
+auto
+JobWorker::Report(Time aNow, const WorkerCall& aCall) -> WorkerAnswer
+{
+  auto answer = WorkerAnswer{ aCall.number };
+  answer.end = CallEnd::Done;
+  const auto clock = this->ClockMs(aNow);
+  answer.clockMs = clock;
+  answer.bornUnixMs = this->entry.bornUnixMs;
+  if (aCall.leaseEndMs > 0) {
+    const auto most =
+      std::min(aCall.leaseEndMs, clock + this->options.leaseMax.count());
+    this->leaseEndMs = std::max(this->leaseEndMs, most);
+  }
+  for (const auto& end : this->ends) {
+    if (end.number > this->noted && end.number <= aCall.recordedEnds) {
+      auto event =
+        JobEvent{ JobEventKind::Noted, aNow, this->entry.id, end.task };
+      event.run = end.run;
+      event.how = end.how;
+      event.lapsedBetween = end.number <= this->lapsedUpTo;
+      this->sink(event);
+    }
+  }
+  this->noted = std::max(this->noted, aCall.recordedEnds);
+  std::erase_if(this->ends, [this](const EndReport& aEnd) {
+    return aEnd.number <= this->noted;
+  });
+  for (const auto& [key, run] : this->running) {
+    auto report = cells::RunReport{ key.task, key.run };
+    report.checkpoint = this->CheckpointOf(run);
+    report.percent =
+      run.plan.lasting
+        ? kPercent
+        : std::min(kPercent,
+                   kPercent * run.worked /
+                     std::max<double>(
+                       1.0, static_cast<double>(run.plan.duration.count())));
+    answer.running.push_back(report);
+  }
+  const auto listed = std::min(this->ends.size(), kMostEnds);
+  answer.ended.assign(this->ends.begin(),
+                      this->ends.begin() + static_cast<std::ptrdiff_t>(listed));
+  return answer;
+}
+
+} // namespace gooseberry::fakes
--- /dev/null
+++ b/fakes/src/rowtable.cpp
@@ -0,0 +1,101 @@
+#include "rowtable.h"
+
+#include <algorithm>
+
+namespace gooseberry::fakes {
+
+using cells::CommitOutcome;
+using cells::FeedOutcome;
+using cells::RowsOutcome;
+using cells::StoredRow;
+using cells::TableEnd;
+
+auto
+RowTable::Commit(const cells::RowsCommit& aCommit) -> CommitOutcome
+{
+  auto outcome = CommitOutcome{ TableEnd::Done, 0, {}, "" };
+  for (const auto& condition : aCommit.conditions) {
+    const auto found = this->rows.find(condition.key);
+    const auto present = found != this->rows.end();
+    outcome.current.push_back(present ? found->second
+                                      : StoredRow{ condition.key, "", 0 });
+    if (condition.version != outcome.current.back().version) {
+      outcome.end = TableEnd::Conflict;
+    }
+  }
+  if (outcome.end == TableEnd::Conflict) {
+    outcome.version = this->version;
+    return outcome;
+  }
+  ++this->version;
+  for (const auto& put : aCommit.puts) {
+    const auto row = StoredRow{ put.key, put.value, this->version };
+    this->rows[put.key] = row;
+    this->history.emplace_back(this->version, row);
+  }
+  for (const auto& key : aCommit.removals) {
+    if (this->rows.erase(key) > 0) {
+      this->history.emplace_back(this->version, StoredRow{ key, "", 0 });
+    }
+  }
+  while (this->history.size() > kMostHistory) {
+    this->forgottenTo = this->history.front().first;
+    this->history.pop_front();
+  }
+  outcome.current.clear();
+  outcome.version = this->version;
+  return outcome;
+}
+
+auto
+RowTable::Read(const cells::RowsRange& aRange,
+               std::size_t aLimit,
+               bool& aMore) const -> RowsOutcome
+{
+  auto outcome = RowsOutcome{ TableEnd::Done, {}, this->version, "" };
+  aMore = false;
+  for (auto row =
+         this->rows.lower_bound({ aRange.table, aRange.part, aRange.from });
+       row != this->rows.end() && row->first.table == aRange.table &&
+       row->first.part == aRange.part &&
+       (aRange.to.empty() || row->first.key < aRange.to);
+       ++row) {
+    if (outcome.rows.size() == aLimit) {
+      aMore = true;
+      break;
+    }
+    outcome.rows.push_back(row->second);
+  }
+  return outcome;
+}
+
+auto
+RowTable::Changes(const std::string& aTable, std::uint64_t aAfter) const
+  -> std::optional<FeedOutcome>
+{
+  if (aAfter < this->forgottenTo) {
+    return std::nullopt;
+  }
+  auto outcome = FeedOutcome{ TableEnd::Done, {}, this->version, "" };
+  for (const auto& [changed, row] : this->history) {
+    if (changed > aAfter && row.key.table == aTable) {
+      outcome.rows.push_back(row);
+    }
+  }
+  return outcome;
+}
+
+auto
+RowTable::Compact() -> void
+{
+  this->history.clear();
+  this->forgottenTo = this->version;
+}
+
+auto
+RowTable::Version() const -> std::uint64_t
+{
+  return this->version;
+}
+
+} // namespace gooseberry::fakes
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -1,6 +1,5 @@
 #include "cellkeeper.h"
 
-#include "wallclock.h"
 
 namespace gooseberry::fleet {
 
@@ -138,8 +137,8 @@
   this->ports.tables.Commit(
     commit,
     kStoreTimeout,
-    [weak = this->weak_from_this(), owner](
-      const cells::CommitOutcome& aOutcome) {
+    [weak = this->weak_from_this(),
+     owner](const cells::CommitOutcome& aOutcome) {
       const auto self = weak.lock();
       if (!self) {
         return;
@@ -218,30 +217,30 @@
 CellKeeper::ReadInto(const cells::RowsRange& aRange,
                      std::vector<cells::StoredRow> Load::*aWhere) -> void
 {
-  this->ports.tables.Read(
-    aRange,
-    kStoreTimeout,
-    [weak = this->weak_from_this(),
-     held = std::weak_ptr<Load>(this->load),
-     aRange,
-     aWhere](const cells::RowsOutcome& aOutcome) {
-      const auto self = weak.lock();
-      const auto loading = held.lock();
-      if (!self || !loading || self->load != loading) {
-        return;
-      }
-      if (aOutcome.end != cells::TableEnd::Done) {
-        self->ReadInto(aRange, aWhere);
-        return;
-      }
-      (*loading).*aWhere = aOutcome.rows;
-      loading->version = loading->version == 0
-                           ? aOutcome.version
-                           : std::min(loading->version, aOutcome.version);
-      if (--loading->missing == 0) {
-        self->OnLoaded();
-      }
-    });
+  this->ports.tables.Read(aRange,
+                          kStoreTimeout,
+                          [weak = this->weak_from_this(),
+                           held = std::weak_ptr<Load>(this->load),
+                           aRange,
+                           aWhere](const cells::RowsOutcome& aOutcome) {
+                            const auto self = weak.lock();
+                            const auto loading = held.lock();
+                            if (!self || !loading || self->load != loading) {
+                              return;
+                            }
+                            if (aOutcome.end != cells::TableEnd::Done) {
+                              self->ReadInto(aRange, aWhere);
+                              return;
+                            }
+                            (*loading).*aWhere = aOutcome.rows;
+                            loading->version =
+                              loading->version == 0
+                                ? aOutcome.version
+                                : std::min(loading->version, aOutcome.version);
+                            if (--loading->missing == 0) {
+                              self->OnLoaded();
+                            }
+                          });
 }
 
 auto
@@ -251,7 +250,7 @@
   auto takeover = cells::CellTakeover{};
   takeover.fencingToken = this->recorder->Owner().fencingToken;
   takeover.now = this->ports.loop.Now();
-  takeover.nowUnixMs = UnixMillis();
+  takeover.nowUnixMs = this->ports.loop.UnixMillis();
   if (this->earlier) {
     takeover.earlierLease = Millis{ this->earlier->leaseMs };
     takeover.lapses = this->LapsesOf(*this->earlier);
@@ -274,22 +273,20 @@
       continue;
     }
     const auto record = records.find(row.key.key);
-    takeover.jobs.emplace_back(std::move(*job),
-                               record == records.end()
-                                 ? std::nullopt
-                                 : std::optional{ record->second });
+    takeover.jobs.emplace_back(
+      std::move(*job),
+      record == records.end() ? std::nullopt : std::optional{ record->second });
   }
   for (const auto& row : loaded->cancellations) {
     if (const auto id = cells::JobId::Parse(row.key.key)) {
       takeover.cancelled.push_back(*id);
     }
   }
-  this->ports.log.Write(
-    "cell_taken",
-    { { "cell", this->rows.cell },
-      { "token", std::to_string(takeover.fencingToken) },
-      { "jobs", std::to_string(takeover.jobs.size()) },
-      { "records", std::to_string(records.size()) } });
+  this->ports.log.Write("cell_taken",
+                        { { "cell", this->rows.cell },
+                          { "token", std::to_string(takeover.fencingToken) },
+                          { "jobs", std::to_string(takeover.jobs.size()) },
+                          { "records", std::to_string(records.size()) } });
   auto options = cells::CellOptions{};
   options.leaseMax = this->settings.bounds.leaseMax;
   options.lease = this->LeaseGiven();
@@ -298,23 +295,22 @@
   options.remoteFactor = this->settings.bounds.remoteFactor;
   this->cell = std::make_unique<cells::Cell>(
     options, std::move(takeover), this->ports.log);
-  const auto follow = [this](const char* aTable,
-                             const std::string& aPart,
-                             auto aHandler) {
-    auto follower = std::make_shared<TableFollower>(
-      this->ports.loop,
-      this->ports.tables,
-      FollowerOptions{ aTable, aPart, kJobPatience, Millis{ 0 } },
-      this->ports.log,
-      [weak = this->weak_from_this(), aHandler](
-        const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
-        const auto self = weak.lock();
-        if (self && self->cell) {
-          (*self.*aHandler)(aRows);
-        }
-      });
-    return follower;
-  };
+  const auto follow =
+    [this](const char* aTable, const std::string& aPart, auto aHandler) {
+      auto follower = std::make_shared<TableFollower>(
+        this->ports.loop,
+        this->ports.tables,
+        FollowerOptions{ aTable, aPart, kJobPatience, Millis{ 0 } },
+        this->ports.log,
+        [weak = this->weak_from_this(), aHandler](
+          const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
+          const auto self = weak.lock();
+          if (self && self->cell) {
+            (*self.*aHandler)(aRows);
+          }
+        });
+      return follower;
+    };
   this->jobRows = follow(cells::CellRows::kSubmissionTable,
                          this->rows.SubmissionRange().part,
                          &CellKeeper::OnJobRows);
@@ -358,7 +354,7 @@
 CellKeeper::OnAccepted(const cells::JobRow& aRow) -> void
 {
   if (this->cell) {
-    this->cell->OnJob(this->ports.loop.Now(), UnixMillis(), aRow);
+    this->cell->OnJob(this->ports.loop.Now(), this->ports.loop.UnixMillis(), aRow);
     this->StepSoon();
   }
 }
@@ -430,7 +426,8 @@
   if (!this->cell) {
     return;
   }
-  this->cell->OnTick(this->ports.loop.Now(), UnixMillis());
+  this->cell->OnSiteFresh(this->ports.site.FreshAt());
+  this->cell->OnTick(this->ports.loop.Now(), this->ports.loop.UnixMillis());
   this->WriteNext();
   this->SendCalls();
 }
@@ -439,16 +436,16 @@
 CellKeeper::SendCalls() -> void
 {
   for (const auto& call : this->cell->TakeCalls(this->ports.loop.Now())) {
-    this->ports.workers.Call(
-      call,
-      [weak = this->weak_from_this(), at = this->term](
-        const cells::WorkerAnswer& aAnswer) {
-        const auto self = weak.lock();
-        if (self && self->cell && self->term == at) {
-          self->cell->OnAnswer(self->ports.loop.Now(), aAnswer);
-          self->StepSoon();
-        }
-      });
+    this->ports.workers.Call(call,
+                             [weak = this->weak_from_this(), at = this->term](
+                               const cells::WorkerAnswer& aAnswer) {
+                               const auto self = weak.lock();
+                               if (self && self->cell && self->term == at) {
+                                 self->cell->OnAnswer(self->ports.loop.Now(),
+                                                      aAnswer);
+                                 self->StepSoon();
+                               }
+                             });
   }
 }
 
@@ -479,9 +476,8 @@
   this->ports.tables.Commit(
     aCommit,
     kStoreTimeout,
-    [weak = this->weak_from_this(),
-     at = this->term,
-     asked = this->lastWrite](const cells::CommitOutcome& aOutcome) {
+    [weak = this->weak_from_this(), at = this->term, asked = this->lastWrite](
+      const cells::CommitOutcome& aOutcome) {
       const auto self = weak.lock();
       if (!self || !self->cell || self->term != at) {
         return;
@@ -491,9 +487,9 @@
         self->cell->OnConfirmed(asked);
       }
       if (aOutcome.end != cells::TableEnd::Done) {
-        self->ports.log.Write("record_not_written",
-                              { { "end", ToText(aOutcome.end) },
-                                { "reason", aOutcome.reason } });
+        self->ports.log.Write(
+          "record_not_written",
+          { { "end", ToText(aOutcome.end) }, { "reason", aOutcome.reason } });
       }
       self->Apply(self->recorder->OnOutcome(aOutcome));
       if (self->cell && aOutcome.end == cells::TableEnd::Done) {
@@ -510,8 +506,8 @@
   this->ports.tables.Read(
     { owner.table, owner.part, "", "" },
     kStoreTimeout,
-    [weak = this->weak_from_this(), at = this->term](
-      const cells::RowsOutcome& aOutcome) {
+    [weak = this->weak_from_this(),
+     at = this->term](const cells::RowsOutcome& aOutcome) {
       const auto self = weak.lock();
       if (!self || !self->cell || self->term != at) {
         return;
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -11,7 +11,7 @@
 #include <string>
 
 #include "cell.h"
-#include "eventloop.h"
+#include "loop.h"
 #include "fleetsettings.h"
 #include "recorder.h"
 #include "sitewatch.h"
@@ -23,7 +23,7 @@
 
 struct KeeperPorts
 {
-  EventLoop& loop;
+  Loop& loop;
   cells::TablePort& tables;
   cells::WorkerPort& workers;
   SiteWatch& site;
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -1,6 +1,5 @@
 #include "entry.h"
 
-#include "wallclock.h"
 
 namespace gooseberry::fleet {
 
@@ -53,7 +52,7 @@
   TimerHandle timer;
 };
 
-Entry::Entry(EventLoop& aLoop,
+Entry::Entry(Loop& aLoop,
              cells::TablePort& aTables,
              SiteWatch& aSite,
              CellKeeper& aKeeper,
@@ -134,7 +133,9 @@
                          aRequest.deadline.value_or(kDefaultDeadline) -
                          kAnswerReserve;
   submission->exchange = std::move(aExchange);
-  submission->row = { aJob, aQueue.id, aQueue.policy, std::move(*spec), UnixMillis() };
+  submission->row = {
+    aJob, aQueue.id, aQueue.policy, std::move(*spec), this->loop.UnixMillis()
+  };
   submission->bytes = cells::EncodeJobRow(submission->row);
   this->WriteJob(submission);
 }
@@ -144,11 +145,12 @@
 {
   ++aSubmission->tries;
   const auto key = this->keeper.Rows().Submission(aSubmission->row.id);
-  this->tables.Commit({ { { key, 0 } }, { { key, aSubmission->bytes } }, {} },
-                      kCallTimeout,
-                      [this, aSubmission](const cells::CommitOutcome& aOutcome) {
-                        this->OnWritten(aSubmission, aOutcome);
-                      });
+  this->tables.Commit(
+    { { { key, 0 } }, { { key, aSubmission->bytes } }, {} },
+    kCallTimeout,
+    [this, aSubmission](const cells::CommitOutcome& aOutcome) {
+      this->OnWritten(aSubmission, aOutcome);
+    });
 }
 
 auto
@@ -182,10 +184,11 @@
       kTryAgain, [this, aSubmission] { this->WriteJob(aSubmission); });
     return;
   }
-  this->log.Write("job_not_accepted",
-                  { { "job", job.Text() },
-                    { "may_be_stored", aSubmission->mayBeStored ? "yes" : "no" },
-                    { "reason", aOutcome.reason } });
+  this->log.Write(
+    "job_not_accepted",
+    { { "job", job.Text() },
+      { "may_be_stored", aSubmission->mayBeStored ? "yes" : "no" },
+      { "reason", aOutcome.reason } });
   if (aSubmission->mayBeStored) {
     aSubmission->exchange->Answer(
       kGatewayTimeout, wire::ErrorBody("the store did not answer"), {});
@@ -224,8 +227,7 @@
       if (!aOutcome.rows.empty()) {
         if (const auto record =
               cells::DecodeRecord(aOutcome.rows.front().value, reason)) {
-          aQuestion->exchange->Answer(
-            kOk, wire::StateBody(record->state), {});
+          aQuestion->exchange->Answer(kOk, wire::StateBody(record->state), {});
           return;
         }
       }
@@ -237,20 +239,19 @@
 Entry::ReadSubmission(const std::shared_ptr<Question>& aQuestion) -> void
 {
   const auto key = this->keeper.Rows().Submission(aQuestion->job);
-  this->tables.Read(
-    { key.table, key.part, key.key, key.key + "!" },
-    kCallTimeout,
-    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-      if (aOutcome.end != cells::TableEnd::Done) {
-        this->RetryQuestion(aQuestion, &Entry::ReadSubmission);
-      } else if (aOutcome.rows.empty()) {
-        aQuestion->exchange->Answer(
-          kGone, wire::ErrorBody("no such job"), {});
-      } else {
-        aQuestion->exchange->Answer(
-          kOk, wire::StateBody(cells::JobState::Queued), {});
-      }
-    });
+  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
+                    kCallTimeout,
+                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+                      if (aOutcome.end != cells::TableEnd::Done) {
+                        this->RetryQuestion(aQuestion, &Entry::ReadSubmission);
+                      } else if (aOutcome.rows.empty()) {
+                        aQuestion->exchange->Answer(
+                          kGone, wire::ErrorBody("no such job"), {});
+                      } else {
+                        aQuestion->exchange->Answer(
+                          kOk, wire::StateBody(cells::JobState::Queued), {});
+                      }
+                    });
 }
 
 auto
@@ -259,32 +260,31 @@
   -> void
 {
   if (this->loop.Now() + kTryAgain >= aQuestion->deadline) {
-    aQuestion->exchange->Answer(
-      kUnavailable, wire::ErrorBody("the store does not answer"), RetryAfter(1));
+    aQuestion->exchange->Answer(kUnavailable,
+                                wire::ErrorBody("the store does not answer"),
+                                RetryAfter(1));
     return;
   }
-  aQuestion->timer =
-    this->loop.After(kTryAgain, [this, aQuestion, aStep] {
-      (this->*aStep)(aQuestion);
-    });
+  aQuestion->timer = this->loop.After(
+    kTryAgain, [this, aQuestion, aStep] { (this->*aStep)(aQuestion); });
 }
 
 auto
 Entry::Cancel(const std::shared_ptr<Question>& aQuestion) -> void
 {
   const auto key = this->keeper.Rows().Submission(aQuestion->job);
-  this->tables.Read(
-    { key.table, key.part, key.key, key.key + "!" },
-    kCallTimeout,
-    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-      if (aOutcome.end != cells::TableEnd::Done) {
-        this->RetryQuestion(aQuestion, &Entry::Cancel);
-      } else if (aOutcome.rows.empty()) {
-        aQuestion->exchange->Answer(kGone, wire::ErrorBody("no such job"), {});
-      } else {
-        this->WriteCancel(aQuestion);
-      }
-    });
+  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
+                    kCallTimeout,
+                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+                      if (aOutcome.end != cells::TableEnd::Done) {
+                        this->RetryQuestion(aQuestion, &Entry::Cancel);
+                      } else if (aOutcome.rows.empty()) {
+                        aQuestion->exchange->Answer(
+                          kGone, wire::ErrorBody("no such job"), {});
+                      } else {
+                        this->WriteCancel(aQuestion);
+                      }
+                    });
 }
 
 auto
--- a/fleet/src/entry.h
+++ b/fleet/src/entry.h
@@ -1,8 +1,8 @@
 #ifndef GOOSEBERRY_ENTRY_H
 #define GOOSEBERRY_ENTRY_H
 
-// What callers ask: jobs are taken in, cancelled and told about. A job counts as
-// accepted once its row is in the store.
+// What callers ask: jobs are taken in, cancelled and told about. A job counts
+// as accepted once its row is in the store.
 
 #include <memory>
 
@@ -17,7 +17,7 @@
 class Entry
 {
 public:
-  Entry(EventLoop& aLoop,
+  Entry(Loop& aLoop,
         cells::TablePort& aTables,
         SiteWatch& aSite,
         CellKeeper& aKeeper,
@@ -50,7 +50,7 @@
   auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) const
     -> void;
 
-  EventLoop& loop;
+  Loop& loop;
   cells::TablePort& tables;
   SiteWatch& site;
   CellKeeper& keeper;
--- a/fleet/src/fleetinstance.cpp
+++ b/fleet/src/fleetinstance.cpp
@@ -14,7 +14,8 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr const char* kTheCell = "c0";
-// The balancer needs two looks, a second apart, to stop sending new connections.
+// The balancer needs two looks, a second apart, to stop sending new
+// connections.
 constexpr Millis kBalancerLag{ 2300 };
 // Kept back from the grace period for ending.
 constexpr Millis kEndReserve{ 500 };
@@ -125,24 +126,25 @@
   auto* const raw = set.get();
   const auto wait = std::make_shared<std::function<void()>>();
   *wait = [this, raw, again = std::weak_ptr<std::function<void()>>(wait)] {
-    raw->async_wait([this, again](const boost::system::error_code& aError,
-                                  int aSignal) {
-      const auto next = again.lock();
-      if (aError || !next) {
-        return;
-      }
-      if (aSignal == SIGHUP) {
-        this->log.Write("reloaded", {});
-      } else {
-        this->Shutdown();
-      }
-      (*next)();
-    });
+    raw->async_wait(
+      [this, again](const boost::system::error_code& aError, int aSignal) {
+        const auto next = again.lock();
+        if (aError || !next) {
+          return;
+        }
+        if (aSignal == SIGHUP) {
+          this->log.Write("reloaded", {});
+        } else {
+          this->Shutdown();
+        }
+        (*next)();
+      });
   };
   (*wait)();
-  this->signals = std::make_shared<
-    std::pair<std::shared_ptr<boost::asio::signal_set>,
-              std::shared_ptr<std::function<void()>>>>(set, wait);
+  this->signals =
+    std::make_shared<std::pair<std::shared_ptr<boost::asio::signal_set>,
+                               std::shared_ptr<std::function<void()>>>>(set,
+                                                                        wait);
 }
 
 auto
@@ -177,8 +179,7 @@
     this->loop.Stop();
     return;
   }
-  this->endTimer =
-    this->loop.After(kEndLook, [this] { this->EndWhenIdle(); });
+  this->endTimer = this->loop.After(kEndLook, [this] { this->EndWhenIdle(); });
 }
 
 } // namespace gooseberry::fleet
--- a/fleet/src/fleetsettings.cpp
+++ b/fleet/src/fleetsettings.cpp
@@ -65,7 +65,8 @@
   settings.metrics = map.String("metrics", settings.metrics);
   settings.processorShare =
     map.Number("processor_share", settings.processorShare, 0.001, 1024.0);
-  settings.memoryMb = map.Integer("memory_mb", settings.memoryMb, 1, kMaxMemoryMb);
+  settings.memoryMb =
+    map.Integer("memory_mb", settings.memoryMb, 1, kMaxMemoryMb);
   settings.maxDescriptors =
     map.Integer("max_descriptors", settings.maxDescriptors, 64, kMaxRate);
   settings.cloud = map.String("cloud", "");
--- a/fleet/src/sitewatch.cpp
+++ b/fleet/src/sitewatch.cpp
@@ -1,5 +1,7 @@
 #include "sitewatch.h"
 
+#include <algorithm>
+
 #include "wiresite.h"
 #include "wiretables.h"
 
@@ -16,7 +18,7 @@
 
 } // namespace
 
-SiteWatch::SiteWatch(EventLoop& aLoop,
+SiteWatch::SiteWatch(Loop& aLoop,
                      cells::TablePort& aTables,
                      cells::DecisionLog& aLog)
   : loop(aLoop)
@@ -101,6 +103,15 @@
   return this->workersKnown;
 }
 
+auto
+SiteWatch::FreshAt() const -> Time
+{
+  if (!this->operators || !this->workerRows) {
+    return {};
+  }
+  return std::min(this->operators->FreshAt(), this->workerRows->FreshAt());
+}
+
 auto
 SiteWatch::OnOperatorRows(const std::vector<cells::StoredRow>& aRows,
                           bool aWhole) -> void
@@ -138,9 +149,9 @@
   auto reason = std::string{};
   auto next = wire::ReadConfig(aRow.value, reason);
   if (!next) {
-    this->log.Write("config_unreadable",
-                    { { "row", std::to_string(aRow.version) },
-                      { "reason", reason } });
+    this->log.Write(
+      "config_unreadable",
+      { { "row", std::to_string(aRow.version) }, { "reason", reason } });
     return;
   }
   const auto current = this->config.Get();
@@ -151,8 +162,7 @@
   this->log.Write("config_in_force",
                   { { "version", std::to_string(next->version) },
                     { "queues", std::to_string(next->queues.size()) } });
-  this->config.Set(
-    std::make_shared<const cells::SiteConfig>(std::move(*next)));
+  this->config.Set(std::make_shared<const cells::SiteConfig>(std::move(*next)));
 }
 
 auto
--- a/fleet/src/sitewatch.h
+++ b/fleet/src/sitewatch.h
@@ -17,7 +17,7 @@
 class SiteWatch
 {
 public:
-  SiteWatch(EventLoop& aLoop,
+  SiteWatch(Loop& aLoop,
             cells::TablePort& aTables,
             cells::DecisionLog& aLog);
 
@@ -33,6 +33,8 @@
   auto Evacuated() const -> const std::set<DomainId>&;
   auto Workers() const -> const cells::WorkerTable&;
   auto WorkersKnown() const -> bool;
+  // All that is known is no older.
+  auto FreshAt() const -> Time;
 
 private:
   auto OnOperatorRows(const std::vector<cells::StoredRow>& aRows, bool aWhole)
@@ -42,7 +44,7 @@
     -> void;
   auto Changed() -> void;
 
-  EventLoop& loop;
+  Loop& loop;
   cells::TablePort& tables;
   cells::DecisionLog& log;
   std::function<void()> onChange;
--- a/fleet/src/tablefollower.cpp
+++ b/fleet/src/tablefollower.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-TableFollower::TableFollower(EventLoop& aLoop,
+TableFollower::TableFollower(Loop& aLoop,
                              cells::TablePort& aTables,
                              FollowerOptions aOptions,
                              cells::DecisionLog& aLog,
@@ -55,62 +55,61 @@
 TableFollower::ReadAll() -> void
 {
   const auto asked = this->loop.Now();
-  this->tables.Read(
-    { this->options.table, this->options.part, "", "" },
-    kReadTimeout,
-    [self = this->shared_from_this(), asked](
-      const cells::RowsOutcome& aOutcome) {
-      if (self->stopped) {
-        return;
-      }
-      self->NoteEnd(aOutcome.end, aOutcome.reason);
-      if (aOutcome.end != cells::TableEnd::Done) {
-        self->Later(kRetry, true);
-        return;
-      }
-      self->version = aOutcome.version;
-      self->freshAt = asked;
-      self->onRows(aOutcome.rows, true);
-      self->Later(self->options.rest, false);
-    });
+  this->tables.Read({ this->options.table, this->options.part, "", "" },
+                    kReadTimeout,
+                    [self = this->shared_from_this(),
+                     asked](const cells::RowsOutcome& aOutcome) {
+                      if (self->stopped) {
+                        return;
+                      }
+                      self->NoteEnd(aOutcome.end, aOutcome.reason);
+                      if (aOutcome.end != cells::TableEnd::Done) {
+                        self->Later(kRetry, true);
+                        return;
+                      }
+                      self->version = aOutcome.version;
+                      self->freshAt = asked;
+                      self->onRows(aOutcome.rows, true);
+                      self->Later(self->options.rest, false);
+                    });
 }
 
 auto
 TableFollower::Follow() -> void
 {
   const auto asked = this->loop.Now();
-  this->tables.Feed(
-    this->options.table,
-    this->version,
-    this->options.patience,
-    [self = this->shared_from_this(), asked](
-      const cells::FeedOutcome& aOutcome) {
-      if (self->stopped) {
-        return;
-      }
-      self->NoteEnd(aOutcome.end, aOutcome.reason);
-      switch (aOutcome.end) {
-        case cells::TableEnd::Done: {
-          self->version = std::max(self->version, aOutcome.version);
-          self->freshAt = asked;
-          auto own = aOutcome.rows;
-          std::erase_if(own, [&](const cells::StoredRow& aRow) {
-            return aRow.key.part != self->options.part;
-          });
-          if (!own.empty()) {
-            self->onRows(own, false);
-          }
-          self->Later(self->options.rest, false);
-          return;
-        }
-        case cells::TableEnd::HistoryGone:
-          self->ReadAll();
-          return;
-        default:
-          self->Later(kRetry, false);
-          return;
-      }
-    });
+  this->tables.Feed(this->options.table,
+                    this->version,
+                    this->options.patience,
+                    [self = this->shared_from_this(),
+                     asked](const cells::FeedOutcome& aOutcome) {
+                      if (self->stopped) {
+                        return;
+                      }
+                      self->NoteEnd(aOutcome.end, aOutcome.reason);
+                      switch (aOutcome.end) {
+                        case cells::TableEnd::Done: {
+                          self->version =
+                            std::max(self->version, aOutcome.version);
+                          self->freshAt = asked;
+                          auto own = aOutcome.rows;
+                          std::erase_if(own, [&](const cells::StoredRow& aRow) {
+                            return aRow.key.part != self->options.part;
+                          });
+                          if (!own.empty()) {
+                            self->onRows(own, false);
+                          }
+                          self->Later(self->options.rest, false);
+                          return;
+                        }
+                        case cells::TableEnd::HistoryGone:
+                          self->ReadAll();
+                          return;
+                        default:
+                          self->Later(kRetry, false);
+                          return;
+                      }
+                    });
 }
 
 auto
@@ -144,8 +143,8 @@
   if (this->stopped) {
     return;
   }
-  this->timer = this->loop.After(
-    aDelay, [weak = this->weak_from_this(), aWhole] {
+  this->timer =
+    this->loop.After(aDelay, [weak = this->weak_from_this(), aWhole] {
       const auto self = weak.lock();
       if (!self) {
         return;
--- a/fleet/src/tablefollower.h
+++ b/fleet/src/tablefollower.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "decisionlog.h"
-#include "eventloop.h"
+#include "loop.h"
 #include "tableport.h"
 
 namespace gooseberry::fleet {
@@ -32,7 +32,7 @@
   using OnRows =
     std::function<void(const std::vector<cells::StoredRow>&, bool aWhole)>;
 
-  TableFollower(EventLoop& aLoop,
+  TableFollower(Loop& aLoop,
                 cells::TablePort& aTables,
                 FollowerOptions aOptions,
                 cells::DecisionLog& aLog,
@@ -51,7 +51,7 @@
   auto Later(Millis aDelay, bool aWhole) -> void;
   auto NoteEnd(cells::TableEnd aEnd, const std::string& aReason) -> void;
 
-  EventLoop& loop;
+  Loop& loop;
   cells::TablePort& tables;
   const FollowerOptions options;
   cells::DecisionLog& log;
