--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -126,19 +126,21 @@
       this->SendRenewal(aNow, slot, Millis{ 0 });
       continue;
     }
-    const auto unrecorded = !slot.unrecordedEnds.empty();
-    if (!slot.runs.empty() && unrecorded) {
-      // The worker would answer at once with ends that are known.
+    if (!slot.unrecordedEnds.empty()) {
+      // The worker would answer at once with ends that are known. While the
+      // store takes no records, leases have to be renewed nevertheless.
+      if (!slot.runs.empty() &&
+          aNow > slot.leasedAt + this->options.lease / kRenewalsPerLease) {
+        this->SendRenewal(aNow, slot, Millis{ 0 });
+      }
       continue;
     }
+    const auto watched = slot.fillingCpu > 0 && !slot.serving.empty();
     if (!slot.runs.empty()) {
-      this->SendRenewal(aNow,
-                        slot,
-                        slot.fillingCpu > 0 && !slot.serving.empty()
-                          ? kWatchedPatience
-                          : kRenewPatience);
-    } else if (unrecorded || aNow >= slot.lastAnswer + kIdleRenewInterval ||
-               slot.unacknowledged) {
+      this->SendRenewal(
+        aNow, slot, watched ? kWatchedPatience : kRenewPatience);
+    } else if (slot.unacknowledged ||
+               aNow >= slot.lastAnswer + kIdleRenewInterval) {
       this->SendRenewal(aNow, slot, Millis{ 0 });
     }
   }
@@ -158,6 +160,7 @@
                          aNow < this->confirmedAt + this->options.authority;
   if (answering && !aSlot.runs.empty()) {
     call.leaseEndMs = this->LeaseEndFor(aNow, aSlot, this->options.lease);
+    aSlot.leasedAt = aNow;
   }
   aSlot.unacknowledged = false;
   aSlot.renewals.insert(call.number);
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -65,6 +65,8 @@
   // Renewals under way, by their call's number.
   std::set<std::uint64_t> renewals;
   Time nextRenewal{};
+  // When the last lease was sent.
+  Time leasedAt{};
   // A report is wanted at once.
   bool lookNow = false;
   // The last renewal got no answer.
--- /dev/null
+++ b/cells/tests/cell_test.cpp
@@ -0,0 +1,480 @@
+// Decisions of a cell's owner, each with the calls and records it leads to.
+
+#include <criterion/criterion.h>
+
+#include "cellharness.h"
+#include "tunables_cells.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+Test(cell, a_start_is_recorded_before_it_is_sent)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 2 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  cr_assert_eq(harness.Calls(CallKind::Start).size(), 0);
+  const auto batch = harness.cell.NextBatch(harness.now);
+  cr_assert(batch.has_value());
+  auto reason = std::string{};
+  const auto record = DecodeRecord(batch->records.front().second, reason);
+  cr_assert(record.has_value());
+  cr_expect_eq(record->tasks.size(), 2);
+  cr_expect_eq(record->tasks[0].runs[0].worker.text, "w1");
+  cr_expect_eq(record->tasks[0].runs[0].machine.text, "machine-w1");
+  harness.cell.OnRecorded(harness.now, batch->number);
+  harness.Take();
+  cr_expect_eq(harness.Calls(CallKind::Start).size(), 2);
+}
+
+Test(cell, a_later_step_waits_for_all_tasks_before_it)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 2, 1 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 2);
+  harness.Tick();
+  auto renewals = harness.Calls(CallKind::Renew);
+  cr_assert_eq(renewals.size(), 1);
+  harness.Report(renewals[0],
+                 { RunningOf(starts[1]) },
+                 { EndOf(starts[0], 1, RunEnd::Done) });
+  cr_expect_eq(harness.StartAll().size(), 0);
+  renewals = harness.Calls(CallKind::Renew);
+  harness.Tick();
+  for (const auto& more : harness.Calls(CallKind::Renew)) {
+    renewals.push_back(more);
+  }
+  cr_assert_geq(renewals.size(), 1);
+  // What is recorded may be forgotten by the worker.
+  cr_expect_eq(renewals.back().recordedEnds, 1);
+  harness.Report(renewals.back(), {}, { EndOf(starts[1], 2, RunEnd::Done) });
+  const auto last = harness.StartAll();
+  cr_assert_eq(last.size(), 1);
+  cr_expect_eq(last[0].task.step, 1);
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Running);
+}
+
+Test(cell, an_end_is_acknowledged_only_after_it_was_recorded)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 1 }));
+  const auto starts = harness.StartAll();
+  harness.Tick();
+  harness.Report(harness.Calls(CallKind::Renew).at(0),
+                 {},
+                 { EndOf(starts[0], 1, RunEnd::Done) });
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Completed);
+  cr_expect_neq(harness.cell.FindJob(job)->recorded, JobState::Completed);
+  harness.Advance(Millis{ 300 });
+  harness.Tick();
+  for (const auto& call : harness.Calls(CallKind::Renew)) {
+    cr_expect_eq(call.recordedEnds, 0);
+    harness.Report(call, {}, { EndOf(starts[0], 1, RunEnd::Done) });
+  }
+  harness.Record();
+  cr_expect_eq(harness.cell.FindJob(job)->recorded, JobState::Completed);
+  harness.Tick();
+  const auto renewals = harness.Calls(CallKind::Renew);
+  cr_assert_geq(renewals.size(), 1);
+  cr_expect_eq(renewals.back().recordedEnds, 1);
+}
+
+Test(cell, an_unanswered_start_is_settled_by_a_stop_before_it_is_tried_again)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.Record();
+  const auto start = harness.Calls(CallKind::Start).at(0);
+  harness.Answer(start, CallEnd::Unanswered);
+  harness.Tick();
+  harness.Report(harness.Calls(CallKind::Renew).at(0), {}, {});
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  // Not listed, and it could still be carried out: a stop, no second start.
+  const auto stops = harness.Calls(CallKind::Stop);
+  cr_assert_eq(stops.size(), 1);
+  cr_expect_eq(stops[0].run, start.run);
+  harness.Record();
+  cr_expect_eq(harness.Calls(CallKind::Start).size(), 0);
+  harness.Answer(stops[0], CallEnd::Done);
+  harness.Advance(Millis{ 10 });
+  harness.Tick();
+  harness.Report(harness.Calls(CallKind::Renew).back(), {}, {});
+  harness.Advance(kAvoidRefusing * 2);
+  const auto again = harness.StartAll();
+  cr_assert_eq(again.size(), 1);
+  cr_expect_gt(again[0].run, start.run);
+}
+
+// Two reports of one millisecond: the older one, read later, does not list a
+// run that has come in between.
+Test(cell, a_report_of_the_same_moment_does_not_drop_a_run)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.Record();
+  const auto start = harness.Calls(CallKind::Start).at(0);
+  harness.Answer(start, CallEnd::Unanswered);
+  harness.Tick();
+  const auto renewals = harness.Calls(CallKind::Renew);
+  cr_assert_geq(renewals.size(), 1);
+  harness.Report(renewals[0], { RunningOf(start) }, {});
+  harness.Advance(kRenewGap);
+  harness.Tick();
+  const auto next = harness.Calls(CallKind::Renew).at(0);
+  auto answer = WorkerAnswer{ next.number, CallEnd::Done };
+  answer.clockMs = harness.ClockMs() - kRenewGap.count();
+  answer.bornUnixMs = 1000;
+  harness.cell.OnAnswer(harness.now, answer);
+  cr_expect_eq(harness.StartAll().size(), 0);
+}
+
+Test(cell, a_silent_workers_tasks_wait_until_its_lease_is_surely_over)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.AddWorker("w2");
+  harness.Submit(Steps({ 1 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 1);
+  harness.Tick();
+  const auto silent = starts[0].worker;
+  const auto renewed = harness.now;
+  auto restarted = std::optional<Time>{};
+  for (auto step = 0; step < 200 && !restarted; ++step) {
+    harness.Advance(Millis{ 50 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      if (call.worker == silent) {
+        harness.Answer(call, CallEnd::Unanswered);
+      } else {
+        harness.Report(call, {}, {});
+      }
+    }
+    if (const auto batch = harness.cell.NextBatch(harness.now)) {
+      harness.cell.OnRecorded(harness.now, batch->number);
+      harness.Take();
+    }
+    for (const auto& call : harness.Calls(CallKind::Start)) {
+      restarted = harness.now;
+      cr_expect_neq(call.worker, silent);
+      cr_expect_gt(call.run, starts[0].run);
+    }
+  }
+  cr_assert(restarted.has_value());
+  const auto options = CellOptions{};
+  // A worker's clock may be 2% slow.
+  cr_expect(*restarted >= renewed + options.lease);
+  cr_expect(*restarted < renewed + options.lease * 2);
+}
+
+Test(cell, a_machines_new_life_ends_what_ran_in_its_earlier_one)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  const auto starts = harness.StartAll();
+  auto entry = harness.table.begin()->second;
+  harness.table.clear();
+  entry.id = { "w9" };
+  entry.address = "w9:1";
+  entry.bornUnixMs = 2000;
+  harness.table[entry.id] = entry;
+  harness.born[entry.id] = 2000;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.AnswerRenewals();
+  const auto again = harness.StartAll();
+  cr_assert_eq(again.size(), 1);
+  cr_expect_eq(again[0].worker.text, "w9");
+}
+
+Test(cell, a_new_owner_asks_before_it_starts_what_may_run)
+{
+  // The record of an earlier owner: one task runs on w1.
+  auto first = CellHarness{};
+  first.AddWorker("w1");
+  const auto job = first.Submit(Steps({ 2 }));
+  const auto starts = first.StartAll();
+  auto reason = std::string{};
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(
+    first.cell.FindJob(job)->row,
+    DecodeRecord(EncodeRecord(RecordOf(*first.cell.FindJob(job))), reason));
+  auto second = CellHarness{ {}, takeover };
+  auto entry = first.table.begin()->second;
+  second.table[entry.id] = entry;
+  second.cell.OnWorkers(second.now, second.table);
+  cr_expect_eq(second.StartAll().size(), 0);
+  second.Tick();
+  const auto renewals = second.Calls(CallKind::Renew);
+  cr_assert_geq(renewals.size(), 1);
+  cr_expect_eq(renewals[0].fencingToken, 2);
+  // One of the two runs is there; the other was never started.
+  second.Report(renewals[0], { RunningOf(starts[0]) }, {});
+  const auto again = second.StartAll();
+  cr_assert_eq(again.size(), 1);
+  cr_expect_eq(again[0].task.index, starts[1].task.index);
+  cr_expect_gt(again[0].run, starts[1].run);
+}
+
+// Ends are numbered in a worker's life; an earlier owner has taken note of the
+// first ones.
+Test(cell, ends_after_a_takeover_count_from_any_number)
+{
+  auto first = CellHarness{};
+  first.AddWorker("w1");
+  const auto job = first.Submit(Steps({ 1 }));
+  const auto starts = first.StartAll();
+  auto reason = std::string{};
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(
+    first.cell.FindJob(job)->row,
+    DecodeRecord(EncodeRecord(RecordOf(*first.cell.FindJob(job))), reason));
+  auto second = CellHarness{ {}, takeover };
+  second.table = first.table;
+  second.cell.OnWorkers(second.now, second.table);
+  second.Tick();
+  second.Report(second.Calls(CallKind::Renew).at(0),
+                {},
+                { EndOf(starts[0], 143, RunEnd::Done) });
+  cr_expect_eq(second.cell.FindJob(job)->state, JobState::Completed);
+  second.Record();
+  second.Tick();
+  const auto renewals = second.Calls(CallKind::Renew);
+  cr_assert_geq(renewals.size(), 1);
+  cr_expect_eq(renewals.back().recordedEnds, 143);
+}
+
+Test(cell, a_batch_of_unknown_fate_may_turn_out_recorded)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  const auto batch = harness.cell.NextBatch(harness.now);
+  cr_assert(batch.has_value());
+  harness.cell.OnRecordUnknown(harness.now, batch->number);
+  harness.Advance(kCommitRetry);
+  const auto second = harness.cell.NextBatch(harness.now);
+  cr_assert(second.has_value());
+  // The store tells that the first one was written after all.
+  harness.cell.OnRecorded(harness.now, batch->number);
+  harness.Take();
+  cr_expect_eq(harness.Calls(CallKind::Start).size(), 1);
+  // What the second one held is written again; nothing starts twice.
+  harness.Record();
+  cr_expect_eq(harness.Calls(CallKind::Start).size(), 0);
+}
+
+Test(cell, a_job_fails_after_its_last_attempt)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 1 }));
+  for (auto attempt = std::uint64_t{ 1 }; attempt <= 2; ++attempt) {
+    const auto starts = harness.StartAll();
+    cr_assert_eq(starts.size(), 1);
+    harness.Tick();
+    harness.Report(harness.Calls(CallKind::Renew).back(),
+                   {},
+                   { EndOf(starts[0], attempt, RunEnd::Failed) });
+    harness.Advance(kFailureBackoffMax);
+  }
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Failed);
+  cr_expect_eq(harness.StartAll().size(), 0);
+}
+
+Test(cell, a_lasting_task_is_started_again_however_it_ends)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  auto spec = Steps({ 1 });
+  spec.steps[0].lasting = true;
+  harness.Submit(spec);
+  auto number = std::uint64_t{ 0 };
+  for (const auto how : { RunEnd::Failed, RunEnd::Done, RunEnd::Lapsed }) {
+    const auto starts = harness.StartAll();
+    cr_assert_eq(starts.size(), 1);
+    harness.Tick();
+    harness.Report(harness.Calls(CallKind::Renew).back(),
+                   {},
+                   { EndOf(starts[0], ++number, how) });
+    harness.Advance(kFailureBackoffMax);
+  }
+  cr_expect_eq(harness.StartAll().size(), 1);
+}
+
+Test(cell, a_cancelled_job_stops_and_starts_nothing)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 1, 1 }));
+  const auto starts = harness.StartAll();
+  harness.cell.OnCancel(harness.now, job);
+  harness.Tick();
+  const auto stops = harness.Calls(CallKind::Stop);
+  cr_assert_eq(stops.size(), 1);
+  cr_expect_eq(stops[0].task, starts[0].task);
+  cr_expect_eq(harness.StartAll().size(), 0);
+  cr_expect_eq(harness.cell.FindJob(job)->recorded, JobState::Cancelled);
+}
+
+Test(cell, a_cancellation_may_come_before_its_job)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.cell.OnCancel(harness.now, *JobId::Parse("0000000000000001"));
+  const auto job = harness.Submit(Steps({ 1 }));
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Cancelled);
+  cr_expect_eq(harness.StartAll().size(), 0);
+}
+
+Test(cell, the_same_job_twice_is_one_job)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 1 }));
+  harness.cell.OnJob(harness.now, 0, harness.cell.FindJob(job)->row);
+  cr_expect_eq(harness.StartAll().size(), 1);
+}
+
+Test(cell, nothing_starts_in_a_domain_out_of_service)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  // Planned already, not recorded yet.
+  harness.cell.OnEvacuations(harness.now, { { "zone-a" } });
+  cr_expect_eq(harness.StartAll().size(), 0);
+  harness.cell.OnEvacuations(harness.now, {});
+  cr_expect_eq(harness.StartAll().size(), 1);
+}
+
+Test(cell, nothing_starts_by_an_old_knowledge_of_the_site)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(kSiteFreshness + Millis{ 20 });
+  harness.cell.OnTick(harness.now, 0);
+  cr_expect_not(harness.cell.NextBatch(harness.now).has_value());
+  cr_expect_eq(harness.StartAll().size(), 1);
+}
+
+Test(cell, no_worker_gets_more_than_it_holds)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1", { 3500, 64000, 0 });
+  harness.AddWorker("w2", { 64000, 1500, 0 });
+  harness.Submit(Steps({ 9 }));
+  auto byWorker = std::map<std::string, int>{};
+  for (const auto& start : harness.StartAll()) {
+    ++byWorker[start.worker.text];
+  }
+  cr_expect_eq(byWorker["w1"], 3);
+  cr_expect_eq(byWorker["w2"], 1);
+}
+
+Test(cell, a_job_waits_until_a_task_of_it_has_begun)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.Record();
+  cr_expect_eq(harness.cell.PendingIn({ "queue" }), 1);
+  harness.Answer(harness.Calls(CallKind::Start).at(0), CallEnd::Done);
+  cr_expect_eq(harness.cell.PendingIn({ "queue" }), 0);
+}
+
+Test(cell, a_worker_without_an_answer_gets_no_longer_lease)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.StartAll();
+  harness.Tick();
+  const auto given = harness.Calls(CallKind::Renew).at(0);
+  cr_expect_gt(given.leaseEndMs, 0);
+  harness.Answer(given, CallEnd::Unanswered);
+  harness.Advance(kRenewRetry);
+  harness.Tick();
+  const auto probe = harness.Calls(CallKind::Renew).at(0);
+  cr_expect_eq(probe.leaseEndMs, 0);
+  // The row that tells when it lapses must not be outdone by a new lease.
+  cr_expect_eq(harness.cell.SilentWorkers().size(), 1);
+  harness.Report(probe, {}, {});
+  harness.Advance(kRenewGap);
+  harness.Tick();
+  for (const auto& call : harness.Calls(CallKind::Renew)) {
+    cr_expect_eq(call.leaseEndMs, 0);
+    harness.Report(call, {}, {});
+  }
+  harness.cell.OnSilentWritten({});
+  harness.Advance(kIdleRenewInterval);
+  cr_expect_eq(harness.StartAll().size(), 1);
+  harness.Tick();
+  cr_expect_gt(harness.Calls(CallKind::Renew).at(0).leaseEndMs, 0);
+}
+
+// While the store takes no records, ends pile up; what runs must live on.
+Test(cell, leases_are_renewed_while_nothing_can_be_recorded)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 2 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 2);
+  harness.Tick();
+  harness.Report(harness.Calls(CallKind::Renew).at(0),
+                 { RunningOf(starts[1]) },
+                 { EndOf(starts[0], 1, RunEnd::Done) });
+  const auto batch = harness.cell.NextBatch(harness.now);
+  auto renewed = 0;
+  for (auto step = 0; step < 100; ++step) {
+    harness.Advance(Millis{ 50 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      renewed += call.leaseEndMs > 0 ? 1 : 0;
+      harness.Report(call,
+                     { RunningOf(starts[1]) },
+                     { EndOf(starts[0], 1, RunEnd::Done) });
+    }
+  }
+  cr_expect_geq(renewed, 3);
+  cr_expect_leq(renewed, 8);
+}
+
+Test(cell, without_authority_no_lease_is_extended)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(Steps({ 1 }));
+  harness.StartAll();
+  harness.Tick();
+  harness.AnswerRenewals();
+  harness.Advance(CellOptions{}.authority + Millis{ 1 });
+  harness.cell.OnTick(harness.now, 0);
+  harness.Take();
+  const auto renewals = harness.Calls(CallKind::Renew);
+  cr_assert_geq(renewals.size(), 1);
+  cr_expect_eq(renewals[0].leaseEndMs, 0);
+}
--- /dev/null
+++ b/cells/tests/cellharness.h
@@ -0,0 +1,205 @@
+#ifndef GOOSEBERRY_CELLHARNESS_H
+#define GOOSEBERRY_CELLHARNESS_H
+
+// Drives one cell by hand: time, workers that answer as told, and a store that
+// records when told.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "cell.h"
+
+namespace gooseberry::cells::test {
+
+inline constexpr const char* kPool = "pool";
+
+class CellHarness
+{
+public:
+  explicit CellHarness(CellOptions aOptions = {}, CellTakeover aTakeover = {})
+    : cell(aOptions, WithDefaults(std::move(aTakeover)), this->log)
+  {
+    auto config = std::make_shared<SiteConfig>();
+    config->version = 1;
+    config->services.emplace(ServiceId{ kPool }, Service{ { kPool } });
+    this->cell.OnConfig(config);
+  }
+
+  // A worker that has answered its first renewal.
+  auto AddWorker(const std::string& aName,
+                 Resources aCapacity = { 16000, 64000, 0 }) -> void
+  {
+    auto entry = WorkerEntry{ { aName }, { kPool }, aName + ":1", { "zone-a" } };
+    entry.capacity = aCapacity;
+    entry.machine = { "machine-" + aName };
+    entry.labels = { "a", "rack-1" };
+    entry.bornUnixMs = 1000;
+    entry.clockMs = this->ClockMs();
+    this->table[entry.id] = entry;
+    this->cell.OnWorkers(this->now, this->table);
+    this->Tick();
+    this->AnswerRenewals();
+  }
+
+  auto Submit(JobSpec aSpec, int aPriority = 0) -> JobId
+  {
+    auto text = std::to_string(++this->jobs);
+    text.insert(0, JobId::kDigits - text.size(), '0');
+    auto row = JobRow{ *JobId::Parse(text), { "queue" } };
+    row.policy.service = { kPool };
+    row.policy.priority = aPriority;
+    row.policy.maxAttempts = 2;
+    row.policy.slackFactor = 2.0;
+    row.policy.target = Millis{ 500 };
+    row.spec = std::move(aSpec);
+    this->cell.OnJob(this->now, 0, row);
+    return row.id;
+  }
+
+  auto Advance(Millis aTime) -> void { this->now += aTime; }
+
+  // One round of decisions; calls go to this->calls.
+  auto Tick() -> void
+  {
+    this->cell.OnSiteFresh(this->now);
+    this->cell.OnConfirmed(this->now);
+    this->cell.OnTick(this->now, 0);
+    this->Take();
+  }
+
+  auto Take() -> void
+  {
+    for (auto& call : this->cell.TakeCalls(this->now)) {
+      this->calls.push_back(std::move(call));
+    }
+  }
+
+  // Records all that is to be recorded.
+  auto Record() -> void
+  {
+    constexpr int kRounds = 8;
+    for (auto round = 0; round < kRounds; ++round) {
+      if (const auto batch = this->cell.NextBatch(this->now)) {
+        this->cell.OnRecorded(this->now, batch->number);
+      }
+      this->Advance(Millis{ 50 });
+    }
+    this->Take();
+  }
+
+  // The calls of one kind, taken out.
+  auto Calls(CallKind aKind) -> std::vector<WorkerCall>
+  {
+    auto found = std::vector<WorkerCall>{};
+    std::erase_if(this->calls, [&](const WorkerCall& aCall) {
+      if (aCall.kind != aKind) {
+        return false;
+      }
+      found.push_back(aCall);
+      return true;
+    });
+    return found;
+  }
+
+  auto Answer(const WorkerCall& aCall, CallEnd aEnd) -> void
+  {
+    auto answer = WorkerAnswer{ aCall.number, aEnd };
+    if (aEnd != CallEnd::Unanswered && aEnd != CallEnd::NotSent) {
+      answer.clockMs = this->ClockMs();
+    }
+    this->cell.OnAnswer(this->now, answer);
+    this->Take();
+  }
+
+  // Answers a renewal with these lists.
+  auto Report(const WorkerCall& aCall,
+              std::vector<RunReport> aRunning,
+              std::vector<EndReport> aEnded) -> void
+  {
+    auto answer = WorkerAnswer{ aCall.number, CallEnd::Done };
+    answer.clockMs = this->ClockMs();
+    answer.bornUnixMs = this->born.contains(aCall.worker)
+                          ? this->born.at(aCall.worker)
+                          : 1000;
+    answer.running = std::move(aRunning);
+    answer.ended = std::move(aEnded);
+    this->cell.OnAnswer(this->now, answer);
+    this->Take();
+  }
+
+  // All renewals under way are answered: nothing runs, nothing ended.
+  auto AnswerRenewals() -> void
+  {
+    for (const auto& call : this->Calls(CallKind::Renew)) {
+      this->Report(call, {}, {});
+    }
+  }
+
+  // Places, records and starts what can be started; all workers agree.
+  auto StartAll() -> std::vector<WorkerCall>
+  {
+    this->Advance(Millis{ 20 });
+    this->Tick();
+    this->Record();
+    auto starts = this->Calls(CallKind::Start);
+    for (const auto& start : starts) {
+      this->Answer(start, CallEnd::Done);
+    }
+    return starts;
+  }
+
+  auto ClockMs() const -> std::int64_t
+  {
+    return std::chrono::floor<Millis>(this->now - Time{ Micros{ 0 } }).count();
+  }
+
+  static auto WithDefaults(CellTakeover aTakeover) -> CellTakeover
+  {
+    aTakeover.fencingToken = std::max<std::uint64_t>(aTakeover.fencingToken, 1);
+    aTakeover.now = Time{ Micros{ 1'000'000'000 } };
+    return aTakeover;
+  }
+
+  NoDecisionLog log;
+  Time now{ Micros{ 1'000'000'000 } };
+  WorkerTable table;
+  std::map<WorkerId, std::int64_t> born;
+  std::vector<WorkerCall> calls;
+  Cell cell;
+
+private:
+  int jobs = 0;
+};
+
+// A job of steps with so many tasks each, one after the other.
+inline auto
+Steps(std::initializer_list<std::uint32_t> aTasks) -> JobSpec
+{
+  auto spec = JobSpec{ "payload" };
+  for (const auto tasks : aTasks) {
+    auto step = StepSpec{ tasks, { 1000, 1000, 0 }, Millis{ 1000 } };
+    if (!spec.steps.empty()) {
+      step.after = { static_cast<std::uint32_t>(spec.steps.size() - 1) };
+    }
+    spec.steps.push_back(step);
+  }
+  return spec;
+}
+
+// The end of what a call started.
+inline auto
+EndOf(const WorkerCall& aStart, std::uint64_t aNumber, RunEnd aHow) -> EndReport
+{
+  return { aNumber, aStart.task, aStart.run, aHow, "" };
+}
+
+inline auto
+RunningOf(const WorkerCall& aStart) -> RunReport
+{
+  return { aStart.task, aStart.run };
+}
+
+} // namespace gooseberry::cells::test
+
+#endif
--- /dev/null
+++ b/cells/tests/disturbance_test.cpp
@@ -0,0 +1,192 @@
+// What is learnt about neighbours, from tails as the model makes them.
+
+#include <cmath>
+
+#include <criterion/criterion.h>
+
+#include "cellharness.h"
+#include "disturbance.h"
+#include "tunables_cells.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+namespace {
+
+constexpr ImageId kServing = 0;
+constexpr ImageId kHeavy = 1;
+constexpr ImageId kLight = 2;
+
+auto
+At(int aSecond) -> Time
+{
+  return Time{ std::chrono::seconds{ aSecond } };
+}
+
+} // namespace
+
+Test(disturbance, the_model_inverts_itself)
+{
+  for (const auto load : { 0.1, 0.3, 0.6 }) {
+    for (const auto pressure : { 0.0, 0.1, 0.4 }) {
+      const auto tail = TailUnder(load, pressure);
+      cr_expect_float_eq(PressureFrom(tail, load), pressure, 1e-9);
+      cr_expect_float_eq(LoadFrom(tail, pressure), load, 1e-9);
+    }
+  }
+}
+
+Test(disturbance, tells_heavy_neighbours_from_harmless_ones)
+{
+  auto disturbance = Disturbance{};
+  for (auto report = 0; report < 12; ++report) {
+    const auto now = At(report / 2);
+    // Beside both; only one of them presses.
+    disturbance.Observe(now,
+                        kServing,
+                        { { kHeavy, 0.1 }, { kLight, 0.2 } },
+                        0.4,
+                        kPressureError);
+    disturbance.Observe(now, kServing, { { kLight, 0.3 } }, 0.0, kPressureError);
+  }
+  cr_expect_gt(disturbance.Pressure(At(6), kServing, kHeavy), 2.5);
+  cr_expect_eq(disturbance.Pressure(At(6), kServing, kLight), 0.0);
+}
+
+Test(disturbance, follows_a_pair_that_changes)
+{
+  auto disturbance = Disturbance{};
+  for (auto report = 0; report < 20; ++report) {
+    disturbance.Observe(
+      At(report / 2), kServing, { { kLight, 0.2 } }, 0.0, kPressureError);
+  }
+  cr_expect_eq(disturbance.Pressure(At(10), kServing, kLight), 0.0);
+  for (auto report = 0; report < 4; ++report) {
+    disturbance.Observe(
+      At(11), kServing, { { kLight, 0.2 } }, 0.8, kPressureError);
+  }
+  cr_expect_gt(disturbance.Pressure(At(11), kServing, kLight), 2.0);
+}
+
+Test(disturbance, forgets_what_was_not_seen_for_long)
+{
+  auto disturbance = Disturbance{};
+  for (auto report = 0; report < 10; ++report) {
+    disturbance.Observe(
+      At(0), kServing, { { kLight, 0.3 } }, 0.0, kPressureError);
+  }
+  const auto fresh = disturbance.Between(At(1), kServing, kLight);
+  const auto old = disturbance.Between(At(120), kServing, kLight);
+  cr_expect_lt(fresh.variance, 0.5);
+  cr_expect_gt(old.variance, kProbeVariance);
+}
+
+namespace {
+
+auto
+LastingJob(const std::string& aImage, std::uint32_t aTasks) -> JobSpec
+{
+  auto spec = Steps({ aTasks });
+  spec.steps[0].lasting = true;
+  spec.steps[0].image = aImage;
+  spec.steps[0].tailTarget = Millis{ 150 };
+  spec.steps[0].size = { 3000, 4000, 0 };
+  return spec;
+}
+
+auto
+FillingJob(const std::string& aImage, std::uint32_t aTasks) -> JobSpec
+{
+  auto spec = Steps({ aTasks });
+  spec.steps[0].fillsIdle = true;
+  spec.steps[0].image = aImage;
+  spec.steps[0].size = { 2000, 1000, 0 };
+  return spec;
+}
+
+} // namespace
+
+// Pattern: many lasting tasks of two images. Equal ones share workers, so that
+// what disturbs one image finds workers without it.
+Test(placement, lasting_tasks_of_one_image_share_workers)
+{
+  auto harness = CellHarness{};
+  for (const auto* const name : { "w1", "w2", "w3", "w4" }) {
+    harness.AddWorker(name);
+  }
+  harness.Submit(LastingJob("a", 4));
+  harness.Submit(LastingJob("b", 4));
+  harness.Submit(LastingJob("a", 4));
+  harness.StartAll();
+  for (const auto& [id, slot] : harness.cell.Workers()) {
+    cr_expect_leq(slot.serving.size(), 1, "%s", id.text.c_str());
+  }
+}
+
+// Pattern: an image is new beside an image that serves. It is tried with few
+// runs before it is let loose.
+Test(placement, an_unknown_pair_is_tried_with_few_runs)
+{
+  auto harness = CellHarness{};
+  for (const auto* const name : { "w1", "w2", "w3" }) {
+    harness.AddWorker(name);
+  }
+  harness.Submit(LastingJob("a", 12));
+  cr_assert_eq(harness.StartAll().size(), 12);
+  harness.Submit(FillingJob("f", 9));
+  cr_expect_leq(harness.StartAll().size(), kProbes);
+}
+
+// Pattern: a task stands beside one that it disturbs beyond its target.
+Test(relief, a_heavy_neighbour_is_paced_down_or_moved)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(LastingJob("a", 2));
+  const auto serving = harness.StartAll();
+  harness.Submit(FillingJob("f", 1));
+  auto filling = harness.StartAll();
+  cr_assert_eq(filling.size(), 1);
+  auto eased = false;
+  for (auto report = 0; report < 8 && !eased; ++report) {
+    harness.Advance(Millis{ 700 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      auto running = std::vector<RunReport>{};
+      for (const auto& start : serving) {
+        auto entry = RunningOf(start);
+        entry.percent = 100.0;
+        entry.measured = 400.0;
+        running.push_back(entry);
+      }
+      running.push_back(RunningOf(filling[0]));
+      running.back().measured = 2000.0;
+      harness.Report(call, running, {});
+    }
+    for (const auto& call : harness.Calls(CallKind::Pace)) {
+      eased = eased || (call.task == filling[0].task && call.percent <= 50);
+    }
+  }
+  cr_expect(eased);
+}
+
+// Pattern: two jobs of one image fill a worker; no place is left beside a
+// suffering task for more of what fills.
+Test(relief, nothing_new_comes_beside_a_suffering_task)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(LastingJob("a", 1));
+  const auto serving = harness.StartAll();
+  harness.Advance(Millis{ 700 });
+  harness.Tick();
+  for (const auto& call : harness.Calls(CallKind::Renew)) {
+    auto entry = RunningOf(serving[0]);
+    entry.percent = 100.0;
+    entry.measured = 1000.0;
+    harness.Report(call, { entry }, {});
+  }
+  harness.Submit(FillingJob("f", 1));
+  cr_expect_eq(harness.StartAll().size(), 0);
+}
--- /dev/null
+++ b/cells/tests/values_test.cpp
@@ -0,0 +1,200 @@
+// Names, records, rows and the bookkeeping of one worker.
+
+#include <criterion/criterion.h>
+
+#include "job.h"
+#include "recorder.h"
+#include "tunables_cells.h"
+#include "workerslot.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+
+Test(names, of_tasks_are_read_back)
+{
+  const auto name =
+    TaskName{ *JobId::Parse("5c0e7a21d94b36f8"), 3, 1, 17 };
+  cr_expect_eq(ToText(name), "5c0e7a21d94b36f8.3.1.17");
+  cr_expect(ParseTaskName(ToText(name)) == name);
+  for (const auto* const bad : { "",
+                                 "5c0e7a21d94b36f8",
+                                 "5c0e7a21d94b36f8.0.1",
+                                 "5c0e7a21d94b36f8.0.1.",
+                                 "5c0e7a21d94b36f8.0.1.2.3",
+                                 "5c0e7a21d94b36f8.0.-1.2",
+                                 "5c0e7a21d94b36fx.0.1.2",
+                                 "5c0e7a21d94b36f8.0.1.99999999999" }) {
+    cr_expect_not(ParseTaskName(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(rows, of_jobs_are_read_back)
+{
+  auto row = JobRow{ *JobId::Parse("0123456789abcdef"), { "r-1" } };
+  row.policy = { { "pool" }, 2, 4, 1.5, Millis{ 250 }, true };
+  row.acceptedUnixMs = 1'700'000'000'123;
+  auto step = StepSpec{ 4, { 500, 256, 1 }, Millis{ 900 }, {}, true };
+  step.neededLabel = "gpu";
+  step.dataRack = "r1-3";
+  step.maxPerWorker = 2;
+  step.speculative = true;
+  step.lasting = true;
+  step.image = "i1";
+  step.tailTarget = Millis{ 150 };
+  step.fillsIdle = true;
+  step.gang = true;
+  step.rackLocal = true;
+  step.maxUnavailable = 0;
+  row.spec = { "text", { step, step }, 3, 1'700'000'000'000, 4500 };
+  row.spec.steps[1].after = { 0 };
+  auto reason = std::string{};
+  const auto read = DecodeJobRow(EncodeJobRow(row), reason);
+  cr_assert(read.has_value(), "%s", reason.c_str());
+  cr_expect(*read == row);
+  cr_expect_not(DecodeJobRow("no row", reason).has_value());
+  cr_expect_not(reason.empty());
+}
+
+Test(rows, of_records_are_read_back)
+{
+  auto record = JobRecord{ JobState::Running, 2 };
+  for (auto index = std::uint32_t{ 0 }; index < 5; ++index) {
+    auto mark = JobRecord::TaskMark{ 0, 1, index };
+    mark.phase = TaskPhase::Done;
+    record.tasks.push_back(mark);
+  }
+  auto open = JobRecord::TaskMark{ 1, 0, 7, TaskPhase::Open, 1, 3, "c" };
+  open.runs.push_back({ 3, { "w1" }, 123456, { "m-1" } });
+  record.tasks.push_back(open);
+  auto reason = std::string{};
+  auto read = DecodeRecord(EncodeRecord(record), reason);
+  cr_assert(read.has_value(), "%s", reason.c_str());
+  std::sort(read->tasks.begin(),
+            read->tasks.end(),
+            [](const auto& aLeft, const auto& aRight) {
+              return std::tuple{ aLeft.occurrence, aLeft.step, aLeft.index } <
+                     std::tuple{ aRight.occurrence, aRight.step, aRight.index };
+            });
+  cr_expect(*read == record);
+  cr_expect_not(DecodeRecord("\xff\xff", reason).has_value());
+}
+
+Test(jobs, the_longest_chain_follows_the_steps)
+{
+  auto spec = JobSpec{};
+  spec.steps.resize(4);
+  spec.steps[0].estimate = Millis{ 100 };
+  spec.steps[1].estimate = Millis{ 300 };
+  spec.steps[2].estimate = Millis{ 50 };
+  spec.steps[2].after = { 0, 1 };
+  spec.steps[3].estimate = Millis{ 200 };
+  cr_expect_eq(LongestChain(spec).count(), 350);
+  cr_expect_eq(ChainFrom(spec, 0).count(), 150);
+}
+
+Test(jobs, faults_name_their_place)
+{
+  auto spec = JobSpec{ "x", { StepSpec{ 1 }, StepSpec{ 1 } } };
+  cr_expect_not(FaultOf(spec).has_value());
+  spec.steps[1].after = { 1 };
+  cr_expect_neq(FaultOf(spec)->find("steps[1]"), std::string::npos);
+  spec.steps[1].after = {};
+  spec.steps[0].tasks = 0;
+  cr_expect_neq(FaultOf(spec)->find("steps[0]"), std::string::npos);
+  spec.steps.clear();
+  cr_expect(FaultOf(spec).has_value());
+}
+
+Test(workerslot, ends_are_forgotten_in_order)
+{
+  auto slot = WorkerSlot{};
+  slot.NoteEnd(7);
+  slot.NoteEnd(8);
+  slot.NoteEnd(9);
+  cr_expect_eq(slot.RecordedEnds(), 6);
+  slot.NoteRecorded(8);
+  cr_expect_eq(slot.RecordedEnds(), 6);
+  slot.NoteRecorded(7);
+  cr_expect_eq(slot.RecordedEnds(), 8);
+  slot.NoteRecorded(9);
+  cr_expect_eq(slot.RecordedEnds(), 9);
+}
+
+Test(workerslot, a_lease_is_over_on_the_slowest_clock)
+{
+  auto slot = WorkerSlot{};
+  const auto now = Time{ Micros{ 5'000'000 } };
+  slot.clock = ClockSample{ 1000, now };
+  slot.leaseEndMs = 6000;
+  // 5000 ms on a clock that is 2% slow.
+  cr_expect(slot.LapsedBy() >= now + Millis{ 5100 });
+  cr_expect(slot.LapsedBy() < now + Millis{ 5300 });
+}
+
+namespace {
+
+auto
+TheBatch(std::uint64_t aNumber) -> RecordBatch
+{
+  return { aNumber, { { *JobId::Parse("0123456789abcdef"), "bytes" } } };
+}
+
+auto
+OwnerRowOf(const RowsCommit& aCommit, std::uint64_t aVersion) -> StoredRow
+{
+  return { aCommit.puts.at(0).key, aCommit.puts.at(0).value, aVersion };
+}
+
+} // namespace
+
+Test(recorder, writes_under_the_condition_of_its_own_row)
+{
+  auto recorder = Recorder{ { "c0" }, OwnerRow{ { "me" }, "", 3 }, 40 };
+  const auto commit = recorder.Write(TheBatch(1));
+  cr_assert_eq(commit.conditions.size(), 1);
+  cr_expect_eq(commit.conditions[0].version, 40);
+  cr_expect_eq(commit.puts.size(), 2);
+  const auto news = recorder.OnOutcome({ TableEnd::Done, 41 });
+  cr_expect_eq(news.recorded.value_or(0), 1);
+  cr_expect_eq(recorder.Write(TheBatch(2)).conditions[0].version, 41);
+}
+
+Test(recorder, finds_out_about_a_lost_answer)
+{
+  auto recorder = Recorder{ { "c0" }, OwnerRow{ { "me" }, "", 3 }, 40 };
+  const auto first = recorder.Write(TheBatch(1));
+  const auto unknown = recorder.OnOutcome({ TableEnd::Unknown });
+  cr_expect_eq(unknown.unknown.value_or(0), 1);
+  cr_assert(recorder.MustRead());
+  // Not written so far: the row is as before.
+  auto news = recorder.OnOwnerRead(
+    StoredRow{ first.puts[0].key, EncodeOwner(recorder.Owner()), 40 });
+  cr_expect_not(news.recorded.has_value());
+  cr_expect_not(news.lost);
+  // The next one meets the late effect of the first.
+  recorder.Write(TheBatch(2));
+  auto conflict = CommitOutcome{ TableEnd::Conflict };
+  conflict.current.push_back(OwnerRowOf(first, 44));
+  news = recorder.OnOutcome(conflict);
+  cr_expect_eq(news.recorded.value_or(0), 1);
+  cr_expect_eq(recorder.Write(TheBatch(3)).conditions[0].version, 44);
+}
+
+Test(recorder, sees_another_owner)
+{
+  auto recorder = Recorder{ { "c0" }, OwnerRow{ { "me" }, "", 3 }, 40 };
+  recorder.Write(TheBatch(1));
+  auto conflict = CommitOutcome{ TableEnd::Conflict };
+  conflict.current.push_back(
+    { CellRows{ "c0" }.Owner(), EncodeOwner({ { "other" }, "", 4 }), 50 });
+  cr_expect(recorder.OnOutcome(conflict).lost);
+}
+
+Test(recorder, a_refused_batch_is_surely_not_recorded)
+{
+  auto recorder = Recorder{ { "c0" }, OwnerRow{ { "me" }, "", 3 }, 40 };
+  recorder.Write(TheBatch(1));
+  const auto news = recorder.OnOutcome({ TableEnd::Refused });
+  cr_expect_eq(news.notRecorded.value_or(0), 1);
+  cr_expect_not(recorder.MustRead());
+}
--- a/eventio/src/httpserver.cpp
+++ b/eventio/src/httpserver.cpp
@@ -390,6 +390,11 @@
 HttpServer::Drain() -> void
 {
   this->draining = true;
+}
+
+auto
+HttpServer::CloseIdle() -> void
+{
   const auto all = this->sessions;
   for (const auto& session : all) {
     session->CloseIfIdle();
--- a/eventio/src/httpserver.h
+++ b/eventio/src/httpserver.h
@@ -59,9 +59,11 @@
   auto Listen(const boost::asio::ip::tcp::endpoint& aEndpoint,
               std::string& aReason) -> bool;
   auto SetLimits(const HttpServerLimits& aLimits) -> void;
-  // From now on each answer announces the end of its connection, and idle
-  // connections are closed. New connections are still accepted and served.
+  // From now on each answer announces the end of its connection. New connections
+  // are still accepted and served; idle ones stay, since a request may be on
+  // its way.
   auto Drain() -> void;
+  auto CloseIdle() -> void;
   auto StopListening() -> void;
   // Requests that were read and not answered yet.
   auto Unanswered() const -> std::size_t;
--- /dev/null
+++ b/eventio/tests/eventio_test.cpp
@@ -0,0 +1,265 @@
+// The event-driven HTTP client and server against each other on loopback, and
+// against peers that misbehave.
+
+#include <thread>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+
+#include "hostport.h"
+#include "httpclient.h"
+#include "httpserver.h"
+
+using namespace gooseberry;
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr int kOk = 200;
+
+auto
+Loopback(std::uint16_t aPort) -> tcp::endpoint
+{
+  return *ParseEndpoint("127.0.0.1:" + std::to_string(aPort));
+}
+
+// A server and a client in one loop.
+struct Pair
+{
+  explicit Pair(HttpServer::Handler aHandler, HttpServerLimits aLimits = {})
+    : server(std::make_shared<HttpServer>(this->loop, aLimits, aHandler))
+  {
+    auto reason = std::string{};
+    cr_assert(this->server->Listen(Loopback(0), reason), "%s", reason.c_str());
+    this->client = std::make_shared<HttpClient>(
+      this->loop, Loopback(this->server->Port()), HttpClientOptions{ 2 });
+  }
+
+  auto Call(HttpRequest aRequest, Millis aTimeout = Millis{ 2000 })
+    -> HttpReply
+  {
+    auto reply = std::optional<HttpReply>{};
+    this->client->Call(std::move(aRequest), aTimeout, [&](HttpReply aReply) {
+      reply = std::move(aReply);
+      this->loop.Stop();
+    });
+    this->Run();
+    cr_assert(reply.has_value());
+    return *reply;
+  }
+
+  auto Run() -> void
+  {
+    this->loop.Context().restart();
+    this->loop.Run();
+  }
+
+  EventLoop loop;
+  std::shared_ptr<HttpServer> server;
+  std::shared_ptr<HttpClient> client;
+};
+
+// A raw peer that takes one connection in a thread of its own.
+class RawPeer
+{
+public:
+  explicit RawPeer(std::function<void(tcp::socket&)> aServe)
+    : acceptor(this->context, Loopback(0))
+    , thread([this, serve = std::move(aServe)] {
+      auto socket = tcp::socket{ this->context };
+      this->acceptor.accept(socket);
+      serve(socket);
+    })
+  {
+  }
+  RawPeer(const RawPeer&) = delete;
+  auto operator=(const RawPeer&) -> RawPeer& = delete;
+  ~RawPeer() { this->thread.join(); }
+
+  auto Port() const -> std::uint16_t
+  {
+    return this->acceptor.local_endpoint().port();
+  }
+
+private:
+  boost::asio::io_context context;
+  tcp::acceptor acceptor;
+  std::thread thread;
+};
+
+auto
+ReadHeader(tcp::socket& aSocket) -> void
+{
+  auto buffer = boost::asio::streambuf{};
+  boost::asio::read_until(aSocket, buffer, "\r\n\r\n");
+}
+
+auto
+CallOnce(EventLoop& aLoop, std::uint16_t aPort, Millis aTimeout) -> HttpReply
+{
+  auto client =
+    std::make_shared<HttpClient>(aLoop, Loopback(aPort), HttpClientOptions{ 1 });
+  auto reply = HttpReply{};
+  client->Call({ "GET", "/", {}, "" }, aTimeout, [&](HttpReply aReply) {
+    reply = std::move(aReply);
+    aLoop.Stop();
+  });
+  aLoop.Run();
+  return reply;
+}
+
+} // namespace
+
+Test(endpoints, are_read_strictly)
+{
+  cr_expect(ParseEndpoint("10.1.0.13:8161").has_value());
+  for (const auto* const bad :
+       { "", ":80", "10.1.0.13", "10.1.0.13:", "10.1.0.13:x", "host:80",
+         "10.1.0.13:80x", "10.1.0.13:70000" }) {
+    cr_expect_not(ParseEndpoint(bad).has_value(), "%s", bad);
+  }
+}
+
+Test(http, a_request_gets_its_answer)
+{
+  auto pair = Pair{ [](const std::shared_ptr<HttpExchange>& aExchange) {
+    const auto& request = aExchange->Request();
+    aExchange->Answer(kOk,
+                      request.method + " " + request.target + " " +
+                        request.body + " " +
+                        FindField(request.fields, "x-name"),
+                      { { "X-Back", "yes" } });
+  } };
+  const auto reply =
+    pair.Call({ "POST", "/a?b=1", { { "X-Name", "n" } }, "body" });
+  cr_expect_eq(reply.status, kOk);
+  cr_expect_str_eq(reply.body.c_str(), "POST /a?b=1 body n");
+  cr_expect_str_eq(FindField(reply.fields, "x-back").c_str(), "yes");
+}
+
+Test(http, connections_are_kept_open)
+{
+  auto pair = Pair{ [](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->Answer(kOk, "{}", {});
+  } };
+  for (auto call = 0; call < 5; ++call) {
+    cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kOk);
+  }
+  cr_expect_eq(pair.client->Opened(), 1);
+}
+
+Test(http, an_answer_that_comes_too_late_is_lost)
+{
+  auto kept = std::vector<std::shared_ptr<HttpExchange>>{};
+  auto pair = Pair{ [&](std::shared_ptr<HttpExchange> aExchange) {
+    kept.push_back(std::move(aExchange));
+  } };
+  const auto reply = pair.Call({ "GET", "/", {}, "" }, Millis{ 50 });
+  cr_expect_eq(reply.end, HttpEnd::Lost);
+  cr_expect_eq(kept.size(), 1);
+}
+
+Test(http, a_connection_that_is_refused_sent_nothing)
+{
+  auto loop = EventLoop{};
+  auto port = std::uint16_t{ 0 };
+  {
+    auto context = boost::asio::io_context{};
+    port = tcp::acceptor{ context, Loopback(0) }.local_endpoint().port();
+  }
+  cr_expect_eq(CallOnce(loop, port, Millis{ 1000 }).end, HttpEnd::NotSent);
+}
+
+Test(http, a_connection_that_ends_before_the_answer_may_have_run_it)
+{
+  auto loop = EventLoop{};
+  auto peer = RawPeer{ [](tcp::socket& aSocket) {
+    ReadHeader(aSocket);
+    aSocket.close();
+  } };
+  cr_expect_eq(CallOnce(loop, peer.Port(), Millis{ 1000 }).end, HttpEnd::Lost);
+}
+
+Test(http, half_an_answer_is_none)
+{
+  auto loop = EventLoop{};
+  auto peer = RawPeer{ [](tcp::socket& aSocket) {
+    ReadHeader(aSocket);
+    boost::asio::write(
+      aSocket,
+      boost::asio::buffer(std::string{
+        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" }));
+    aSocket.close();
+  } };
+  cr_expect_eq(CallOnce(loop, peer.Port(), Millis{ 1000 }).end, HttpEnd::Lost);
+}
+
+Test(http, what_is_no_answer_is_none)
+{
+  auto loop = EventLoop{};
+  auto peer = RawPeer{ [](tcp::socket& aSocket) {
+    ReadHeader(aSocket);
+    boost::asio::write(aSocket,
+                       boost::asio::buffer(std::string{ "hello\r\n\r\n" }));
+    aSocket.close();
+  } };
+  cr_expect_eq(CallOnce(loop, peer.Port(), Millis{ 1000 }).end, HttpEnd::Lost);
+}
+
+Test(http, limits_are_kept)
+{
+  auto limits = HttpServerLimits{};
+  limits.maxBodyBytes = 100;
+  limits.maxHeaderBytes = 512;
+  auto handled = 0;
+  auto pair = Pair{ [&](const std::shared_ptr<HttpExchange>& aExchange) {
+                     ++handled;
+                     aExchange->Answer(kOk, "", {});
+                   },
+                    limits };
+  constexpr int kTooLarge = 413;
+  constexpr int kHeaderTooLarge = 431;
+  cr_expect_eq(
+    pair.Call({ "POST", "/", {}, std::string(200, 'x') }).status, kTooLarge);
+  cr_expect_eq(
+    pair.Call({ "GET", "/", { { "X-Long", std::string(1000, 'x') } }, "" })
+      .status,
+    kHeaderTooLarge);
+  cr_expect_eq(handled, 0);
+  cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kOk);
+}
+
+Test(http, a_draining_server_serves_on_and_announces_the_end)
+{
+  auto pair = Pair{ [](const std::shared_ptr<HttpExchange>& aExchange) {
+    aExchange->Answer(kOk, "", {});
+  } };
+  pair.Call({ "GET", "/", {}, "" });
+  pair.server->Drain();
+  const auto reply = pair.Call({ "GET", "/", {}, "" });
+  cr_expect_eq(reply.status, kOk);
+  cr_expect_str_eq(FindField(reply.fields, "Connection").c_str(), "close");
+  cr_expect_eq(pair.server->Unanswered(), 0);
+}
+
+Test(http, an_exchange_that_nobody_answers_gets_an_error)
+{
+  auto pair =
+    Pair{ [](const std::shared_ptr<HttpExchange>& /*aExchange*/) {} };
+  constexpr int kInternalError = 500;
+  cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kInternalError);
+}
+
+Test(loop, a_timer_that_was_let_go_does_not_fire)
+{
+  auto loop = EventLoop{};
+  auto fired = 0;
+  auto timer = loop.After(Millis{ 5 }, [&] { ++fired; });
+  auto other = loop.After(Millis{ 1 }, [&] { timer.reset(); });
+  auto last = loop.After(Millis{ 20 }, [&] { loop.Stop(); });
+  loop.Run();
+  cr_expect_eq(fired, 0);
+}
--- a/fleet/src/fleetinstance.cpp
+++ b/fleet/src/fleetinstance.cpp
@@ -172,6 +172,9 @@
   const auto elapsed = this->loop.Now() - this->stopAt;
   const auto quiet = this->callers->Unanswered() == 0 && this->released &&
                      elapsed > kBalancerLag;
+  if (quiet) {
+    this->callers->CloseIdle();
+  }
   if (quiet || elapsed > this->settings.bounds.grace - kEndReserve) {
     this->log.Write(
       "stopped",
--- /dev/null
+++ b/fleet/tests/fleet_test.cpp
@@ -0,0 +1,80 @@
+// Settings of an instance, and the parts that need neither workers nor sockets.
+
+#include <criterion/criterion.h>
+
+#include "fleetsettings.h"
+
+using namespace gooseberry;
+using namespace gooseberry::fleet;
+
+namespace {
+
+constexpr const char* kSettings = R"(instance: "front-a-1"
+domain: "zone-a"
+address: "10.1.0.13"
+first_peer_port: 7720
+last_peer_port: 7735
+callers: "10.1.0.13:8161"
+ready: "10.1.0.13:8167"
+processor_share: 0.25
+memory_mb: 260
+max_descriptors: 4100
+cloud: "10.200.0.79:8169"
+advice: ""
+store:
+  address: "10.200.1.7:8169"
+  writes_per_second: 600
+  reads_per_second: 2000
+bounds:
+  lease_max: 6000ms
+  stop: 400ms
+  keep_ended: 120s
+  grace: 6s
+  remote_factor: 3
+)";
+
+auto
+With(const std::string& aFrom, const std::string& aTo) -> std::string
+{
+  auto text = std::string{ kSettings };
+  text.replace(text.find(aFrom), aFrom.size(), aTo);
+  return text;
+}
+
+} // namespace
+
+Test(settings, are_read)
+{
+  auto errors = std::vector<YamlError>{};
+  const auto settings = ParseFleetSettings("file", kSettings, errors);
+  for (const auto& error : errors) {
+    cr_expect(false, "%s", error.Text().c_str());
+  }
+  cr_assert(settings.has_value());
+  cr_expect_str_eq(settings->instance.c_str(), "front-a-1");
+  cr_expect_eq(settings->bounds.leaseMax.count(), 6000);
+  cr_expect_eq(settings->bounds.keepEnded.count(), 120000);
+  cr_expect_float_eq(settings->processorShare, 0.25, 1e-9);
+  cr_expect(LooksLikeFleetSettings(kSettings));
+  cr_expect_not(LooksLikeFleetSettings("instance: a\n"));
+}
+
+Test(settings, faults_name_line_key_and_value)
+{
+  const auto fault = [](const std::string& aText) {
+    auto errors = std::vector<YamlError>{};
+    cr_expect_not(ParseFleetSettings("file", aText, errors).has_value());
+    cr_assert_geq(errors.size(), 1);
+    return errors[0];
+  };
+  const auto share =
+    fault(With("processor_share: 0.25", "processor_share: -1"));
+  cr_expect_str_eq(share.key.c_str(), "processor_share");
+  cr_expect_eq(share.line, 8);
+  cr_expect_str_eq(share.value.c_str(), "-1");
+  cr_expect_neq(fault(With("  stop: 400ms", "  stop: soon")).key.find("stop"),
+                std::string::npos);
+  cr_expect_neq(fault(With("ready:", "reddy:")).key.find("reddy"),
+                std::string::npos);
+  cr_expect_neq(fault("instance: a\n").key.find("store"), std::string::npos);
+}
