--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -208,11 +208,10 @@
     }
     auto chance = std::uniform_real_distribution{ 0.0, 1.0 };
     if (aWrite && chance(this->world.random) < treatment.lost) {
-      const auto late =
-        treatment.late.count() == 0
-          ? kStoreTakes
-          : Millis{ std::uniform_int_distribution<std::int64_t>{
-              0, treatment.late.count() }(this->world.random) };
+      const auto late = treatment.late.count() == 0
+                          ? kStoreTakes
+                          : Millis{ std::uniform_int_distribution<std::int64_t>{
+                              0, treatment.late.count() }(this->world.random) };
       this->world.queue.After(late, [aEffect] { aEffect(); });
       auto outcome = Outcome{};
       outcome.end = TableEnd::Unknown;
@@ -422,14 +421,14 @@
   instance.workers = std::make_unique<InstanceWorkers>(*this, instance);
   instance.site = std::make_unique<fleet::SiteWatch>(
     *instance.loop, *instance.tables, *instance.log);
-  instance.keeper = std::make_shared<fleet::CellKeeper>(
-    instance.settings,
-    "c0",
-    fleet::KeeperPorts{ *instance.loop,
-                        *instance.tables,
-                        *instance.workers,
-                        *instance.site,
-                        *instance.log });
+  instance.keeper =
+    std::make_shared<fleet::CellKeeper>(instance.settings,
+                                        "c0",
+                                        fleet::KeeperPorts{ *instance.loop,
+                                                            *instance.tables,
+                                                            *instance.workers,
+                                                            *instance.site,
+                                                            *instance.log });
   instance.entry = std::make_unique<fleet::Entry>(*instance.loop,
                                                   *instance.tables,
                                                   *instance.site,
@@ -543,9 +542,8 @@
   constexpr int kMostTries = 12;
   const auto again = [this, aJob, aTries](bool aUnknown) {
     if (aTries + 1 < kMostTries) {
-      this->queue.After(kAgain, [this, aJob, aTries] {
-        this->TryToSubmit(aJob, aTries + 1);
-      });
+      this->queue.After(
+        kAgain, [this, aJob, aTries] { this->TryToSubmit(aJob, aTries + 1); });
     } else if (!aUnknown) {
       this->judge.OnRefused(aJob);
     }
@@ -557,8 +555,7 @@
   }
   const auto body = wire::WriteJob(this->jobs.at(aJob).first);
   auto exchange = std::make_shared<FakeExchange>(
-    HttpRequest{
-      "POST", kPrefix + aJob.Text(), { { "Host", kHost } }, body },
+    HttpRequest{ "POST", kPrefix + aJob.Text(), { { "Host", kHost } }, body },
     this->queue.Now(),
     [this, aJob, again](int aStatus, const std::string& /*aBody*/) {
       constexpr int kOk = 200;
@@ -569,9 +566,8 @@
         again(aStatus != kRefused);
       }
     });
-  instance->loop->Post([instance, exchange] {
-    instance->entry->Handle(exchange);
-  });
+  instance->loop->Post(
+    [instance, exchange] { instance->entry->Handle(exchange); });
 }
 
 auto
@@ -588,9 +584,8 @@
   auto* const instance = this->SomeInstance();
   const auto again = [this, aJob, aTries] {
     if (aTries + 1 < kMostTries) {
-      this->queue.After(kAgain, [this, aJob, aTries] {
-        this->TryToCancel(aJob, aTries + 1);
-      });
+      this->queue.After(
+        kAgain, [this, aJob, aTries] { this->TryToCancel(aJob, aTries + 1); });
     }
   };
   if (instance == nullptr) {
@@ -609,9 +604,8 @@
         again();
       }
     });
-  instance->loop->Post([instance, exchange] {
-    instance->entry->Handle(exchange);
-  });
+  instance->loop->Post(
+    [instance, exchange] { instance->entry->Handle(exchange); });
 }
 
 // A caller now and then asks for the state of a job.
@@ -621,8 +615,8 @@
   auto* const instance = this->SomeInstance();
   if (instance != nullptr && !this->jobs.empty()) {
     auto job = this->jobs.begin();
-    std::advance(job,
-                 static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()));
+    std::advance(
+      job, static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()));
     const auto id = job->first;
     auto exchange = std::make_shared<FakeExchange>(
       HttpRequest{ "GET", kPrefix + id.Text(), { { "Host", kHost } }, "" },
@@ -634,9 +628,8 @@
           this->judge.OnShownCompleted(this->queue.Now(), id);
         }
       });
-    instance->loop->Post([instance, exchange] {
-      instance->entry->Handle(exchange);
-    });
+    instance->loop->Post(
+      [instance, exchange] { instance->entry->Handle(exchange); });
   }
   this->queue.After(kStateInterval, [this] { this->AskStates(); });
 }
@@ -668,10 +661,11 @@
 auto
 FleetWorld::Evacuate(const DomainId& aDomain, bool aOut) -> void
 {
-  const auto key = RowKey{ wire::kOperatorTable,
-                           "",
-                           wire::WriteOperatorKey(
-                             { wire::OperatorKind::Evacuation, aDomain.text }) };
+  const auto key = RowKey{
+    wire::kOperatorTable,
+    "",
+    wire::WriteOperatorKey({ wire::OperatorKind::Evacuation, aDomain.text })
+  };
   this->PutRow(key, aOut ? std::optional<std::string>{ "{}" } : std::nullopt);
   this->judge.OnEvacuation(this->queue.Now(), aDomain, aOut);
 }
@@ -864,8 +858,7 @@
     box->worker->Advance(now);
     auto waiting = std::exchange(box->waiting, {});
     for (auto& call : waiting) {
-      const auto answer =
-        box->worker->Handle(now, call.call, now < call.until);
+      const auto answer = box->worker->Handle(now, call.call, now < call.until);
       if (!answer) {
         box->waiting.push_back(std::move(call));
       } else if (!box->cut) {
--- a/bench/src/jobsbench.cpp
+++ b/bench/src/jobsbench.cpp
@@ -61,9 +61,8 @@
 {
   const auto instance = SomeInstance(aWorld);
   aWorld.Kill(instance);
-  After(aWorld, SomeTime(aWorld), [&aWorld, instance] {
-    aWorld.Start(instance);
-  });
+  After(
+    aWorld, SomeTime(aWorld), [&aWorld, instance] { aWorld.Start(instance); });
 }
 
 auto
@@ -71,9 +70,8 @@
 {
   for (auto instance = 0; instance < aWorld.Instances(); ++instance) {
     aWorld.Kill(instance);
-    After(aWorld, Millis{ 1000 }, [&aWorld, instance] {
-      aWorld.Start(instance);
-    });
+    After(
+      aWorld, Millis{ 1000 }, [&aWorld, instance] { aWorld.Start(instance); });
   }
 }
 
@@ -292,10 +290,9 @@
 auto
 JobsResult::Signature() const -> std::uint64_t
 {
-  return StableHash(std::to_string(this->seed) + ":" +
-                    std::to_string(this->starts) + ":" +
-                    std::to_string(this->done) + ":" +
-                    std::to_string(this->completedJobs));
+  return StableHash(
+    std::to_string(this->seed) + ":" + std::to_string(this->starts) + ":" +
+    std::to_string(this->done) + ":" + std::to_string(this->completedJobs));
 }
 
 auto
@@ -339,8 +336,7 @@
   auto starts = std::size_t{ 0 };
   for (auto seed = first; seed < first + seeds; ++seed) {
     const auto result = RunJobsSeed(seed, options.Text("trace", ""));
-    signature =
-      StableHash(std::to_string(result.Signature()), signature);
+    signature = StableHash(std::to_string(result.Signature()), signature);
     starts += result.starts;
     if (result.violations.empty()) {
       continue;
--- a/bench/src/virtualloop.cpp
+++ b/bench/src/virtualloop.cpp
@@ -54,17 +54,16 @@
 VirtualLoop::After(Micros aDelay, Work aWork) -> TimerHandle
 {
   auto handle = std::make_shared<bool>(true);
-  this->queue.After(
-    aDelay,
-    [held = this->state,
-     alive = std::weak_ptr<bool>(handle),
-     work = std::move(aWork)] {
-      Run(held, [alive, work] {
-        if (!alive.expired()) {
-          work();
-        }
-      });
-    });
+  this->queue.After(aDelay,
+                    [held = this->state,
+                     alive = std::weak_ptr<bool>(handle),
+                     work = std::move(aWork)] {
+                      Run(held, [alive, work] {
+                        if (!alive.expired()) {
+                          work();
+                        }
+                      });
+                    });
   return handle;
 }
 
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -245,10 +245,9 @@
               const WorkerSlot& aSlot,
               const PlacementQuery& aQuery) -> double
 {
-  const auto share =
-    static_cast<double>(aQuery.step->size.cpuMillis) /
-    static_cast<double>(
-      std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
+  const auto share = static_cast<double>(aQuery.step->size.cpuMillis) /
+                     static_cast<double>(std::max<std::int64_t>(
+                       aSlot.entry.capacity.cpuMillis, 1));
   auto pace = 1.0;
   for (const auto& [image, tasks] : aSlot.serving) {
     const auto& pair = this->PairOf(aRound, image, aQuery.image);
--- a/cells/src/loop.h
+++ b/cells/src/loop.h
@@ -2,7 +2,8 @@
 #define GOOSEBERRY_LOOP_H
 
 // Time, and work that is due later, as the parts of an instance see them: one
-// thread runs everything. Sockets carry it in the daemon, virtual time in tests.
+// thread runs everything. Sockets carry it in the daemon, virtual time in
+// tests.
 
 #include <cstdint>
 #include <functional>
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -58,7 +58,8 @@
 // Workers on which nothing runs are looked at this often.
 inline constexpr Millis kIdleRenewInterval{ 5000 };
 
-// Leases are renewed so often within their time, whatever else holds reports up.
+// Leases are renewed so often within their time, whatever else holds reports
+// up.
 inline constexpr int kRenewalsPerLease = 4;
 
 // After a call without an answer the next one waits for this.
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -454,9 +454,8 @@
     harness.Tick();
     for (const auto& call : harness.Calls(CallKind::Renew)) {
       renewed += call.leaseEndMs > 0 ? 1 : 0;
-      harness.Report(call,
-                     { RunningOf(starts[1]) },
-                     { EndOf(starts[0], 1, RunEnd::Done) });
+      harness.Report(
+        call, { RunningOf(starts[1]) }, { EndOf(starts[0], 1, RunEnd::Done) });
     }
   }
   cr_expect_geq(renewed, 3);
--- a/cells/tests/cellharness.h
+++ b/cells/tests/cellharness.h
@@ -30,7 +30,8 @@
   auto AddWorker(const std::string& aName,
                  Resources aCapacity = { 16000, 64000, 0 }) -> void
   {
-    auto entry = WorkerEntry{ { aName }, { kPool }, aName + ":1", { "zone-a" } };
+    auto entry =
+      WorkerEntry{ { aName }, { kPool }, aName + ":1", { "zone-a" } };
     entry.capacity = aCapacity;
     entry.machine = { "machine-" + aName };
     entry.labels = { "a", "rack-1" };
@@ -119,9 +120,8 @@
   {
     auto answer = WorkerAnswer{ aCall.number, CallEnd::Done };
     answer.clockMs = this->ClockMs();
-    answer.bornUnixMs = this->born.contains(aCall.worker)
-                          ? this->born.at(aCall.worker)
-                          : 1000;
+    answer.bornUnixMs =
+      this->born.contains(aCall.worker) ? this->born.at(aCall.worker) : 1000;
     answer.running = std::move(aRunning);
     answer.ended = std::move(aEnded);
     this->cell.OnAnswer(this->now, answer);
--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -43,12 +43,10 @@
   for (auto report = 0; report < 12; ++report) {
     const auto now = At(report / 2);
     // Beside both; only one of them presses.
-    disturbance.Observe(now,
-                        kServing,
-                        { { kHeavy, 0.1 }, { kLight, 0.2 } },
-                        0.4,
-                        kPressureError);
-    disturbance.Observe(now, kServing, { { kLight, 0.3 } }, 0.0, kPressureError);
+    disturbance.Observe(
+      now, kServing, { { kHeavy, 0.1 }, { kLight, 0.2 } }, 0.4, kPressureError);
+    disturbance.Observe(
+      now, kServing, { { kLight, 0.3 } }, 0.0, kPressureError);
   }
   cr_expect_gt(disturbance.Pressure(At(6), kServing, kHeavy), 2.5);
   cr_expect_eq(disturbance.Pressure(At(6), kServing, kLight), 0.0);
--- a/cells/tests/values_test.cpp
+++ b/cells/tests/values_test.cpp
@@ -12,8 +12,7 @@
 
 Test(names, of_tasks_are_read_back)
 {
-  const auto name =
-    TaskName{ *JobId::Parse("5c0e7a21d94b36f8"), 3, 1, 17 };
+  const auto name = TaskName{ *JobId::Parse("5c0e7a21d94b36f8"), 3, 1, 17 };
   cr_expect_eq(ToText(name), "5c0e7a21d94b36f8.3.1.17");
   cr_expect(ParseTaskName(ToText(name)) == name);
   for (const auto* const bad : { "",
--- a/eventio/src/eventloop.cpp
+++ b/eventio/src/eventloop.cpp
@@ -57,15 +57,14 @@
   timer->expires_after(aDelay);
   // A handle that was let go cancels, also when the time is already over and
   // the call waits for its turn.
-  timer->async_wait(
-    [work = std::move(aWork),
-     held = std::weak_ptr<boost::asio::steady_timer>(timer)](
-      const boost::system::error_code& aError) {
-      const auto alive = held.lock();
-      if (!aError && alive) {
-        work();
-      }
-    });
+  timer->async_wait([work = std::move(aWork),
+                     held = std::weak_ptr<boost::asio::steady_timer>(timer)](
+                      const boost::system::error_code& aError) {
+    const auto alive = held.lock();
+    if (!aError && alive) {
+      work();
+    }
+  });
   return timer;
 }
 
--- a/eventio/src/httpserver.h
+++ b/eventio/src/httpserver.h
@@ -59,9 +59,9 @@
   auto Listen(const boost::asio::ip::tcp::endpoint& aEndpoint,
               std::string& aReason) -> bool;
   auto SetLimits(const HttpServerLimits& aLimits) -> void;
-  // From now on each answer announces the end of its connection. New connections
-  // are still accepted and served; idle ones stay, since a request may be on
-  // its way.
+  // From now on each answer announces the end of its connection. New
+  // connections are still accepted and served; idle ones stay, since a request
+  // may be on its way.
   auto Drain() -> void;
   auto CloseIdle() -> void;
   auto StopListening() -> void;
--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -38,8 +38,7 @@
       this->loop, Loopback(this->server->Port()), HttpClientOptions{ 2 });
   }
 
-  auto Call(HttpRequest aRequest, Millis aTimeout = Millis{ 2000 })
-    -> HttpReply
+  auto Call(HttpRequest aRequest, Millis aTimeout = Millis{ 2000 }) -> HttpReply
   {
     auto reply = std::optional<HttpReply>{};
     this->client->Call(std::move(aRequest), aTimeout, [&](HttpReply aReply) {
@@ -100,8 +99,8 @@
 auto
 CallOnce(EventLoop& aLoop, std::uint16_t aPort, Millis aTimeout) -> HttpReply
 {
-  auto client =
-    std::make_shared<HttpClient>(aLoop, Loopback(aPort), HttpClientOptions{ 1 });
+  auto client = std::make_shared<HttpClient>(
+    aLoop, Loopback(aPort), HttpClientOptions{ 1 });
   auto reply = HttpReply{};
   client->Call({ "GET", "/", {}, "" }, aTimeout, [&](HttpReply aReply) {
     reply = std::move(aReply);
@@ -116,9 +115,14 @@
 Test(endpoints, are_read_strictly)
 {
   cr_expect(ParseEndpoint("10.1.0.13:8161").has_value());
-  for (const auto* const bad :
-       { "", ":80", "10.1.0.13", "10.1.0.13:", "10.1.0.13:x", "host:80",
-         "10.1.0.13:80x", "10.1.0.13:70000" }) {
+  for (const auto* const bad : { "",
+                                 ":80",
+                                 "10.1.0.13",
+                                 "10.1.0.13:",
+                                 "10.1.0.13:x",
+                                 "host:80",
+                                 "10.1.0.13:80x",
+                                 "10.1.0.13:70000" }) {
     cr_expect_not(ParseEndpoint(bad).has_value(), "%s", bad);
   }
 }
@@ -190,8 +194,8 @@
     ReadHeader(aSocket);
     boost::asio::write(
       aSocket,
-      boost::asio::buffer(std::string{
-        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" }));
+      boost::asio::buffer(
+        std::string{ "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf" }));
     aSocket.close();
   } };
   cr_expect_eq(CallOnce(loop, peer.Port(), Millis{ 1000 }).end, HttpEnd::Lost);
@@ -222,8 +226,8 @@
                     limits };
   constexpr int kTooLarge = 413;
   constexpr int kHeaderTooLarge = 431;
-  cr_expect_eq(
-    pair.Call({ "POST", "/", {}, std::string(200, 'x') }).status, kTooLarge);
+  cr_expect_eq(pair.Call({ "POST", "/", {}, std::string(200, 'x') }).status,
+               kTooLarge);
   cr_expect_eq(
     pair.Call({ "GET", "/", { { "X-Long", std::string(1000, 'x') } }, "" })
       .status,
@@ -247,8 +251,7 @@
 
 Test(http, an_exchange_that_nobody_answers_gets_an_error)
 {
-  auto pair =
-    Pair{ [](const std::shared_ptr<HttpExchange>& /*aExchange*/) {} };
+  auto pair = Pair{ [](const std::shared_ptr<HttpExchange>& /*aExchange*/) {} };
   constexpr int kInternalError = 500;
   cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kInternalError);
 }
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -155,8 +155,8 @@
   for (const auto earlier : step.after) {
     for (auto index = std::uint32_t{ 0 }; index < steps[earlier].tasks;
          ++index) {
-      const auto before = aJob.tasks.find(
-        { name.job, name.occurrence, earlier, index });
+      const auto before =
+        aJob.tasks.find({ name.job, name.occurrence, earlier, index });
       if (before == aJob.tasks.end() || !before->second.done) {
         this->Break(aEvent.at, "before an earlier step", name);
         break;
@@ -241,9 +241,10 @@
     if (!job.accepted || job.cancelAsked) {
       continue;
     }
+    const auto attempts = job.row.policy.maxAttempts;
     const auto hopeless = std::any_of(
-      job.tasks.begin(), job.tasks.end(), [&](const auto& aItem) {
-        return aItem.second.failed >= job.row.policy.maxAttempts;
+      job.tasks.begin(), job.tasks.end(), [attempts](const auto& aItem) {
+        return aItem.second.failed >= attempts;
       });
     if (job.row.spec.Lasting()) {
       const auto running = std::count_if(
--- a/fakes/src/jobworker.cpp
+++ b/fakes/src/jobworker.cpp
@@ -118,8 +118,7 @@
       ended.emplace_back(key, RunEnd::Stopped);
     } else if (!run.plan.lasting || run.plan.fails) {
       if (run.worked >= static_cast<double>(run.plan.duration.count())) {
-        ended.emplace_back(key,
-                           run.plan.fails ? RunEnd::Failed : RunEnd::Done);
+        ended.emplace_back(key, run.plan.fails ? RunEnd::Failed : RunEnd::Done);
       }
     }
   }
@@ -191,8 +190,8 @@
       return answer;
     case CallKind::Pace: {
       const auto found = this->running.find({ aCall.task, aCall.run });
-      answer.end = found == this->running.end() ? CallEnd::Superseded
-                                                : CallEnd::Done;
+      answer.end =
+        found == this->running.end() ? CallEnd::Superseded : CallEnd::Done;
       if (found != this->running.end()) {
         found->second.pace = aCall.percent;
       }
@@ -243,7 +242,8 @@
                  static_cast<double>(this->options.checkpointEvery.count());
   }
   this->running.emplace(key, run);
-  auto event = JobEvent{ JobEventKind::Start, aNow, this->entry.id, aCall.task };
+  auto event =
+    JobEvent{ JobEventKind::Start, aNow, this->entry.id, aCall.task };
   event.run = aCall.run;
   event.payload = aCall.payload;
   event.checkpoint = aCall.checkpoint;
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -1,6 +1,5 @@
 #include "cellkeeper.h"
 
-
 namespace gooseberry::fleet {
 
 namespace {
@@ -354,7 +353,8 @@
 CellKeeper::OnAccepted(const cells::JobRow& aRow) -> void
 {
   if (this->cell) {
-    this->cell->OnJob(this->ports.loop.Now(), this->ports.loop.UnixMillis(), aRow);
+    this->cell->OnJob(
+      this->ports.loop.Now(), this->ports.loop.UnixMillis(), aRow);
     this->StepSoon();
   }
 }
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -11,8 +11,8 @@
 #include <string>
 
 #include "cell.h"
-#include "loop.h"
 #include "fleetsettings.h"
+#include "loop.h"
 #include "recorder.h"
 #include "sitewatch.h"
 #include "tablefollower.h"
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -1,6 +1,5 @@
 #include "entry.h"
 
-
 namespace gooseberry::fleet {
 
 namespace {
--- a/fleet/src/sitewatch.h
+++ b/fleet/src/sitewatch.h
@@ -17,9 +17,7 @@
 class SiteWatch
 {
 public:
-  SiteWatch(Loop& aLoop,
-            cells::TablePort& aTables,
-            cells::DecisionLog& aLog);
+  SiteWatch(Loop& aLoop, cells::TablePort& aTables, cells::DecisionLog& aLog);
 
   auto Start() -> void;
   auto Stop() -> void;
