--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -17,6 +17,8 @@
 // Longest rest between two rounds of decisions.
 constexpr Millis kStepInterval{ 25 };
 constexpr Millis kStoreTimeout{ 1000 };
+// A read that failed is tried again after this.
+constexpr Millis kReadRetry{ 150 };
 constexpr Millis kJobPatience{ 1000 };
 
 } // namespace
@@ -29,6 +31,7 @@
   std::vector<cells::StoredRow> cancellations;
   int missing = 0;
   std::uint64_t version = 0;
+  std::vector<TimerHandle> retries;
 };
 
 CellKeeper::CellKeeper(const FleetSettings& aSettings,
@@ -221,31 +224,49 @@
 CellKeeper::ReadInto(const cells::RowsRange& aRange,
                      std::vector<cells::StoredRow> Load::*aWhere) -> void
 {
-  this->ports.tables.Read(aRange,
-                          kStoreTimeout,
-                          [weak = this->weak_from_this(),
-                           held = std::weak_ptr<Load>(this->load),
-                           aRange,
-                           aWhere](const cells::RowsOutcome& aOutcome) {
-                            const auto self = weak.lock();
-                            const auto loading = held.lock();
-                            if (!self || !loading || self->load != loading) {
-                              return;
-                            }
-                            if (aOutcome.end != cells::TableEnd::Done) {
-                              self->ReadInto(aRange, aWhere);
-                              return;
-                            }
-                            auto& rows = (*loading).*aWhere;
-      rows.insert(rows.end(), aOutcome.rows.begin(), aOutcome.rows.end());
-                            loading->version =
-                              loading->version == 0
-                                ? aOutcome.version
-                                : std::min(loading->version, aOutcome.version);
-                            if (--loading->missing == 0) {
-                              self->OnLoaded();
-                            }
-                          });
+  this->ports.tables.Read(
+    aRange,
+    kStoreTimeout,
+    [weak = this->weak_from_this(),
+     held = std::weak_ptr<Load>(this->load),
+     aRange,
+     aWhere](const cells::RowsOutcome& aOutcome) {
+      const auto self = weak.lock();
+      const auto loading = held.lock();
+      if (self && loading && self->load == loading) {
+        self->OnRead(*loading, aRange, aWhere, aOutcome);
+      }
+    });
+}
+
+auto
+CellKeeper::OnRead(Load& aLoad,
+                   const cells::RowsRange& aRange,
+                   std::vector<cells::StoredRow> Load::*aWhere,
+                   const cells::RowsOutcome& aOutcome) -> void
+{
+  if (aOutcome.end != cells::TableEnd::Done) {
+    aLoad.retries.push_back(this->ports.loop.After(
+      kReadRetry,
+      [weak = this->weak_from_this(),
+       held = std::weak_ptr<Load>(this->load),
+       aRange,
+       aWhere] {
+        const auto self = weak.lock();
+        if (self && self->load && self->load == held.lock()) {
+          self->ReadInto(aRange, aWhere);
+        }
+      }));
+    return;
+  }
+  auto& rows = aLoad.*aWhere;
+  rows.insert(rows.end(), aOutcome.rows.begin(), aOutcome.rows.end());
+  aLoad.version = aLoad.version == 0
+                    ? aOutcome.version
+                    : std::min(aLoad.version, aOutcome.version);
+  if (--aLoad.missing == 0) {
+    this->OnLoaded();
+  }
 }
 
 auto
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -59,6 +59,10 @@
   auto LoadRecords() -> void;
   auto ReadInto(const cells::RowsRange& aRange,
                 std::vector<cells::StoredRow> Load::*aWhere) -> void;
+  auto OnRead(Load& aLoad,
+              const cells::RowsRange& aRange,
+              std::vector<cells::StoredRow> Load::*aWhere,
+              const cells::RowsOutcome& aOutcome) -> void;
   auto OnLoaded() -> void;
 
   // Owning.
