Formatter findings in the fleet's files

Cause: the last continuous-integration run failed on clang-format in four files of fleet/ that were changed after the whole tree had been formatted. Change: clang-format on them; no behaviour changes.

--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -224,19 +224,18 @@
 CellKeeper::ReadInto(const cells::RowsRange& aRange,
                      std::vector<cells::StoredRow> Load::*aWhere) -> void
 {
-  this->ports.tables.Read(
-    aRange,
-    kStoreTimeout,
-    [weak = this->weak_from_this(),
-     held = std::weak_ptr<Load>(this->load),
-     aRange,
-     aWhere](const cells::RowsOutcome& aOutcome) {
-      const auto self = weak.lock();
-      const auto loading = held.lock();
-      if (self && loading && self->load == loading) {
-        self->OnRead(*loading, aRange, aWhere, aOutcome);
-      }
-    });
+  this->ports.tables.Read(aRange,
+                          kStoreTimeout,
+                          [weak = this->weak_from_this(),
+                           held = std::weak_ptr<Load>(this->load),
+                           aRange,
+                           aWhere](const cells::RowsOutcome& aOutcome) {
+                            const auto self = weak.lock();
+                            const auto loading = held.lock();
+                            if (self && loading && self->load == loading) {
+                              self->OnRead(*loading, aRange, aWhere, aOutcome);
+                            }
+                          });
 }
 
 auto
@@ -328,8 +327,8 @@
       FollowerOptions{
         aTable, this->rows.CallerParts(), kJobPatience, Millis{ 0 } },
       this->ports.log,
-      [weak = this->weak_from_this(), aHandler](
-        const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
+      [weak = this->weak_from_this(),
+       aHandler](const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
         const auto self = weak.lock();
         if (self && self->cell) {
           (*self.*aHandler)(aRows);
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -138,11 +138,10 @@
   }
   auto submission = std::make_shared<Submission>();
   submission->giveUpAt =
-    aExchange->ArrivedAt() +
-    std::chrono::duration_cast<Millis>(
-      std::chrono::duration<double, std::milli>(
-        aRequest.deadline.value_or(kDefaultDeadline)) *
-      kSubmissionPart);
+    aExchange->ArrivedAt() + std::chrono::duration_cast<Millis>(
+                               std::chrono::duration<double, std::milli>(
+                                 aRequest.deadline.value_or(kDefaultDeadline)) *
+                               kSubmissionPart);
   submission->exchange = std::move(aExchange);
   submission->row = {
     aJob, aQueue.id, aQueue.policy, std::move(*spec), this->loop.UnixMillis()
@@ -207,10 +206,8 @@
     return;
   }
   if (aSubmission->tries < kMaxTries && left > kTryAgain * 2) {
-    aSubmission->timer =
-      this->loop.After(kTryAgain, [this, aSubmission] {
-        this->WriteJob(aSubmission);
-      });
+    aSubmission->timer = this->loop.After(
+      kTryAgain, [this, aSubmission] { this->WriteJob(aSubmission); });
     return;
   }
   this->GiveUp(*aSubmission);
@@ -219,12 +216,11 @@
 auto
 Entry::GiveUp(Submission& aSubmission) -> void
 {
-  this->log.Write(
-    "job_not_accepted",
-    { { "job", aSubmission.row.id.Text() },
-      { "may_be_stored", aSubmission.mayBeStored ? "yes" : "no" },
-      { "tries", std::to_string(aSubmission.tries) },
-      { "reason", aSubmission.reason } });
+  this->log.Write("job_not_accepted",
+                  { { "job", aSubmission.row.id.Text() },
+                    { "may_be_stored", aSubmission.mayBeStored ? "yes" : "no" },
+                    { "tries", std::to_string(aSubmission.tries) },
+                    { "reason", aSubmission.reason } });
   if (aSubmission.mayBeStored) {
     this->AnswerSubmission(aSubmission,
                            kGatewayTimeout,
@@ -246,8 +242,7 @@
 {
   aSubmission.answered = true;
   aSubmission.timer.reset();
-  aSubmission.exchange->Answer(
-    aStatus, std::move(aBody), std::move(aFields));
+  aSubmission.exchange->Answer(aStatus, std::move(aBody), std::move(aFields));
 }
 
 auto
--- a/fleet/src/sitewatch.cpp
+++ b/fleet/src/sitewatch.cpp
@@ -33,7 +33,8 @@
   this->operators = std::make_shared<TableFollower>(
     this->loop,
     this->tables,
-    FollowerOptions{ wire::kOperatorTable, { "" }, kOperatorPatience, Millis{ 0 } },
+    FollowerOptions{
+      wire::kOperatorTable, { "" }, kOperatorPatience, Millis{ 0 } },
     this->log,
     [this](const std::vector<cells::StoredRow>& aRows, bool aWhole) {
       this->OnOperatorRows(aRows, aWhole);
--- a/fleet/src/tablefollower.cpp
+++ b/fleet/src/tablefollower.cpp
@@ -66,10 +66,8 @@
   this->tables.Read(
     { this->options.table, this->options.parts.at(aPart), "", "" },
     kReadTimeout,
-    [self = this->shared_from_this(),
-     aPart,
-     soFar = std::move(aSoFar),
-     aAsked](const cells::RowsOutcome& aOutcome) mutable {
+    [self = this->shared_from_this(), aPart, soFar = std::move(aSoFar), aAsked](
+      const cells::RowsOutcome& aOutcome) mutable {
       if (self->stopped) {
         return;
       }
@@ -104,41 +102,40 @@
 TableFollower::Follow() -> void
 {
   const auto asked = this->loop.Now();
-  this->tables.Feed(this->options.table,
-                    this->version,
-                    this->options.patience,
-                    [self = this->shared_from_this(),
-                     asked](const cells::FeedOutcome& aOutcome) {
-                      if (self->stopped) {
-                        return;
-                      }
-                      self->NoteEnd(aOutcome.end, aOutcome.reason);
-                      switch (aOutcome.end) {
-                        case cells::TableEnd::Done: {
-                          self->version =
-                            std::max(self->version, aOutcome.version);
-                          self->freshAt = asked;
-                          auto own = aOutcome.rows;
-                          std::erase_if(own, [&](const cells::StoredRow& aRow) {
-                            const auto& parts = self->options.parts;
-                            return std::find(parts.begin(),
-                                             parts.end(),
-                                             aRow.key.part) == parts.end();
-                          });
-                          if (!own.empty()) {
-                            self->onRows(own, false);
-                          }
-                          self->Later(self->options.rest, false);
-                          return;
-                        }
-                        case cells::TableEnd::HistoryGone:
-                          self->ReadAll();
-                          return;
-                        default:
-                          self->Later(kRetry, false);
-                          return;
-                      }
-                    });
+  this->tables.Feed(
+    this->options.table,
+    this->version,
+    this->options.patience,
+    [self = this->shared_from_this(),
+     asked](const cells::FeedOutcome& aOutcome) {
+      if (self->stopped) {
+        return;
+      }
+      self->NoteEnd(aOutcome.end, aOutcome.reason);
+      switch (aOutcome.end) {
+        case cells::TableEnd::Done: {
+          self->version = std::max(self->version, aOutcome.version);
+          self->freshAt = asked;
+          auto own = aOutcome.rows;
+          std::erase_if(own, [&](const cells::StoredRow& aRow) {
+            const auto& parts = self->options.parts;
+            return std::find(parts.begin(), parts.end(), aRow.key.part) ==
+                   parts.end();
+          });
+          if (!own.empty()) {
+            self->onRows(own, false);
+          }
+          self->Later(self->options.rest, false);
+          return;
+        }
+        case cells::TableEnd::HistoryGone:
+          self->ReadAll();
+          return;
+        default:
+          self->Later(kRetry, false);
+          return;
+      }
+    });
 }
 
 auto
