Slow, hanging and failing workers are found by what becomes of their runs

Change: three failures in a row of two jobs rest a worker; a run without progress for 1.6 s, or 2.2 times slower than others of its step elsewhere, moves if that is quicker and there is room. A job's objective follows from what its steps took. A round of placement comes again when a rest ends (found by the new test: nothing was placed after it until some other event).

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -180,7 +180,7 @@
 {
   for (auto& [id, job] : this->activeJobs) {
     if (job->Spec().Timed()) {
-      this->OpenOccurrences(*job, aNowUnixMs);
+      this->OpenOccurrences(aNow, *job, aNowUnixMs);
     }
   }
   this->LapseWorkers(aNow);
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -159,7 +159,8 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     int priority = 0;
-    Time order{};
+    bool late = false;
+    Time objective{};
   };
 
   // What a filling image does to a serving one.
@@ -236,7 +237,7 @@
               const JobRecord* aRecord) -> Job&;
   auto Restore(Job& aJob, const JobRecord& aRecord) -> void;
   auto InheritWorker(const JobRecord::RunMark& aMark) -> WorkerSlot&;
-  auto OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void;
+  auto OpenOccurrences(Time aNow, Job& aJob, std::int64_t aNowUnixMs) -> void;
   // A worker has begun one of its tasks.
   auto NoteStarted(Job& aJob) -> void;
   auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
@@ -259,6 +260,15 @@
                  const RunReport& aReport,
                  std::set<RunRef>& aSeen) -> void;
   auto OnEnd(Time aNow, WorkerSlot& aSlot, const EndReport& aEnd) -> void;
+  // What an ended run tells about its step and its worker (cellhealth.cpp).
+  auto NoteEndedRun(Time aNow,
+                    const TaskPlace& aPlace,
+                    const Run& aRun,
+                    RunEnd aHow) -> void;
+  auto WatchProgress(Time aNow, WorkerSlot& aSlot) -> void;
+  auto SlownessOf(Time aNow, const TaskPlace& aPlace, const Run& aRun) const
+    -> std::optional<double>;
+  auto MoveOff(Time aNow, WorkerSlot& aSlot) -> void;
   auto OnUnlisted(Time aNow,
                   WorkerSlot& aSlot,
                   const std::set<RunRef>& aSeen,
@@ -276,6 +286,10 @@
   // Placement (cellplace.cpp).
   auto PlanStarts(Time aNow) -> void;
   auto ReadySteps(Time aNow) -> std::vector<ReadyStep>;
+  auto Rank(Time aNow,
+            Job& aJob,
+            std::uint32_t aOccurrence,
+            std::uint32_t aStep) const -> ReadyStep;
   auto PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
     -> void;
   auto NewRound(Time aNow) -> PlacementRound;
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -30,18 +30,19 @@
   auto owned = std::make_unique<Job>();
   auto& job = *owned;
   job.row = aRow;
-  job.arrivedAt = aNow;
-  const auto chain =
-    std::chrono::duration<double, std::milli>(LongestChain(aRow.spec));
-  job.objective =
-    aNow + aRow.policy.target +
-    std::chrono::duration_cast<Millis>(chain * aRow.policy.slackFactor);
+  // After a takeover, or through a late feed: it came earlier than this. The
+  // time of day may jump, so it is believed within bounds.
+  const auto age = std::clamp(Millis{ aNowUnixMs - aRow.acceptedUnixMs },
+                              Millis{ 0 },
+                              this->options.keepEnded);
+  job.arrivedAt = aRow.acceptedUnixMs == 0 ? aNow : aNow - age;
   for (const auto& step : aRow.spec.steps) {
     job.images.push_back(this->images.Number(step.image));
   }
   this->jobs.emplace(aRow.id, std::move(owned));
   if (!job.Spec().Timed()) {
-    job.occurrences.emplace(0, NewOccurrence(job.Spec()));
+    job.occurrences.emplace(0, NewOccurrence(job.Spec())).first->second.due =
+      job.arrivedAt;
   }
   if (aRecord != nullptr) {
     this->Restore(job, *aRecord);
@@ -52,7 +53,7 @@
   if (!IsFinal(job.state)) {
     this->activeJobs.emplace(job.Id(), &job);
     if (job.Spec().Timed()) {
-      this->OpenOccurrences(job, aNowUnixMs);
+      this->OpenOccurrences(aNow, job, aNowUnixMs);
     }
   }
   this->planNeeded = true;
@@ -73,6 +74,7 @@
     auto [occurrence, added] = aJob.occurrences.try_emplace(mark.occurrence);
     if (added) {
       occurrence->second = NewOccurrence(aJob.Spec());
+      occurrence->second.due = this->takenAt;
     }
     const auto place =
       this->Find({ aJob.Id(), mark.occurrence, mark.step, mark.index });
@@ -132,7 +134,7 @@
 }
 
 auto
-Cell::OpenOccurrences(Job& aJob, std::int64_t aNowUnixMs) -> void
+Cell::OpenOccurrences(Time aNow, Job& aJob, std::int64_t aNowUnixMs) -> void
 {
   const auto& spec = aJob.Spec();
   const auto opened =
@@ -147,7 +149,8 @@
     if (due > aNowUnixMs) {
       return;
     }
-    aJob.occurrences.emplace(next, NewOccurrence(spec));
+    aJob.occurrences.emplace(next, NewOccurrence(spec)).first->second.due =
+      aNow;
     this->planNeeded = true;
   }
 }
@@ -231,7 +234,12 @@
         { "state", ToText(aState) },
         { "after_ms", std::to_string(ToMillis(aNow - aJob.arrivedAt).count()) },
         { "to_objective_ms",
-          std::to_string(ToMillis(aJob.objective - aNow).count()) } });
+          aJob.occurrences.empty()
+            ? ""
+            : std::to_string(
+                ToMillis(ObjectiveOf(aJob, aJob.occurrences.rbegin()->second) -
+                         aNow)
+                  .count()) } });
   }
   this->Touch(aJob, true);
   for (auto& [number, occurrence] : aJob.occurrences) {
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -41,6 +41,8 @@
   for (auto& [id, slot] : this->workers) {
     if (this->MayTake(aNow, slot)) {
       round.open.push_back(&slot);
+    } else if (slot.avoidUntil > aNow) {
+      this->planAgain = std::min(this->planAgain, slot.avoidUntil);
     }
   }
   return round;
@@ -58,21 +60,32 @@
       for (auto step = std::uint32_t{ 0 }; step < occurrence.steps.size();
            ++step) {
         if (MayStart(occurrence, job->Spec(), step)) {
-          ready.push_back(
-            { job, number, step, job->row.policy.priority, job->objective });
+          ready.push_back(this->Rank(aNow, *job, number, step));
         }
       }
     }
   }
-  std::sort(
-    ready.begin(),
-    ready.end(),
-    [aNow](const ReadyStep& aLeft, const ReadyStep& aRight) {
-      const auto rank = [aNow](const ReadyStep& aStep) {
-        return std::tuple{ aStep.priority, aStep.order < aNow, aStep.order };
-      };
-      return rank(aLeft) < rank(aRight);
-    });
+  std::sort(ready.begin(),
+            ready.end(),
+            [](const ReadyStep& aLeft, const ReadyStep& aRight) {
+              return std::tuple{
+                aLeft.priority, aLeft.late, aLeft.objective
+              } < std::tuple{ aRight.priority, aRight.late, aRight.objective };
+            });
+  return ready;
+}
+
+// Steps of jobs that are late come after all that can still be in time.
+auto
+Cell::Rank(Time aNow,
+           Job& aJob,
+           std::uint32_t aOccurrence,
+           std::uint32_t aStep) const -> ReadyStep
+{
+  auto ready = ReadyStep{ &aJob, aOccurrence, aStep };
+  ready.priority = aJob.row.policy.priority;
+  ready.objective = ObjectiveOf(aJob, aJob.occurrences.at(aOccurrence));
+  ready.late = aNow > ready.objective;
   return ready;
 }
 
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -283,6 +283,7 @@
 auto
 Cell::SetPace(Time aNow, const RunRef& aRef, Run& aRun, int aPercent) -> void
 {
+  aRun.rested = RestOf(aRun, aNow);
   aRun.pace = aPercent;
   aRun.pacedAt = aNow;
   this->Count(CellEvent::Pace);
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -260,6 +260,7 @@
     if (aAnswer.unreadable == 0 && newer) {
       this->OnUnlisted(aNow, aSlot, seen, clock);
     }
+    this->WatchProgress(aNow, aSlot);
     this->LearnFrom(aNow, aSlot);
     this->SetPaces(aNow, aSlot);
   }
@@ -300,9 +301,17 @@
       this->toStop.insert(ref);
     }
   }
-  if (aReport.percent != run->percent) {
+  if (aReport.percent != run->percent || !run->reported) {
     run->progressAt = aNow;
   }
+  if (!run->reported) {
+    run->reported = true;
+    // Without a checkpoint it has begun from nothing, before this report.
+    run->startPercent = run->checkpoint.empty() ? 0.0 : aReport.percent;
+    if (!run->checkpoint.empty()) {
+      run->startedAt = aNow;
+    }
+  }
   run->percent = aReport.percent;
   if (place.spec->tailTarget.count() > 0) {
     this->NoteTail(aNow, aSlot, *run, aReport.measured);
@@ -349,6 +358,7 @@
   }
   const auto lasting = place.spec->lasting;
   if (known) {
+    this->NoteEndedRun(aNow, place, *run, aEnd.how);
     this->RemoveRun(aNow, place, ref);
   }
   job.unrecordedEnds.push_back(
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -118,6 +118,16 @@
   return kNames.at(static_cast<std::size_t>(aReason));
 }
 
+auto
+RestOf(const Run& aRun, Time aNow) -> Micros
+{
+  constexpr int kWhole = 100;
+  if (aRun.pace >= kWhole) {
+    return aRun.rested;
+  }
+  return aRun.rested + (aNow - aRun.pacedAt) * (kWhole - aRun.pace) / kWhole;
+}
+
 auto
 Task::FindRun(std::uint32_t aNumber) -> Run*
 {
@@ -216,6 +226,30 @@
   return occurrence;
 }
 
+auto
+ObjectiveOf(const Job& aJob, const Occurrence& aOccurrence) -> Time
+{
+  const auto& steps = aJob.Spec().steps;
+  auto ends = std::vector<Millis>(steps.size());
+  auto chain = Millis{ 0 };
+  for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
+    const auto& progress = aOccurrence.steps[step];
+    auto takes = progress.longest;
+    if (!progress.AllDone()) {
+      takes = std::max(takes, steps[step].estimate);
+    }
+    for (const auto earlier : steps[step].after) {
+      ends[step] = std::max(ends[step], ends[earlier]);
+    }
+    ends[step] += takes;
+    chain = std::max(chain, ends[step]);
+  }
+  return aOccurrence.due + aJob.row.policy.target +
+         std::chrono::duration_cast<Millis>(
+           std::chrono::duration<double, std::milli>(chain) *
+           aJob.row.policy.slackFactor);
+}
+
 auto
 ChainFrom(const JobSpec& aSpec, std::size_t aStep) -> Millis
 {
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -88,6 +88,9 @@
   std::int64_t stopConfirmedMs = 0;
   std::string checkpoint;
   double percent = 0.0;
+  // What it reported first: it may have begun from a checkpoint.
+  double startPercent = 0.0;
+  bool reported = false;
   double measured = 0.0;
   // Tail between the last two reports, and when the last one came, on the
   // worker's clock and on the own.
@@ -103,6 +106,8 @@
   // Share of its speed that it may use, and since when.
   int pace = 100;
   Time pacedAt{};
+  // Time that it was kept from working by its pace.
+  Micros rested{ 0 };
   // Since when it is held to a low pace.
   Time lowSince{};
 };
@@ -115,6 +120,10 @@
   TaskPhase_NB
 };
 
+// Time that the run was kept from working until now.
+auto
+RestOf(const Run& aRun, Time aNow) -> Micros;
+
 struct Task
 {
   TaskPhase phase = TaskPhase::Open;
@@ -126,6 +135,8 @@
   std::vector<Run> runs;
   // No start before.
   Time notBefore{};
+  // How often it was moved off a worker that was too slow for it.
+  int moves = 0;
   // Since when it could start but for a place.
   std::optional<Time> waitingSince;
 
@@ -136,6 +147,8 @@
 {
   std::vector<Task> tasks;
   std::uint32_t done = 0;
+  // The longest run of a task that is done.
+  Millis longest{ 0 };
 
   auto AllDone() const -> bool { return this->done == this->tasks.size(); }
 };
@@ -145,6 +158,8 @@
   std::vector<StepProgress> steps;
   // Steps whose tasks are not all done.
   std::uint32_t openSteps = 0;
+  // When it became known that it is due.
+  Time due{};
 };
 
 // An end that was taken note of and is not recorded yet.
@@ -166,8 +181,6 @@
   JobState recorded = JobState::Queued;
   // When the job became known here, by this instance's clock.
   Time arrivedAt{};
-  // The time by which its callers hope for its end.
-  Time objective{};
   Time endedAt{};
   std::map<std::uint32_t, Occurrence> occurrences;
   // Occurrences that all have ended, counted from the first.
@@ -236,6 +249,11 @@
 auto
 NewOccurrence(const JobSpec& aSpec) -> Occurrence;
 
+// The time by which callers hope for the end of an occurrence: estimates give
+// way to what its steps really took.
+auto
+ObjectiveOf(const Job& aJob, const Occurrence& aOccurrence) -> Time;
+
 // The longest chain of work by the caller's estimates, from this step on.
 auto
 ChainFrom(const JobSpec& aSpec, std::size_t aStep) -> Millis;
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -149,6 +149,30 @@
 inline constexpr int kProbes = 2;
 inline constexpr double kProbeVariance = 2.0;
 
+// Failures in a row, of at least two jobs, after which a worker is suspected; a
+// twentieth of all runs fails by itself.
+inline constexpr int kFailureStreak = 3;
+// A suspected worker takes nothing for this, then one task at a time.
+inline constexpr Millis kSuspectRest{ 700 };
+inline constexpr Millis kSuspectRestMax{ 4000 };
+// A run without progress for this long is stuck; reports come within 2 s, and
+// progress is told in hundredths.
+inline constexpr Millis kStuckAfter{ 1600 };
+// Runs at a lower pace say nothing about their worker.
+inline constexpr int kWatchedPace = 90;
+// Progress that is young or small is too rough to project from.
+inline constexpr Millis kProgressAge{ 300 };
+inline constexpr double kLeastProgress = 3.0;
+// Runs of a step that one of them is compared with.
+inline constexpr std::size_t kLeastComparisons = 2;
+// So many times as long as elsewhere is slow; tasks of a step differ by 0.3.
+inline constexpr double kSlowWorker = 2.2;
+inline constexpr double kMostSlowness = 1000.0;
+inline constexpr Millis kSlowRest{ 2500 };
+// Stopping a task and starting it elsewhere, apart from its work.
+inline constexpr Millis kMoveCost{ 700 };
+inline constexpr int kMostMoves = 2;
+
 // A worker that refused or did not answer an order takes no new ones for this.
 inline constexpr Millis kAvoidRefusing{ 300 };
 
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -85,6 +85,15 @@
   // Takes no new runs until then.
   Time avoidUntil{};
 
+  // Failures since the last run that was done, of how many jobs, and since when
+  // it is suspected for them.
+  int failures = 0;
+  std::set<JobId> failedJobs;
+  int suspicions = 0;
+  // How many times as long as elsewhere work takes there, as far as is known.
+  double slowness = 1.0;
+  Time slowSeenAt{};
+
   // Lasting tasks there by image, and tasks that fill idle processors.
   std::map<ImageId, int> serving;
   std::map<ImageId, int> filling;
--- /dev/null
+++ b/cells/tests/health_test.cpp
@@ -0,0 +1,168 @@
+// Workers that say they are well and fail, hang or crawl: the pattern of a
+// tenth of the workers going grey under load.
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+#include "cellharness.h"
+#include "tunables_cells.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+namespace {
+
+// Reports the same for each run on every worker that asks.
+auto
+ReportProgress(CellHarness& aHarness,
+               const std::vector<WorkerCall>& aStarts,
+               const std::map<std::string, double>& aPercent) -> void
+{
+  aHarness.Advance(kRenewGap);
+  aHarness.Tick();
+  for (const auto& call : aHarness.Calls(CallKind::Renew)) {
+    auto running = std::vector<RunReport>{};
+    for (const auto& start : aStarts) {
+      if (start.worker == call.worker) {
+        auto report = RunningOf(start);
+        report.percent = aPercent.at(call.worker.text);
+        running.push_back(report);
+      }
+    }
+    aHarness.Report(call, running, {});
+  }
+}
+
+// One task on each worker.
+auto
+Spread(std::uint32_t aTasks) -> JobSpec
+{
+  auto spec = Steps({ aTasks });
+  spec.steps[0].maxPerWorker = 1;
+  return spec;
+}
+
+} // namespace
+
+Test(health, a_worker_that_fails_all_it_starts_rests_before_it_gets_more)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  auto number = std::uint64_t{ 0 };
+  for (auto failure = 0; failure < kFailureStreak; ++failure) {
+    harness.Submit(Steps({ 1 }));
+    const auto starts = harness.StartAll();
+    cr_assert_geq(starts.size(), 1);
+    harness.Tick();
+    harness.Report(harness.Calls(CallKind::Renew).at(0),
+                   {},
+                   { EndOf(starts[0], ++number, RunEnd::Failed) });
+  }
+  const auto& slot = harness.cell.Workers().at({ "w1" });
+  cr_expect_eq(slot.suspicions, 1);
+  cr_expect_eq(slot.avoidUntil, harness.now + kSuspectRest);
+  const auto job = harness.Submit(Steps({ 1 }));
+  const auto isNew = [&](const WorkerCall& aStart) {
+    return aStart.task.job == job;
+  };
+  const auto early = harness.StartAll();
+  cr_expect(std::none_of(early.begin(), early.end(), isNew));
+  harness.Advance(kSuspectRest);
+  const auto later = harness.StartAll();
+  cr_expect(std::any_of(later.begin(), later.end(), isNew));
+}
+
+Test(health, tasks_of_one_job_that_fail_do_not_tell_against_their_worker)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto job = harness.Submit(Steps({ 4 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 4);
+  harness.Tick();
+  auto ends = std::vector<EndReport>{};
+  for (const auto& start : starts) {
+    ends.push_back(EndOf(start, ends.size() + 1, RunEnd::Failed));
+  }
+  harness.Report(harness.Calls(CallKind::Renew).at(0), {}, ends);
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Running);
+  harness.Submit(Steps({ 1 }));
+  cr_expect_geq(harness.StartAll().size(), 1);
+}
+
+Test(health, a_run_that_stands_still_is_moved_to_another_worker)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.AddWorker("w2");
+  harness.AddWorker("w3");
+  harness.Submit(Spread(2));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 2);
+  const auto stuck = starts[0].worker.text;
+  const auto well = starts[1].worker.text;
+  auto spare = std::map<std::string, double>{ { "w1", 0.0 },
+                                              { "w2", 0.0 },
+                                              { "w3", 0.0 } };
+  for (auto step = 1; harness.Calls(CallKind::Stop).empty(); ++step) {
+    cr_assert_lt(step, 30);
+    spare[well] = step;
+    spare[stuck] = 5.0;
+    ReportProgress(harness, starts, spare);
+  }
+  // Only after it has stood still for long enough.
+  cr_expect_geq(ToMillis(harness.now - Time{ Micros{ 1'000'000'000 } }),
+                kStuckAfter);
+}
+
+Test(health, a_run_on_a_slow_worker_moves_only_where_that_is_quicker)
+{
+  auto harness = CellHarness{};
+  for (const auto* name : { "w1", "w2", "w3", "w4", "w5" }) {
+    harness.AddWorker(name);
+  }
+  harness.Submit(Spread(4));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 4);
+  auto percent = std::map<std::string, double>{};
+  for (const auto* name : { "w1", "w2", "w3", "w4", "w5" }) {
+    percent[name] = 0.0;
+  }
+  auto stopped = std::vector<WorkerCall>{};
+  for (auto step = 1; step < 10 && stopped.empty(); ++step) {
+    for (const auto& start : starts) {
+      percent[start.worker.text] = step * 4.0;
+    }
+    // A sixth of the others' speed.
+    percent[starts[0].worker.text] = step * 4.0 / 6.0;
+    ReportProgress(harness, starts, percent);
+    stopped = harness.Calls(CallKind::Stop);
+  }
+  cr_assert_eq(stopped.size(), 1);
+  cr_expect_eq(stopped[0].worker, starts[0].worker);
+}
+
+Test(health, a_run_that_is_nearly_done_stays_on_its_slow_worker)
+{
+  auto harness = CellHarness{};
+  for (const auto* name : { "w1", "w2", "w3", "w4" }) {
+    harness.AddWorker(name);
+  }
+  harness.Submit(Spread(3));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 3);
+  auto percent = std::map<std::string, double>{};
+  for (const auto* name : { "w1", "w2", "w3", "w4" }) {
+    percent[name] = 0.0;
+  }
+  for (auto step = 1; step < 10; ++step) {
+    for (const auto& start : starts) {
+      percent[start.worker.text] = std::min(99.0, step * 60.0);
+    }
+    percent[starts[0].worker.text] = 90.0 + step;
+    ReportProgress(harness, starts, percent);
+  }
+  cr_expect(harness.Calls(CallKind::Stop).empty());
+}
