Neighbours: loads and pressures are estimated together, pressures by levels

Measured from reports of tasks whose job's undisturbed tasks showed the load: pairs press at 0 to 0.3 or at 3.5 to 4.6, nothing between, and some change for some seconds. A job's load was only known from tasks with no neighbour, up to 4 s late. Change: what is known of a pair is how likely each of six levels is; the load is estimated from every task, weighed by how well its neighbours are known.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -198,6 +198,7 @@
 
     Time now{};
     std::vector<WorkerSlot*> open;
+    std::vector<WorkerSlot*> shunned;
     std::map<std::pair<ImageId, ImageId>, PairState> pairs;
     std::vector<Failure> failures;
   };
@@ -297,6 +298,9 @@
     -> PairState&;
   auto PickWorker(PlacementRound& aRound, const PlacementQuery& aQuery)
     -> WorkerSlot*;
+  auto PickAmong(PlacementRound& aRound,
+                 const std::vector<WorkerSlot*>& aWorkers,
+                 const PlacementQuery& aQuery) -> WorkerSlot*;
   auto Fits(const WorkerSlot& aSlot, const PlacementQuery& aQuery) const
     -> bool;
   auto PaceFor(PlacementRound& aRound,
@@ -323,10 +327,15 @@
                  const StepSpec& aStep,
                  ImageId aImage) const -> void;
   auto FillsOn(const WorkerSlot& aSlot) -> std::vector<Fill>;
+  auto FindSuffering(const WorkerSlot& aSlot) -> std::optional<RunRef>;
+  auto NoteSuffering(Time aNow, WorkerSlot& aSlot) -> void;
   auto SetPaces(Time aNow, WorkerSlot& aSlot) -> void;
   auto Displace(Time aNow, const Fill& aFill) -> bool;
   auto SetPace(Time aNow, const RunRef& aRef, Run& aRun, int aPercent) -> void;
 
+  // What is told to readers of the log (cellview.cpp).
+  auto TellLoad(Time aNow) -> void;
+
   // Calls (cellcalls.cpp).
   auto QueueCall(const WorkerCall& aCall) -> void;
   auto NewCall(const WorkerSlot& aSlot, CallKind aKind) -> WorkerCall;
@@ -375,6 +384,7 @@
   // Something waits for time to pass before it can be placed.
   Time planAgain{};
   bool fenced = false;
+  Time loadToldAt{};
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
   Images images;
--- a/cells/src/cellhealth.cpp
+++ b/cells/src/cellhealth.cpp
@@ -58,7 +58,7 @@
   ++slot.suspicions;
   slot.failures = kFailureStreak - 1;
   const auto rest = std::min(kSuspectRest * slot.suspicions, kSuspectRestMax);
-  slot.avoidUntil = std::max(slot.avoidUntil, aNow + rest);
+  slot.shunnedUntil = std::max(slot.shunnedUntil, aNow + rest);
   this->log.Write("worker_suspected",
                   { { "worker", slot.entry.id.text },
                     { "jobs", std::to_string(slot.failedJobs.size()) },
@@ -134,7 +134,7 @@
                     { "stuck", std::to_string(stuck) },
                     { "slowness", std::to_string(aSlot.slowness) },
                     { "runs", std::to_string(aSlot.runs.size()) } });
-  aSlot.avoidUntil = std::max(aSlot.avoidUntil, aNow + kSlowRest);
+  aSlot.shunnedUntil = std::max(aSlot.shunnedUntil, aNow + kSlowRest);
   this->MoveOff(aNow, aSlot);
 }
 
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -39,10 +39,13 @@
   auto round = PlacementRound{};
   round.now = aNow;
   for (auto& [id, slot] : this->workers) {
+    const auto again = std::max(slot.avoidUntil, slot.shunnedUntil);
+    if (again > aNow) {
+      this->planAgain = std::min(this->planAgain, again);
+    }
     if (this->MayTake(aNow, slot)) {
-      round.open.push_back(&slot);
-    } else if (slot.avoidUntil > aNow) {
-      this->planAgain = std::min(this->planAgain, slot.avoidUntil);
+      auto& list = slot.shunnedUntil > aNow ? round.shunned : round.open;
+      list.push_back(&slot);
     }
   }
   return round;
@@ -171,9 +174,32 @@
   if (hopeless) {
     return nullptr;
   }
+  auto* best = this->PickAmong(aRound, aRound.open, aQuery);
+  if (best == nullptr && step.lasting) {
+    // It is owed a place wherever there is room.
+    best = this->PickAmong(aRound, aRound.shunned, aQuery);
+  }
+  if (best == nullptr && step.maxPerWorker == 0) {
+    aRound.failures.push_back({ service,
+                                aQuery.image,
+                                step.fillsIdle,
+                                step.neededLabel,
+                                step.size,
+                                aQuery.leastPace });
+  }
+  return best;
+}
+
+auto
+Cell::PickAmong(PlacementRound& aRound,
+                const std::vector<WorkerSlot*>& aWorkers,
+                const PlacementQuery& aQuery) -> WorkerSlot*
+{
+  const auto& step = *aQuery.step;
+  const auto& service = aQuery.job->row.policy.service;
   WorkerSlot* best = nullptr;
   auto bestScore = 0.0;
-  for (auto* const slot : aRound.open) {
+  for (auto* const slot : aWorkers) {
     if (slot->entry.service != service || !this->Fits(*slot, aQuery)) {
       continue;
     }
@@ -193,14 +219,6 @@
       bestScore = score;
     }
   }
-  if (best == nullptr && step.maxPerWorker == 0) {
-    aRound.failures.push_back({ service,
-                                aQuery.image,
-                                step.fillsIdle,
-                                step.neededLabel,
-                                step.size,
-                                aQuery.leastPace });
-  }
   return best;
 }
 
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -38,12 +38,14 @@
   }
   if (aRun.measuredMs == 0) {
     aRun.tailNow = aMeasured;
+    aRun.tailError = kTailError;
     aRun.measuredBefore = aRun.startedAt;
   } else {
     const auto kept = std::exp2(-std::chrono::duration<double>(elapsed) /
                                 std::chrono::duration<double>(kTailHalfLife));
     aRun.tailNow =
       std::max(0.0, (aMeasured - kept * aRun.smoothed) / (1.0 - kept));
+    aRun.tailError = kTailError * (1.0 + kept) / (1.0 - kept);
     aRun.measuredBefore = aRun.measuredAt;
   }
   aRun.smoothed = aMeasured;
@@ -63,8 +65,7 @@
 auto
 Cell::LoadOf(Time aNow, const Job& aJob) const -> double
 {
-  return aJob.loadSeenAt && aNow < *aJob.loadSeenAt + kLoadAge ? aJob.load
-                                                               : kUnknownLoad;
+  return aJob.load.At(aNow).mean;
 }
 
 // Shares of the worker's processors that filling tasks used since then.
@@ -87,8 +88,8 @@
   return beside;
 }
 
-// A task beside which all is known shows the load of its job; the others show
-// the pressure that they are under.
+// Each report tells of the load of its job, as far as the pressures beside it
+// are known, and of the pressures, as far as the load is.
 auto
 Cell::LearnFrom(Time aNow, WorkerSlot& aSlot) -> void
 {
@@ -99,39 +100,40 @@
     const auto [place, run] = this->FindActive(ref);
     if (run == nullptr || place.spec->tailTarget.count() == 0 ||
         run->phase != RunPhase::Running || run->measuredAt != aNow ||
-        run->percent < kReadyPercent) {
+        run->percent < kReadyPercent || run->tailNow <= 0.0) {
       continue;
     }
-    auto& job = *place.job;
     const auto beside = this->BesideSince(aNow, aSlot, run->measuredBefore);
     const auto expected = this->disturbance.Sum(aNow, place.image, beside);
-    const auto certain = std::sqrt(expected.variance) < kCertainPressure;
-    const auto calm = certain && expected.mean < kCertainPressure;
-    if (calm && run->smoothed > 0.0) {
+    if (std::sqrt(expected.variance) + expected.mean < kCertainPressure) {
       // The smoothed figure: what is computed from it may be off downwards.
       const auto [floor, added] =
         this->tailFloors.try_emplace(place.image, run->smoothed);
       floor->second = std::min(floor->second, run->smoothed);
     }
-    const auto units =
-      run->tailNow / this->UnloadedTail(*place.spec, place.image);
-    if (calm) {
-      const auto load = LoadFrom(units, expected.mean);
-      const auto fresh =
-        job.loadSeenAt && aNow < *job.loadSeenAt + kTailHalfLife * 2;
-      job.load = fresh ? (job.load + load) / 2.0 : load;
-      job.loadSeenAt = aNow;
-    }
-    if (beside.empty() || !job.loadSeenAt) {
+    auto& load = place.job->load;
+    const auto before = load.At(aNow);
+    const auto units = std::max(
+      1.0, run->tailNow / this->UnloadedTail(*place.spec, place.image));
+    const auto share = 1.0 + expected.mean;
+    const auto loadError = run->tailError / units;
+    load = load.Observed(aNow,
+                         LoadFrom(units, expected.mean),
+                         loadError * loadError +
+                           expected.variance / (share * share * share * share));
+    if (beside.empty()) {
       continue;
     }
-    const auto age =
-      std::chrono::duration<double>(aNow - *job.loadSeenAt).count();
-    constexpr double kLoadDrift = 0.07;
-    const auto slowed = 1.0 + PressureFrom(units, job.load);
-    const auto doubt = slowed * slowed * kLoadDrift * age;
-    this->disturbance.Observe(
-      aNow, place.image, beside, slowed - 1.0, kPressureError + doubt * doubt);
+    const auto slowed = 1.0 + PressureFrom(units, before.mean);
+    const auto whole = 1.0 + before.mean * units;
+    const auto tailDoubt = run->tailError * units / (whole * whole);
+    const auto square = slowed * slowed;
+    this->disturbance.Observe(aNow,
+                              place.image,
+                              beside,
+                              slowed - 1.0,
+                              kPressureError + tailDoubt * tailDoubt +
+                                square * square * before.variance);
   }
 }
 
@@ -193,27 +195,63 @@
   }
 }
 
-// Gives each filling task the pace that the lasting ones beside it can bear,
-// first to those that disturb least.
+// The first lasting task there whose tail is over its target.
 auto
-Cell::SetPaces(Time aNow, WorkerSlot& aSlot) -> void
+Cell::FindSuffering(const WorkerSlot& aSlot) -> std::optional<RunRef>
 {
-  auto suffering = false;
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
-    suffering =
-      suffering ||
-      (run != nullptr && place.spec->tailTarget.count() > 0 &&
-       run->phase == RunPhase::Running &&
-       run->tailNow > static_cast<double>(place.spec->tailTarget.count()));
+    if (run != nullptr && place.spec->tailTarget.count() > 0 &&
+        run->phase == RunPhase::Running &&
+        run->tailNow > static_cast<double>(place.spec->tailTarget.count())) {
+      return ref;
+    }
   }
+  return std::nullopt;
+}
+
+auto
+Cell::NoteSuffering(Time aNow, WorkerSlot& aSlot) -> void
+{
+  const auto suffering = this->FindSuffering(aSlot);
   if (!suffering) {
+    if (aSlot.sufferingSince) {
+      this->log.Write(
+        "tail_back",
+        { { "worker", aSlot.entry.id.text },
+          { "after_ms",
+            std::to_string(ToMillis(aNow - *aSlot.sufferingSince).count()) } });
+    }
     aSlot.sufferingSince.reset();
-  } else if (!aSlot.sufferingSince) {
+    return;
+  }
+  if (!aSlot.sufferingSince) {
     aSlot.sufferingSince = aNow;
+    const auto [place, run] = this->FindActive(*suffering);
+    const auto beside =
+      this->BesideSince(aNow, aSlot, aNow - kTailHalfLife * 2);
+    const auto expected = this->disturbance.Sum(aNow, place.image, beside);
+    this->log.Write(
+      "tail_over",
+      { { "task", ToText(suffering->task) },
+        { "worker", aSlot.entry.id.text },
+        { "tail_ms", std::to_string(run->tailNow) },
+        { "target_ms", std::to_string(place.spec->tailTarget.count()) },
+        { "load", std::to_string(place.job->load.At(aNow).mean) },
+        { "beside", std::to_string(beside.size()) },
+        { "pressure", std::to_string(expected.mean) },
+        { "variance", std::to_string(expected.variance) } });
   } else if (aNow > *aSlot.sufferingSince + kReliefUrgent) {
     aSlot.restUntil = aNow + kReliefRest;
   }
+}
+
+// Gives each filling task the pace that the lasting ones beside it can bear,
+// first to those that disturb least.
+auto
+Cell::SetPaces(Time aNow, WorkerSlot& aSlot) -> void
+{
+  this->NoteSuffering(aNow, aSlot);
   auto fills = this->FillsOn(aSlot);
   aSlot.slack = this->SlackOn(aNow, aSlot);
   auto& slack = aSlot.slack;
--- /dev/null
+++ b/cells/src/cellview.cpp
@@ -0,0 +1,74 @@
+// What the owner of a cell tells about its load, for those who look for the
+// cause of a wait afterwards.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+namespace {
+
+auto
+Cores(std::int64_t aMillis) -> std::string
+{
+  constexpr std::int64_t kWhole = 1000;
+  return std::to_string(aMillis / kWhole);
+}
+
+} // namespace
+
+auto
+Cell::TellLoad(Time aNow) -> void
+{
+  if (aNow < this->loadToldAt + kLoadLines) {
+    return;
+  }
+  this->loadToldAt = aNow;
+  auto capacity = Resources{};
+  auto room = Resources{};
+  auto lasting = std::int64_t{ 0 };
+  auto filling = std::int64_t{ 0 };
+  auto open = 0;
+  auto suffering = 0;
+  for (const auto& [id, slot] : this->workers) {
+    if (!this->MayTake(aNow, slot)) {
+      continue;
+    }
+    ++open;
+    capacity += slot.entry.capacity;
+    room += slot.Room();
+    lasting += slot.lastingCpu;
+    filling += slot.fillingCpu;
+    suffering += slot.sufferingSince ? 1 : 0;
+  }
+  auto waiting = std::int64_t{ 0 };
+  auto waitingFills = std::int64_t{ 0 };
+  auto tasks = 0;
+  for (const auto& ready : this->ReadySteps(aNow)) {
+    const auto& spec = ready.job->Spec().steps[ready.step];
+    for (const auto& task :
+         ready.job->occurrences.at(ready.occurrence).steps[ready.step].tasks) {
+      if (task.phase == TaskPhase::Open && task.runs.empty()) {
+        ++tasks;
+        (spec.fillsIdle ? waitingFills : waiting) += spec.size.cpuMillis;
+      }
+    }
+  }
+  this->log.Write("cell_load",
+                  { { "jobs", std::to_string(this->activeJobs.size()) },
+                    { "workers", std::to_string(this->workers.size()) },
+                    { "open", std::to_string(open) },
+                    { "cores", Cores(capacity.cpuMillis) },
+                    { "free_cores", Cores(room.cpuMillis) },
+                    { "free_mb", std::to_string(room.memoryMb) },
+                    { "lasting_cores", Cores(lasting) },
+                    { "filling_cores", Cores(filling) },
+                    { "waiting_tasks", std::to_string(tasks) },
+                    { "waiting_cores", Cores(waiting) },
+                    { "waiting_fill_cores", Cores(waitingFills) },
+                    { "suffering", std::to_string(suffering) } });
+}
+
+} // namespace gooseberry::cells
--- a/cells/src/disturbance.cpp
+++ b/cells/src/disturbance.cpp
@@ -35,8 +35,36 @@
   return PressureFrom(aLimit, aLoad);
 }
 
-// A Kalman filter with one state for each pair; what is observed is the sum of
-// the pairs' pressures.
+auto
+LoadEstimate::At(Time aNow) const -> LoadEstimate
+{
+  const auto age = std::chrono::duration<double>(aNow - this->at).count();
+  const auto grown = this->variance + kLoadDrift * std::max(0.0, age);
+  if (grown < kUnknownLoadVariance) {
+    return { this->mean, grown, aNow };
+  }
+  return { kUnknownLoad, kUnknownLoadVariance, aNow };
+}
+
+auto
+LoadEstimate::Observed(Time aNow, double aLoad, double aError) const
+  -> LoadEstimate
+{
+  const auto before = this->At(aNow);
+  const auto gain = before.variance / (before.variance + aError);
+  return { before.mean + gain * (aLoad - before.mean),
+           before.variance * (1.0 - gain),
+           aNow };
+}
+
+// Measured at 3.5 to 4.6 for pairs that disturb, at 0 to 0.3 for all others.
+const Disturbance::Weights Disturbance::kPressures{
+  0.1, 1.2, 2.4, 3.6, 4.8, 6.5
+};
+const Disturbance::Weights Disturbance::kGuess{ 0.45, 0.08, 0.12,
+                                                0.17, 0.12, 0.06 };
+
+// Each pair is judged by what the others leave of the observed sum.
 auto
 Disturbance::Observe(Time aNow,
                      ImageId aServing,
@@ -48,46 +76,67 @@
   for (const auto& beside : aBeside) {
     shares[beside.image] += beside.share;
   }
-  auto expected = 0.0;
-  auto variance = aError;
+  const auto all = this->Sum(aNow, aServing, aBeside);
+  auto next = std::map<ImageId, Weights>{};
   for (const auto& [image, share] : shares) {
-    const auto known = this->Between(aNow, aServing, image);
-    expected += known.mean * share;
-    variance += known.variance * share * share;
-  }
-  const auto surprise = aPressure - expected;
-  // A pair that has changed shows in a report that its variance does not allow.
-  const auto changed = surprise * surprise > kChangeFactor * variance;
-  for (const auto& [image, share] : shares) {
-    auto known = this->Between(aNow, aServing, image);
-    if (changed) {
-      variance += (kPairVariance - known.variance) * share * share;
-      known.variance = kPairVariance;
+    auto weights = this->Weigh(aNow, aServing, image);
+    const auto own = Summary(weights);
+    const auto rest = aPressure - (all.mean - own.mean * share);
+    const auto variance =
+      aError + std::max(0.0, all.variance - own.variance * share * share);
+    auto total = 0.0;
+    for (auto level = std::size_t{ 0 }; level < kLevels; ++level) {
+      const auto off = rest - kPressures[level] * share;
+      weights[level] *= std::exp(-off * off / (2.0 * variance));
+      weights[level] = std::max(weights[level], kLeastLikely);
+      total += weights[level];
     }
-    const auto gain = known.variance * share / variance;
-    known.mean =
-      std::clamp(known.mean + gain * surprise, 0.0, kMostPairPressure);
-    known.variance =
-      std::max(kLeastPairVariance, known.variance * (1.0 - gain * share));
-    known.at = aNow;
-    this->estimates[{ aServing, image }] = known;
+    for (auto& weight : weights) {
+      weight /= total;
+    }
+    next.emplace(image, weights);
+  }
+  for (const auto& [image, weights] : next) {
+    this->beliefs[{ aServing, image }] = { weights, aNow };
   }
 }
 
 auto
-Disturbance::Between(Time aNow, ImageId aServing, ImageId aFilling) const
-  -> Estimate
+Disturbance::Weigh(Time aNow, ImageId aServing, ImageId aFilling) const
+  -> Weights
 {
-  const auto found = this->estimates.find({ aServing, aFilling });
-  if (found == this->estimates.end()) {
-    return { kPairPressure, kPairVariance, aNow };
+  const auto found = this->beliefs.find({ aServing, aFilling });
+  if (found == this->beliefs.end()) {
+    return kGuess;
   }
   const auto age = std::chrono::duration<double>(aNow - found->second.at) /
                    std::chrono::duration<double>(kPairHalfLife);
   const auto kept = std::exp2(-std::max(0.0, age));
-  return { kPairPressure + (found->second.mean - kPairPressure) * kept,
-           kPairVariance + (found->second.variance - kPairVariance) * kept,
-           aNow };
+  auto weights = found->second.weights;
+  for (auto level = std::size_t{ 0 }; level < kLevels; ++level) {
+    weights[level] = kGuess[level] + (weights[level] - kGuess[level]) * kept;
+  }
+  return weights;
+}
+
+auto
+Disturbance::Summary(const Weights& aWeights) -> Estimate
+{
+  auto estimate = Estimate{};
+  auto square = 0.0;
+  for (auto level = std::size_t{ 0 }; level < kLevels; ++level) {
+    estimate.mean += aWeights[level] * kPressures[level];
+    square += aWeights[level] * kPressures[level] * kPressures[level];
+  }
+  estimate.variance = std::max(0.0, square - estimate.mean * estimate.mean);
+  return estimate;
+}
+
+auto
+Disturbance::Between(Time aNow, ImageId aServing, ImageId aFilling) const
+  -> Estimate
+{
+  return Summary(this->Weigh(aNow, aServing, aFilling));
 }
 
 auto
@@ -95,11 +144,15 @@
                  ImageId aServing,
                  const std::vector<Beside>& aBeside) const -> Estimate
 {
-  auto sum = Estimate{ 0.0, 0.0, aNow };
+  auto shares = std::map<ImageId, double>{};
   for (const auto& beside : aBeside) {
-    const auto known = this->Between(aNow, aServing, beside.image);
-    sum.mean += known.mean * beside.share;
-    sum.variance += known.variance * beside.share * beside.share;
+    shares[beside.image] += beside.share;
+  }
+  auto sum = Estimate{};
+  for (const auto& [image, share] : shares) {
+    const auto known = this->Between(aNow, aServing, image);
+    sum.mean += known.mean * share;
+    sum.variance += known.variance * share * share;
   }
   return sum;
 }
@@ -112,16 +165,4 @@
   return known.mean < kHarmlessPressure ? 0.0 : known.mean;
 }
 
-auto
-Disturbance::Estimates() const -> const Table&
-{
-  return this->estimates;
-}
-
-auto
-Disturbance::Restore(Table aEstimates) -> void
-{
-  this->estimates = std::move(aEstimates);
-}
-
 } // namespace gooseberry::cells
--- a/cells/src/disturbance.h
+++ b/cells/src/disturbance.h
@@ -7,14 +7,18 @@
 // The model, as measured: a lasting task under load r has the tail
 // T * x / (1 - r * x), where T is the tail without any load, and x - 1, the
 // pressure, grows with the share of the worker's processors that each
-// neighbour uses, by a factor that belongs to the pair of images.
+// neighbour uses, by a factor that belongs to the pair of images. Most pairs
+// press hardly at all, the others much, and some change within seconds: what is
+// known of a pair is how likely each of some levels is.
 
+#include <array>
 #include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "images.h"
+#include "tunables_cells.h"
 #include "types.h"
 
 namespace gooseberry::cells {
@@ -32,6 +36,21 @@
 auto
 MostPressure(double aLimit, double aLoad) -> double;
 
+// Load of a lasting job's tasks, which all answer the same users: it swings
+// within seconds, so what was seen grows doubtful with its age.
+struct LoadEstimate
+{
+  double mean = kUnknownLoad;
+  double variance = kUnknownLoadVariance;
+  Time at{};
+
+  auto operator==(const LoadEstimate&) const -> bool = default;
+
+  auto At(Time aNow) const -> LoadEstimate;
+  // The estimate with one more observation of the given variance.
+  auto Observed(Time aNow, double aLoad, double aError) const -> LoadEstimate;
+};
+
 // What runs beside a lasting task: an image and the share of the worker's
 // processors that it uses.
 struct Beside
@@ -48,13 +67,10 @@
   {
     double mean = 0.0;
     double variance = 0.0;
-    Time at{};
 
     auto operator==(const Estimate&) const -> bool = default;
   };
 
-  using Table = std::map<std::pair<ImageId, ImageId>, Estimate>;
-
   // One report: the pressure that a task of the image was under.
   // aError: variance of what was observed.
   auto Observe(Time aNow,
@@ -73,11 +89,24 @@
   // harmless.
   auto Pressure(Time aNow, ImageId aServing, ImageId aFilling) const -> double;
 
-  auto Estimates() const -> const Table&;
-  auto Restore(Table aEstimates) -> void;
-
 private:
-  Table estimates;
+  static constexpr std::size_t kLevels = 6;
+  // How likely each level of pressure is.
+  using Weights = std::array<double, kLevels>;
+
+  struct Belief
+  {
+    Weights weights{};
+    Time at{};
+  };
+
+  static const Weights kPressures;
+  static const Weights kGuess;
+
+  auto Weigh(Time aNow, ImageId aServing, ImageId aFilling) const -> Weights;
+  static auto Summary(const Weights& aWeights) -> Estimate;
+
+  std::map<std::pair<ImageId, ImageId>, Belief> beliefs;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "disturbance.h"
 #include "images.h"
 #include "jobspec.h"
 #include "workercall.h"
@@ -95,6 +96,8 @@
   // Tail between the last two reports, and when the last one came, on the
   // worker's clock and on the own.
   double tailNow = 0.0;
+  // Part of it that it may be off by.
+  double tailError = kTailError;
   double smoothed = 0.0;
   std::int64_t measuredMs = 0;
   Time measuredAt{};
@@ -190,10 +193,8 @@
   // The record must not wait.
   bool hasty = false;
   std::vector<PendingEnd> unrecordedEnds;
-  // Load of its lasting tasks, all of which answer the same users, and when it
-  // was seen.
-  double load = 0.0;
-  std::optional<Time> loadSeenAt;
+  // Load of its lasting tasks, all of which answer the same users.
+  LoadEstimate load;
 
   auto Id() const -> const JobId& { return this->row.id; }
   auto Spec() const -> const JobSpec& { return this->row.spec; }
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -93,21 +93,15 @@
 // A lasting task is at work when it reports this percentage.
 inline constexpr double kReadyPercent = 100.0;
 
-// Pressure of a neighbour that uses all processors of a worker: measured at 3.8
-// to 4.6 for images that disturb, near 0 for all others; which of the two holds
-// is not known at first.
-inline constexpr double kPairPressure = 1.8;
-inline constexpr double kPairVariance = 4.0;
-inline constexpr double kLeastPairVariance = 0.05;
-inline constexpr double kMostPairPressure = 8.0;
+// Least weight of a level of pressure that was not seen: a pair that changes
+// shows it with the next report or two.
+inline constexpr double kLeastLikely = 0.001;
 // Pairs with a lower estimate do not disturb at all: estimates of harmless
 // pairs were seen up to 0.7, of others from 1.9 on.
 inline constexpr double kHarmlessPressure = 1.0;
 // After which time a pair is known half as well: pairs were seen to change
 // within a day of 40 s.
-inline constexpr Millis kPairHalfLife{ 12000 };
-// A report so many times its variance off the expected one tells of a change.
-inline constexpr double kChangeFactor = 9.0;
+inline constexpr Millis kPairHalfLife{ 20000 };
 // Least idle part of a lasting task that the model knows.
 inline constexpr double kLeastIdle = 0.02;
 // Target in units of the tail without load, while it is not known.
@@ -118,13 +112,18 @@
 inline constexpr double kTailLimit = 0.5;
 // A load is expected to grow by so much before the next look.
 inline constexpr double kLoadGrowth = 0.08;
-// Load of a lasting task that has not shown it yet.
+// Load of lasting tasks that was not seen, and its variance.
 inline constexpr double kUnknownLoad = 0.55;
-// A load that was seen so long ago is not known any more.
-inline constexpr Millis kLoadAge{ 4000 };
-// Variance of one observed pressure: tails are rough by a tenth.
-inline constexpr double kPressureError = 0.03;
-// Standard deviation of pressure below which a task shows its load.
+inline constexpr double kUnknownLoadVariance = 0.04;
+// Variance that a load gains each second: it was seen to swing by half within
+// 10 s, which is at most 0.15 a second.
+inline constexpr double kLoadDrift = 0.01;
+// Reported tails are rough by a tenth.
+inline constexpr double kTailError = 0.1;
+// Variance of one observed pressure, besides what its tail is off by: shares of
+// processors are rough as well.
+inline constexpr double kPressureError = 0.005;
+// Standard deviation of pressure below which a task shows its unloaded tail.
 inline constexpr double kCertainPressure = 0.1;
 // The reported tail is smoothed: with each of these spans it halves its
 // distance to the true one (measured after the ends of neighbours).
@@ -173,6 +172,9 @@
 inline constexpr Millis kMoveCost{ 700 };
 inline constexpr int kMostMoves = 2;
 
+// The load is told this often.
+inline constexpr Millis kLoadLines{ 1000 };
+
 // A worker that refused or did not answer an order takes no new ones for this.
 inline constexpr Millis kAvoidRefusing{ 300 };
 
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -84,6 +84,8 @@
 
   // Takes no new runs until then.
   Time avoidUntil{};
+  // Takes only what finds no other place until then: it fails or is slow.
+  Time shunnedUntil{};
 
   // Failures since the last run that was done, of how many jobs, and since when
   // it is suspected for them.
--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -188,3 +188,26 @@
   harness.Submit(FillingJob("f", 1));
   cr_expect_eq(harness.StartAll().size(), 0);
 }
+
+// Pattern: the load of a job swings while all of its tasks have neighbours.
+// Those whose neighbours are known tell the load for the others.
+Test(load, follows_a_swing_from_tasks_whose_neighbours_are_known)
+{
+  auto load = LoadEstimate{};
+  for (auto tenth = 0; tenth < 30; ++tenth) {
+    const auto now = Time{ Millis{ 100 * tenth } };
+    const auto truth = 0.3 + 0.01 * tenth;
+    load = load.Observed(now, truth, 0.002);
+    // One whose neighbours are not known says next to nothing.
+    load = load.Observed(now, 0.05, 1.0);
+  }
+  cr_expect_float_eq(load.mean, 0.59, 0.05);
+  cr_expect_lt(load.variance, 0.002);
+}
+
+Test(load, is_not_known_any_more_after_some_seconds)
+{
+  const auto load = LoadEstimate{}.Observed(At(0), 0.9, 0.0005);
+  cr_expect_float_eq(load.At(At(0)).mean, 0.9, 0.02);
+  cr_expect_float_eq(load.At(At(10)).mean, kUnknownLoad, 1e-9);
+}
--- a/cells/tests/health_test.cpp
+++ b/cells/tests/health_test.cpp
@@ -62,7 +62,7 @@
   }
   const auto& slot = harness.cell.Workers().at({ "w1" });
   cr_expect_eq(slot.suspicions, 1);
-  cr_expect_eq(slot.avoidUntil, harness.now + kSuspectRest);
+  cr_expect_eq(slot.shunnedUntil, harness.now + kSuspectRest);
   const auto job = harness.Submit(Steps({ 1 }));
   const auto isNew = [&](const WorkerCall& aStart) {
     return aStart.task.job == job;
@@ -166,3 +166,29 @@
   }
   cr_expect(harness.Calls(CallKind::Stop).empty());
 }
+
+// A lasting task has to run while there is room for it anywhere.
+Test(health, a_lasting_task_takes_a_failing_worker_if_there_is_no_other)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  auto number = std::uint64_t{ 0 };
+  for (auto failure = 0; failure < kFailureStreak; ++failure) {
+    harness.Submit(Steps({ 1 }));
+    const auto starts = harness.StartAll();
+    cr_assert_geq(starts.size(), 1);
+    harness.Tick();
+    harness.Report(harness.Calls(CallKind::Renew).at(0),
+                   {},
+                   { EndOf(starts[0], ++number, RunEnd::Failed) });
+  }
+  cr_assert_gt(harness.cell.Workers().at({ "w1" }).shunnedUntil, harness.now);
+  auto spec = Steps({ 1 });
+  spec.steps[0].lasting = true;
+  const auto job = harness.Submit(spec);
+  const auto starts = harness.StartAll();
+  cr_expect(
+    std::any_of(starts.begin(), starts.end(), [&](const WorkerCall& aStart) {
+      return aStart.task.job == job;
+    }));
+}
