Prospects judge who is served first; tails about their target bring relief in time

An owner fenced at a worker went on calling all workers for 8 s. Change: while something finds no place, as many jobs as the room serves are kept in time (Moore and Hodgson's rule, weighed by what is left of them), the others come after, hopeless ones last. Relief counts a tail as back below 0.8 of its target; unanswered pace orders go again; a fenced owner gives the cell up. One line when the store stops taking records in place of one each 0.1 s. Replaced: the test of the longest chain looks at the same chains through CandidateOf, with their work, and with steps done.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -159,7 +159,7 @@
     std::uint32_t occurrence = 0;
     std::uint32_t step = 0;
     int priority = 0;
-    bool late = false;
+    Prospect prospect = Prospect::InTime;
     Time objective{};
   };
 
@@ -254,6 +254,7 @@
     -> void;
   auto OnStopAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
     -> void;
+  auto OnPaceAnswer(const RunRef& aRef, const WorkerAnswer& aAnswer) -> void;
   auto OnReport(Time aNow, WorkerSlot& aSlot, const WorkerAnswer& aAnswer)
     -> void;
   auto OnRunning(Time aNow,
@@ -293,6 +294,8 @@
             std::uint32_t aStep) const -> ReadyStep;
   auto PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
     -> void;
+  auto JudgeProspects(Time aNow) -> void;
+  auto JudgeGroup(Time aNow, bool aFillsIdle) -> void;
   auto NewRound(Time aNow) -> PlacementRound;
   auto PairOf(PlacementRound& aRound, ImageId aServing, ImageId aFilling)
     -> PairState&;
@@ -327,7 +330,9 @@
                  const StepSpec& aStep,
                  ImageId aImage) const -> void;
   auto FillsOn(const WorkerSlot& aSlot) -> std::vector<Fill>;
-  auto FindSuffering(const WorkerSlot& aSlot) -> std::optional<RunRef>;
+  auto FindSuffering(const WorkerSlot& aSlot) -> std::pair<RunRef, double>;
+  auto TellSuffering(Time aNow, const WorkerSlot& aSlot, const RunRef& aRef)
+    -> void;
   auto NoteSuffering(Time aNow, WorkerSlot& aSlot) -> void;
   auto SetPaces(Time aNow, WorkerSlot& aSlot) -> void;
   auto Displace(Time aNow, const Fill& aFill) -> bool;
@@ -381,6 +386,11 @@
   std::uint64_t lastCall = 0;
   bool planNeeded = true;
   Time plannedAt{};
+  Time judgedAt{};
+  // In the last round some task that fills idle processors, and some other one,
+  // found no place.
+  bool fillsWait = false;
+  bool othersWait = false;
   // Something waits for time to pass before it can be placed.
   Time planAgain{};
   bool fenced = false;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -27,10 +27,65 @@
 auto
 Cell::PlanStarts(Time aNow) -> void
 {
+  this->JudgeProspects(aNow);
   auto round = this->NewRound(aNow);
   for (const auto& ready : this->ReadySteps(aNow)) {
     this->PlanStep(aNow, round, ready);
   }
+  this->fillsWait = false;
+  this->othersWait = false;
+  for (const auto& failure : round.failures) {
+    (failure.fillsIdle ? this->fillsWait : this->othersWait) = true;
+  }
+}
+
+// Only where something waits for room it matters what goes first.
+auto
+Cell::JudgeProspects(Time aNow) -> void
+{
+  if (aNow < this->judgedAt + kJudgeGap) {
+    return;
+  }
+  this->judgedAt = aNow;
+  if (this->fillsWait) {
+    this->JudgeGroup(aNow, true);
+  }
+  if (this->othersWait) {
+    this->JudgeGroup(aNow, false);
+  }
+}
+
+// Those that fill idle processors, and those that need room, do not compete.
+auto
+Cell::JudgeGroup(Time aNow, bool aFillsIdle) -> void
+{
+  auto candidates = std::vector<Candidate>{};
+  auto occurrences = std::vector<Occurrence*>{};
+  auto running = std::int64_t{ 0 };
+  for (const auto& [id, job] : this->activeJobs) {
+    const auto& steps = job->Spec().steps;
+    if (steps.front().fillsIdle != aFillsIdle || job->Spec().Lasting()) {
+      continue;
+    }
+    for (auto& [number, occurrence] : job->occurrences) {
+      if (occurrence.openSteps == 0) {
+        continue;
+      }
+      candidates.push_back(CandidateOf(*job, occurrence));
+      occurrences.push_back(&occurrence);
+      for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
+        for (const auto& task : occurrence.steps[step].tasks) {
+          running += task.runs.empty() ? 0 : steps[step].size.cpuMillis;
+        }
+      }
+    }
+  }
+  constexpr double kWhole = 1000.0;
+  const auto prospects =
+    ProspectsOf(aNow, static_cast<double>(running) / kWhole, candidates);
+  for (auto index = std::size_t{ 0 }; index < prospects.size(); ++index) {
+    occurrences[index]->prospect = prospects[index];
+  }
 }
 
 auto
@@ -68,17 +123,17 @@
       }
     }
   }
-  std::sort(ready.begin(),
-            ready.end(),
-            [](const ReadyStep& aLeft, const ReadyStep& aRight) {
-              return std::tuple{
-                aLeft.priority, aLeft.late, aLeft.objective
-              } < std::tuple{ aRight.priority, aRight.late, aRight.objective };
-            });
+  std::sort(
+    ready.begin(),
+    ready.end(),
+    [](const ReadyStep& aLeft, const ReadyStep& aRight) {
+      return std::tuple{ aLeft.priority, aLeft.prospect, aLeft.objective } <
+             std::tuple{ aRight.priority, aRight.prospect, aRight.objective };
+    });
   return ready;
 }
 
-// Steps of jobs that are late come after all that can still be in time.
+// Steps of jobs that will be late come after all that can still be in time.
 auto
 Cell::Rank(Time aNow,
            Job& aJob,
@@ -87,8 +142,12 @@
 {
   auto ready = ReadyStep{ &aJob, aOccurrence, aStep };
   ready.priority = aJob.row.policy.priority;
-  ready.objective = ObjectiveOf(aJob, aJob.occurrences.at(aOccurrence));
-  ready.late = aNow > ready.objective;
+  const auto& occurrence = aJob.occurrences.at(aOccurrence);
+  ready.objective = ObjectiveOf(aJob, occurrence);
+  ready.prospect = occurrence.prospect;
+  if (ready.prospect == Prospect::InTime && aNow > ready.objective) {
+    ready.prospect = Prospect::Late;
+  }
   return ready;
 }
 
@@ -205,7 +264,7 @@
     }
     auto pace = 1.0;
     if (step.fillsIdle && !slot->serving.empty()) {
-      if (slot->sufferingSince || aRound.now < slot->restUntil) {
+      if (slot->suffering || aRound.now < slot->restUntil) {
         continue;
       }
       pace = this->PaceFor(aRound, *slot, aQuery);
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -195,57 +195,69 @@
   }
 }
 
-// The first lasting task there whose tail is over its target.
+// The lasting task there whose tail is the most of its target, and that part.
 auto
-Cell::FindSuffering(const WorkerSlot& aSlot) -> std::optional<RunRef>
+Cell::FindSuffering(const WorkerSlot& aSlot) -> std::pair<RunRef, double>
 {
+  auto worst = std::pair<RunRef, double>{ {}, 0.0 };
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
-    if (run != nullptr && place.spec->tailTarget.count() > 0 &&
-        run->phase == RunPhase::Running &&
-        run->tailNow > static_cast<double>(place.spec->tailTarget.count())) {
-      return ref;
+    if (run == nullptr || place.spec->tailTarget.count() == 0 ||
+        run->phase != RunPhase::Running) {
+      continue;
+    }
+    const auto part =
+      run->tailNow / static_cast<double>(place.spec->tailTarget.count());
+    if (part > worst.second) {
+      worst = { ref, part };
     }
   }
-  return std::nullopt;
+  return worst;
 }
 
+// Reports are rough: one below the target does not show that a tail is back for
+// the platform, which measures better.
 auto
 Cell::NoteSuffering(Time aNow, WorkerSlot& aSlot) -> void
 {
-  const auto suffering = this->FindSuffering(aSlot);
-  if (!suffering) {
-    if (aSlot.sufferingSince) {
-      this->log.Write(
-        "tail_back",
-        { { "worker", aSlot.entry.id.text },
-          { "after_ms",
-            std::to_string(ToMillis(aNow - *aSlot.sufferingSince).count()) } });
-    }
-    aSlot.sufferingSince.reset();
-    return;
-  }
-  if (!aSlot.sufferingSince) {
-    aSlot.sufferingSince = aNow;
-    const auto [place, run] = this->FindActive(*suffering);
-    const auto beside =
-      this->BesideSince(aNow, aSlot, aNow - kTailHalfLife * 2);
-    const auto expected = this->disturbance.Sum(aNow, place.image, beside);
+  const auto [ref, part] = this->FindSuffering(aSlot);
+  aSlot.suffering = part > 1.0;
+  if (aSlot.overSince && part < kTailBack) {
     this->log.Write(
-      "tail_over",
-      { { "task", ToText(suffering->task) },
-        { "worker", aSlot.entry.id.text },
-        { "tail_ms", std::to_string(run->tailNow) },
-        { "target_ms", std::to_string(place.spec->tailTarget.count()) },
-        { "load", std::to_string(place.job->load.At(aNow).mean) },
-        { "beside", std::to_string(beside.size()) },
-        { "pressure", std::to_string(expected.mean) },
-        { "variance", std::to_string(expected.variance) } });
-  } else if (aNow > *aSlot.sufferingSince + kReliefUrgent) {
+      "tail_back",
+      { { "worker", aSlot.entry.id.text },
+        { "after_ms",
+          std::to_string(ToMillis(aNow - *aSlot.overSince).count()) } });
+    aSlot.overSince.reset();
+  }
+  if (!aSlot.overSince && part > kTailOver) {
+    aSlot.overSince = aNow;
+    this->TellSuffering(aNow, aSlot, ref);
+  }
+  if (aSlot.overSince && aNow > *aSlot.overSince + kReliefUrgent) {
     aSlot.restUntil = aNow + kReliefRest;
   }
 }
 
+auto
+Cell::TellSuffering(Time aNow, const WorkerSlot& aSlot, const RunRef& aRef)
+  -> void
+{
+  const auto [place, run] = this->FindActive(aRef);
+  const auto beside = this->BesideSince(aNow, aSlot, aNow - kTailHalfLife * 2);
+  const auto expected = this->disturbance.Sum(aNow, place.image, beside);
+  this->log.Write(
+    "tail_over",
+    { { "task", ToText(aRef.task) },
+      { "worker", aSlot.entry.id.text },
+      { "tail_ms", std::to_string(run->tailNow) },
+      { "target_ms", std::to_string(place.spec->tailTarget.count()) },
+      { "load", std::to_string(place.job->load.At(aNow).mean) },
+      { "beside", std::to_string(beside.size()) },
+      { "pressure", std::to_string(expected.mean) },
+      { "variance", std::to_string(expected.variance) } });
+}
+
 // Gives each filling task the pace that the lasting ones beside it can bear,
 // first to those that disturb least.
 auto
@@ -296,8 +308,9 @@
     }
     const auto step = std::abs(percent - fill.run->pace);
     const auto bound = percent == 0 || percent == 100;
-    if (step > 0 && (step >= kPaceStep || bound) &&
-        aNow > fill.run->pacedAt + kPacePause) {
+    const auto due =
+      (step > 0 && (step >= kPaceStep || bound)) || fill.run->paceUnsure;
+    if (due && aNow > fill.run->pacedAt + kPacePause) {
       this->SetPace(aNow, fill.ref, *fill.run, percent);
     }
   }
@@ -324,6 +337,7 @@
   aRun.rested = RestOf(aRun, aNow);
   aRun.pace = aPercent;
   aRun.pacedAt = aNow;
+  aRun.paceUnsure = false;
   this->Count(CellEvent::Pace);
   this->log.Write("run_paced",
                   { { "task", ToText(aRef.task) },
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -117,6 +117,9 @@
     case CallKind::Stop:
       this->OnStopAnswer(aNow, ref, aAnswer);
       break;
+    case CallKind::Pace:
+      this->OnPaceAnswer(ref, aAnswer);
+      break;
     case CallKind::Renew:
       slot.renewals.erase(aAnswer.number);
       slot.silent = aAnswer.end != CallEnd::Done;
@@ -217,6 +220,16 @@
   this->toStop.insert(aRef);
 }
 
+auto
+Cell::OnPaceAnswer(const RunRef& aRef, const WorkerAnswer& aAnswer) -> void
+{
+  const auto [place, run] = this->FindActive(aRef);
+  if (run != nullptr && aAnswer.end != CallEnd::Done) {
+    run->paceUnsure = true;
+    run->worker->lookNow = true;
+  }
+}
+
 auto
 Cell::OnReport(Time aNow, WorkerSlot& aSlot, const WorkerAnswer& aAnswer)
   -> void
--- a/cells/src/cellview.cpp
+++ b/cells/src/cellview.cpp
@@ -41,7 +41,7 @@
     room += slot.Room();
     lasting += slot.lastingCpu;
     filling += slot.fillingCpu;
-    suffering += slot.sufferingSince ? 1 : 0;
+    suffering += slot.suffering ? 1 : 0;
   }
   auto waiting = std::int64_t{ 0 };
   auto waitingFills = std::int64_t{ 0 };
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -251,27 +251,45 @@
 }
 
 auto
-ChainFrom(const JobSpec& aSpec, std::size_t aStep) -> Millis
+CandidateOf(const Job& aJob, const Occurrence& aOccurrence) -> Candidate
 {
-  // Steps name earlier ones only, so one pass from the last step suffices.
-  auto chains = std::vector<Millis>(aSpec.steps.size());
-  for (auto step = aSpec.steps.size(); step-- > aStep;) {
-    chains[step] += aSpec.steps[step].estimate;
-    for (const auto earlier : aSpec.steps[step].after) {
-      chains[earlier] = std::max(chains[earlier], chains[step]);
+  constexpr double kWhole = 100.0;
+  // A late end is of use until so many times the objective.
+  constexpr int kLateFactor = 3;
+  auto candidate = Candidate{};
+  candidate.objective = ObjectiveOf(aJob, aOccurrence);
+  candidate.lateObjective =
+    aOccurrence.due + (candidate.objective - aOccurrence.due) * kLateFactor;
+  const auto& steps = aJob.Spec().steps;
+  auto ends = std::vector<Millis>(steps.size());
+  for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
+    const auto& progress = aOccurrence.steps[step];
+    const auto takes = std::max(progress.longest, steps[step].estimate);
+    const auto taskWork = static_cast<double>(takes.count()) *
+                          static_cast<double>(steps[step].size.cpuMillis) /
+                          1000.0;
+    auto longestLeft = 0.0;
+    for (const auto& task : progress.tasks) {
+      candidate.work += taskWork;
+      if (task.phase != TaskPhase::Open) {
+        continue;
+      }
+      auto left = 1.0;
+      for (const auto& run : task.runs) {
+        left = std::min(left, 1.0 - run.percent / kWhole);
+      }
+      candidate.workLeft += taskWork * left;
+      longestLeft = std::max(longestLeft, left);
     }
+    for (const auto earlier : steps[step].after) {
+      ends[step] = std::max(ends[step], ends[earlier]);
+    }
+    ends[step] += std::chrono::duration_cast<Millis>(
+      std::chrono::duration<double, std::milli>(
+        static_cast<double>(takes.count()) * longestLeft));
+    candidate.chainLeft = std::max(candidate.chainLeft, ends[step]);
   }
-  return chains[aStep];
-}
-
-auto
-LongestChain(const JobSpec& aSpec) -> Millis
-{
-  auto longest = Millis{ 0 };
-  for (auto step = std::size_t{ 0 }; step < aSpec.steps.size(); ++step) {
-    longest = std::max(longest, ChainFrom(aSpec, step));
-  }
-  return longest;
+  return candidate;
 }
 
 } // namespace gooseberry::cells
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -14,6 +14,7 @@
 #include "disturbance.h"
 #include "images.h"
 #include "jobspec.h"
+#include "prospects.h"
 #include "workercall.h"
 
 namespace gooseberry::cells {
@@ -109,6 +110,8 @@
   // Share of its speed that it may use, and since when.
   int pace = 100;
   Time pacedAt{};
+  // The last order on it got no answer.
+  bool paceUnsure = false;
   // Time that it was kept from working by its pace.
   Micros rested{ 0 };
   // Since when it is held to a low pace.
@@ -163,6 +166,8 @@
   std::uint32_t openSteps = 0;
   // When it became known that it is due.
   Time due{};
+  // As last judged, see prospects.h.
+  Prospect prospect = Prospect::InTime;
 };
 
 // An end that was taken note of and is not recorded yet.
@@ -255,11 +260,10 @@
 auto
 ObjectiveOf(const Job& aJob, const Occurrence& aOccurrence) -> Time;
 
-// The longest chain of work by the caller's estimates, from this step on.
+// What is left of an occurrence, by the caller's estimates and by what its
+// tasks have shown.
 auto
-ChainFrom(const JobSpec& aSpec, std::size_t aStep) -> Millis;
-auto
-LongestChain(const JobSpec& aSpec) -> Millis;
+CandidateOf(const Job& aJob, const Occurrence& aOccurrence) -> Candidate;
 
 } // namespace gooseberry::cells
 
--- /dev/null
+++ b/cells/src/prospects.cpp
@@ -0,0 +1,84 @@
+#include "prospects.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+#include <set>
+
+namespace gooseberry::cells {
+
+namespace {
+
+// Work that is left for each unit of work that its end is worth: what has begun
+// goes before what has not. Small jobs are worth a little more for their work.
+auto
+CostOf(const Candidate& aCandidate, double aMeanWork) -> double
+{
+  constexpr double kFixedPart = 0.3;
+  return aCandidate.workLeft /
+         (kFixedPart * aMeanWork + (1.0 - kFixedPart) * aCandidate.work);
+}
+
+auto
+ProspectAfter(Time aNow, const Candidate& aCandidate) -> Prospect
+{
+  return aNow + aCandidate.chainLeft <= aCandidate.lateObjective
+           ? Prospect::Late
+           : Prospect::Hopeless;
+}
+
+} // namespace
+
+auto
+ToText(Prospect aProspect) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(Prospect::Prospect_NB)>
+    kNames{ "in_time", "late", "hopeless" };
+  return kNames.at(static_cast<std::size_t>(aProspect));
+}
+
+// Moore and Hodgson's rule, weighed: jobs are added by their objectives; when
+// one can't be met, the costliest of those added is left out.
+auto
+ProspectsOf(Time aNow, double aCores, const std::vector<Candidate>& aCandidates)
+  -> std::vector<Prospect>
+{
+  auto prospects = std::vector<Prospect>(aCandidates.size(), Prospect::InTime);
+  auto order = std::vector<std::size_t>(aCandidates.size());
+  std::iota(order.begin(), order.end(), std::size_t{ 0 });
+  std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
+    return aCandidates[aLeft].objective < aCandidates[aRight].objective;
+  });
+  const auto meanWork =
+    std::accumulate(aCandidates.begin(),
+                    aCandidates.end(),
+                    0.0,
+                    [](double aSum, const Candidate& aCandidate) {
+                      return aSum + aCandidate.work;
+                    }) /
+    std::max(1.0, static_cast<double>(aCandidates.size()));
+  auto kept = std::set<std::pair<double, std::size_t>>{};
+  auto work = 0.0;
+  for (const auto index : order) {
+    const auto& candidate = aCandidates[index];
+    if (aNow + candidate.chainLeft > candidate.objective) {
+      prospects[index] = ProspectAfter(aNow, candidate);
+      continue;
+    }
+    kept.emplace(CostOf(candidate, meanWork), index);
+    work += candidate.workLeft;
+    const auto takes = std::chrono::duration_cast<Micros>(
+      std::chrono::duration<double, std::milli>(work / std::max(1.0, aCores)));
+    if (aNow + takes <= candidate.objective) {
+      continue;
+    }
+    const auto costliest = std::prev(kept.end());
+    const auto dropped = costliest->second;
+    kept.erase(costliest);
+    work -= aCandidates[dropped].workLeft;
+    prospects[dropped] = ProspectAfter(aNow, aCandidates[dropped]);
+  }
+  return prospects;
+}
+
+} // namespace gooseberry::cells
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -83,6 +83,9 @@
 // Tasks that wait for their neighbours to calm down are looked at this often.
 inline constexpr Millis kPlanAgain{ 100 };
 
+// Prospects of waiting jobs are judged this often.
+inline constexpr Millis kJudgeGap{ 100 };
+
 // Back-off of a task that failed, doubled with each failure.
 inline constexpr Millis kFailureBackoff{ 20 };
 inline constexpr Millis kFailureBackoffMax{ 2000 };
@@ -133,8 +136,12 @@
 // Paces are changed in steps of at least so many percent, and no more often.
 inline constexpr int kPaceStep = 20;
 inline constexpr Millis kPacePause{ 300 };
+// Parts of its target at which a tail counts as beyond it, and as back: reports
+// are rough by a tenth and more.
+inline constexpr double kTailOver = 0.95;
+inline constexpr double kTailBack = 0.8;
 // A tail may be beyond its target for 4 s; then everything beside it rests.
-inline constexpr Millis kReliefUrgent{ 1200 };
+inline constexpr Millis kReliefUrgent{ 1800 };
 inline constexpr Millis kReliefRest{ 700 };
 // Least expected pace with which a task is placed beside lasting ones; the
 // second one after it has waited for some time.
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -111,9 +111,10 @@
   // Pressure that each serving image there may still take, as of the newest
   // report and less what was placed there since.
   std::map<ImageId, double> slack;
-  // Since when some tail has been beyond its target, and until when all that
-  // fills rests for it.
-  std::optional<Time> sufferingSince;
+  // Some tail is beyond its target, and since when one has been about there or
+  // beyond; until when all that fills rests for it.
+  bool suffering = false;
+  std::optional<Time> overSince;
   Time restUntil{};
 
   auto Room() const -> Resources;
--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -211,3 +211,74 @@
   cr_expect_float_eq(load.At(At(0)).mean, 0.9, 0.02);
   cr_expect_float_eq(load.At(At(10)).mean, kUnknownLoad, 1e-9);
 }
+
+// Pattern: a tail hovers about its target. Rough reports that say otherwise now
+// and then must not put off the relief.
+Test(relief, a_tail_about_its_target_brings_rest_in_time)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(LastingJob("a", 2));
+  const auto serving = harness.StartAll();
+  harness.Submit(FillingJob("f", 1));
+  const auto filling = harness.StartAll();
+  cr_assert_eq(filling.size(), 1);
+  const auto begin = harness.now;
+  auto rested = false;
+  for (auto report = 0; report < 20 && !rested; ++report) {
+    harness.Advance(Millis{ 250 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      auto running = std::vector<RunReport>{};
+      for (const auto& start : serving) {
+        auto entry = RunningOf(start);
+        entry.percent = 100.0;
+        entry.measured = report % 3 == 2 ? 148.0 : 158.0;
+        running.push_back(entry);
+      }
+      running.push_back(RunningOf(filling[0]));
+      running.back().measured = 2000.0;
+      harness.Report(call, running, {});
+    }
+    for (const auto& call : harness.Calls(CallKind::Pace)) {
+      rested = rested || call.percent == 0;
+    }
+  }
+  cr_expect(rested);
+  cr_expect_lt(harness.now - begin, std::chrono::seconds{ 3 });
+}
+
+Test(relief, a_pace_whose_order_got_no_answer_is_ordered_again)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(LastingJob("a", 2));
+  const auto serving = harness.StartAll();
+  harness.Submit(FillingJob("f", 1));
+  const auto filling = harness.StartAll();
+  cr_assert_eq(filling.size(), 1);
+  auto orders = 0;
+  for (auto report = 0; report < 12 && orders < 2; ++report) {
+    harness.Advance(Millis{ 400 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      auto running = std::vector<RunReport>{};
+      for (const auto& start : serving) {
+        auto entry = RunningOf(start);
+        entry.percent = 100.0;
+        entry.measured = 600.0;
+        running.push_back(entry);
+      }
+      running.push_back(RunningOf(filling[0]));
+      running.back().measured = 2000.0;
+      harness.Report(call, running, {});
+    }
+    for (const auto& call : harness.Calls(CallKind::Pace)) {
+      if (call.percent == 0) {
+        ++orders;
+        harness.Answer(call, CallEnd::Unanswered);
+      }
+    }
+  }
+  cr_expect_eq(orders, 2);
+}
--- a/cells/tests/values_test.cpp
+++ b/cells/tests/values_test.cpp
@@ -80,15 +80,30 @@
 
 Test(jobs, the_longest_chain_follows_the_steps)
 {
-  auto spec = JobSpec{};
+  auto job = Job{};
+  auto& spec = job.row.spec;
   spec.steps.resize(4);
-  spec.steps[0].estimate = Millis{ 100 };
-  spec.steps[1].estimate = Millis{ 300 };
-  spec.steps[2].estimate = Millis{ 50 };
+  const auto estimates = { 100, 300, 50, 200 };
+  auto step = std::size_t{ 0 };
+  for (const auto estimate : estimates) {
+    spec.steps[step].tasks = 2;
+    spec.steps[step].size.cpuMillis = 1000;
+    spec.steps[step++].estimate = Millis{ estimate };
+  }
   spec.steps[2].after = { 0, 1 };
-  spec.steps[3].estimate = Millis{ 200 };
-  cr_expect_eq(LongestChain(spec).count(), 350);
-  cr_expect_eq(ChainFrom(spec, 0).count(), 150);
+  auto occurrence = NewOccurrence(spec);
+  const auto fresh = CandidateOf(job, occurrence);
+  cr_expect_eq(fresh.chainLeft.count(), 350);
+  cr_expect_float_eq(fresh.workLeft, 1300.0, 1e-6);
+  cr_expect_float_eq(fresh.work, 1300.0, 1e-6);
+  // What is done leaves the chain, what took longer than thought stays in it.
+  for (auto& task : occurrence.steps[1].tasks) {
+    task.phase = TaskPhase::Done;
+  }
+  occurrence.steps[0].longest = Millis{ 160 };
+  const auto later = CandidateOf(job, occurrence);
+  cr_expect_eq(later.chainLeft.count(), 210);
+  cr_expect_float_eq(later.workLeft, 820.0, 1e-6);
 }
 
 Test(jobs, faults_name_their_place)
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -466,6 +466,11 @@
                                if (self && self->cell && self->term == at) {
                                  self->cell->OnAnswer(self->ports.loop.Now(),
                                                       aAnswer);
+                                 if (self->cell->SeenFenced()) {
+                                   // Only a newer owner can have told it so.
+                                   self->Lose("fenced at a worker");
+                                   return;
+                                 }
                                  self->StepSoon();
                                }
                              });
@@ -509,11 +514,7 @@
       if (aOutcome.end == cells::TableEnd::Done) {
         self->cell->OnConfirmed(asked);
       }
-      if (aOutcome.end != cells::TableEnd::Done) {
-        self->ports.log.Write(
-          "record_not_written",
-          { { "end", ToText(aOutcome.end) }, { "reason", aOutcome.reason } });
-      }
+      self->NoteRecording(aOutcome);
       self->Apply(self->recorder->OnOutcome(aOutcome));
       if (self->cell && aOutcome.end == cells::TableEnd::Done) {
         self->cell->OnSilentWritten(self->recorder->Owner().silent);
@@ -521,6 +522,29 @@
     });
 }
 
+// One line when the store stops taking records, and one when it takes them.
+auto
+CellKeeper::NoteRecording(const cells::CommitOutcome& aOutcome) -> void
+{
+  const auto now = this->ports.loop.Now();
+  if (aOutcome.end != cells::TableEnd::Done) {
+    if (!this->notRecordingSince) {
+      this->notRecordingSince = now;
+      this->ports.log.Write(
+        "records_refused",
+        { { "end", ToText(aOutcome.end) }, { "reason", aOutcome.reason } });
+    }
+    return;
+  }
+  if (this->notRecordingSince) {
+    this->ports.log.Write(
+      "records_taken",
+      { { "after_ms",
+          std::to_string(ToMillis(now - *this->notRecordingSince).count()) } });
+    this->notRecordingSince.reset();
+  }
+}
+
 auto
 CellKeeper::ReadOwner() -> void
 {
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -72,6 +72,7 @@
   auto SendCalls() -> void;
   auto WriteNext() -> void;
   auto Commit(const cells::RowsCommit& aCommit) -> void;
+  auto NoteRecording(const cells::CommitOutcome& aOutcome) -> void;
   auto ReadOwner() -> void;
   auto Apply(const cells::RecorderNews& aNews) -> void;
   auto OnJobRows(const std::vector<cells::StoredRow>& aRows) -> void;
@@ -115,6 +116,7 @@
   // Grows with each takeover and loss; late answers of before are dropped.
   std::uint64_t term = 0;
   Time lastWrite{};
+  std::optional<Time> notRecordingSince;
   bool readingOwner = false;
   bool stepPosted = false;
   TimerHandle stepTimer;
