--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -67,6 +67,7 @@
   std::unique_ptr<VirtualLoop> loop;
   std::unique_ptr<InstanceTables> tables;
   std::unique_ptr<InstanceWorkers> workers;
+  fleet::FleetMetrics metrics;
   std::unique_ptr<fleet::SiteWatch> site;
   std::shared_ptr<fleet::CellKeeper> keeper;
   std::unique_ptr<fleet::Entry> entry;
@@ -428,12 +429,14 @@
                                                             *instance.tables,
                                                             *instance.workers,
                                                             *instance.site,
-                                                            *instance.log });
+                                                            *instance.log,
+                                                            instance.metrics });
   instance.entry = std::make_unique<fleet::Entry>(*instance.loop,
                                                   *instance.tables,
                                                   *instance.site,
                                                   *instance.keeper,
-                                                  *instance.log);
+                                                  *instance.log,
+                                                  instance.metrics);
   instance.site->SetOnChange(
     [raw = &instance] { raw->keeper->OnSiteChanged(); });
   instance.site->Start();
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -12,9 +12,27 @@
 {
   constexpr std::array<const char*, static_cast<int>(CellEvent::CellEvent_NB)>
     kNames{
-      "submission", "repeat",  "start",     "start_refused", "start_unanswered",
-      "done",       "failure", "lapse",     "lost",          "stop",
-      "pace",       "orphan",  "completed", "failed_job",    "cancellation"
+      "submission",
+      "repeat",
+      "start",
+      "start_refused",
+      "start_unanswered",
+      "done",
+      "failure",
+      "lapse",
+      "lost",
+      "stop",
+      "stop_cancelled",
+      "stop_failed_job",
+      "stop_beaten",
+      "stop_displaced",
+      "stop_stuck",
+      "stop_settled",
+      "pace",
+      "orphan",
+      "completed",
+      "failed_job",
+      "cancellation",
     };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
@@ -137,6 +155,29 @@
   ++this->counts[static_cast<std::size_t>(aEvent)];
 }
 
+auto
+ToText(SpanKind aKind) -> const char*
+{
+  constexpr std::array<const char*, static_cast<int>(SpanKind::SpanKind_NB)>
+    kNames{ "first_start", "place", "job" };
+  return kNames.at(static_cast<std::size_t>(aKind));
+}
+
+auto
+Cell::TakeSpans() -> std::vector<Span>
+{
+  return std::exchange(this->spans, {});
+}
+
+// What nobody takes is bounded.
+auto
+Cell::Note(SpanKind aKind, Micros aTime) -> void
+{
+  if (this->spans.size() < kMaxSpans) {
+    this->spans.push_back({ aKind, aTime });
+  }
+}
+
 auto
 Cell::Find(const TaskName& aName) -> TaskPlace
 {
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -78,6 +78,12 @@
   Lapse,
   Lost, // its worker is gone or was started anew
   Stop,
+  StopCancelled,
+  StopFailed,
+  StopBeaten,
+  StopDisplaced,
+  StopStuck,
+  StopSettled,
   Pace,
   Orphan, // a run that nobody knows of
   Completed,
@@ -89,6 +95,26 @@
 auto
 ToText(CellEvent aEvent) -> const char*;
 
+// Waits that users feel, each a histogram.
+enum class SpanKind
+{
+  FirstStart, // from a job's acceptance to its first task's start
+  Place,      // a task could start and found no place
+  Job,        // from a job's acceptance to its end
+  SpanKind_NB
+};
+
+auto
+ToText(SpanKind aKind) -> const char*;
+
+struct Span
+{
+  SpanKind kind = SpanKind::Job;
+  Micros time{ 0 };
+
+  auto operator==(const Span&) const -> bool = default;
+};
+
 using CellCounts =
   std::array<std::uint64_t, static_cast<std::size_t>(CellEvent::CellEvent_NB)>;
 
@@ -137,6 +163,8 @@
   // Of all queues that have any.
   auto Pending() const -> std::map<std::string, std::size_t>;
   auto Counts() const -> const CellCounts&;
+  // Waits that ended since the last call.
+  auto TakeSpans() -> std::vector<Span>;
   auto Workers() const -> const std::map<WorkerId, WorkerSlot>&;
   auto Jobs() const -> std::size_t;
   // A worker obeys a newer owner.
@@ -226,6 +254,7 @@
   };
 
   auto Count(CellEvent aEvent) -> void;
+  auto Note(SpanKind aKind, Micros aTime) -> void;
   auto Find(const TaskName& aName) -> TaskPlace;
   auto FindActive(const RunRef& aRef) -> std::pair<TaskPlace, Run*>;
   auto Touch(Job& aJob, bool aHasty) -> void;
@@ -240,7 +269,7 @@
   auto InheritWorker(const JobRecord::RunMark& aMark) -> WorkerSlot&;
   auto OpenOccurrences(Time aNow, Job& aJob, std::int64_t aNowUnixMs) -> void;
   // A worker has begun one of its tasks.
-  auto NoteStarted(Job& aJob) -> void;
+  auto NoteStarted(Time aNow, Job& aJob) -> void;
   auto EndTask(Time aNow, const TaskPlace& aPlace) -> void;
   auto EndJob(Time aNow, Job& aJob, JobState aState, StopReason aWhy) -> void;
   auto StopRuns(Time aNow, const TaskName& aName, Task& aTask, StopReason aWhy)
@@ -397,6 +426,7 @@
   Time loadToldAt{};
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
+  std::vector<Span> spans;
   Images images;
   Disturbance disturbance;
   // The lowest tail of each serving image, in milliseconds.
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -7,6 +7,30 @@
 
 namespace gooseberry::cells {
 
+namespace {
+
+// The event that counts stops for this reason.
+auto
+EventOf(StopReason aReason) -> CellEvent
+{
+  switch (aReason) {
+    case StopReason::JobFailed:
+      return CellEvent::StopFailed;
+    case StopReason::Beaten:
+      return CellEvent::StopBeaten;
+    case StopReason::Displaced:
+      return CellEvent::StopDisplaced;
+    case StopReason::Stuck:
+      return CellEvent::StopStuck;
+    case StopReason::Settled:
+      return CellEvent::StopSettled;
+    default:
+      return CellEvent::StopCancelled;
+  }
+}
+
+} // namespace
+
 auto
 Cell::OnJob(Time aNow, std::int64_t aNowUnixMs, const JobRow& aRow) -> void
 {
@@ -172,11 +196,14 @@
 }
 
 auto
-Cell::NoteStarted(Job& aJob) -> void
+Cell::NoteStarted(Time aNow, Job& aJob) -> void
 {
   if (aJob.state != JobState::Queued) {
     return;
   }
+  if (!aJob.Spec().Timed()) {
+    this->Note(SpanKind::FirstStart, aNow - aJob.arrivedAt);
+  }
   aJob.state = JobState::Running;
   if (!aJob.Spec().Timed()) {
     --this->pending[aJob.row.queue];
@@ -224,6 +251,9 @@
   aJob.endedAt = aNow;
   this->activeJobs.erase(aJob.Id());
   this->endedJobs.emplace(aNow + this->options.keepEnded, aJob.Id());
+  if (aState == JobState::Completed && !aJob.Spec().Timed()) {
+    this->Note(SpanKind::Job, aNow - aJob.arrivedAt);
+  }
   this->Count(aState == JobState::Completed ? CellEvent::Completed
               : aState == JobState::Failed  ? CellEvent::FailedJob
                                             : CellEvent::Cancellation);
@@ -280,6 +310,7 @@
     this->toStop.insert(aRef);
   }
   this->Count(CellEvent::Stop);
+  this->Count(EventOf(aWhy));
 }
 
 auto
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -189,6 +189,7 @@
       }
       return;
     }
+    this->Note(SpanKind::Place, aNow - *task.waitingSince);
     task.waitingSince.reset();
     this->PlanRun(
       aNow, { job.Id(), aReady.occurrence, aReady.step, index }, *slot);
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -155,7 +155,7 @@
   }
   switch (aAnswer.end) {
     case CallEnd::Done:
-      this->NoteStarted(*place.job);
+      this->NoteStarted(aNow, *place.job);
       run->phase = RunPhase::Running;
       run->since = aNow;
       run->startedAt = aNow;
@@ -303,7 +303,7 @@
   }
   if (run->phase == RunPhase::Starting || run->phase == RunPhase::Unsettled ||
       run->phase == RunPhase::Inherited) {
-    this->NoteStarted(*place.job);
+    this->NoteStarted(aNow, *place.job);
     run->phase = run->stopping == StopReason::None ? RunPhase::Running
                                                    : RunPhase::Stopping;
     run->since = aNow;
@@ -353,7 +353,7 @@
   }
   auto& job = *place.job;
   auto& task = *place.task;
-  this->NoteStarted(job);
+  this->NoteStarted(aNow, job);
   if (this->log.Follows(job.Id())) {
     this->log.Write(
       "run_ended",
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -179,6 +179,9 @@
 inline constexpr Millis kMoveCost{ 700 };
 inline constexpr int kMostMoves = 2;
 
+// Most measured waits that are kept until they are asked for.
+inline constexpr std::size_t kMaxSpans = 1000;
+
 // The load is told this often.
 inline constexpr Millis kLoadLines{ 1000 };
 
--- a/ctl/src/main.cpp
+++ b/ctl/src/main.cpp
@@ -11,6 +11,7 @@
 
 #include "benches.h"
 #include "commands.h"
+#include "trace.h"
 
 namespace {
 
@@ -23,10 +24,11 @@
   kCountOption,
   kPhaseOption,
   kWaitOption,
-  kAuthorityOption
+  kAuthorityOption,
+  kIdOption
 };
 
-constexpr std::array<option, 12> kOptions{
+constexpr std::array<option, 13> kOptions{
   { { "server", required_argument, nullptr, 's' },
     { "token-file", required_argument, nullptr, 't' },
     { "ca", required_argument, nullptr, kAuthorityOption },
@@ -36,6 +38,7 @@
     { "submission", required_argument, nullptr, kSubmissionOption },
     { "count", required_argument, nullptr, kCountOption },
     { "phase", required_argument, nullptr, kPhaseOption },
+    { "id", required_argument, nullptr, kIdOption },
     { "help", no_argument, nullptr, 'h' },
     { "version", no_argument, nullptr, 'V' },
     { nullptr, 0, nullptr, 0 } }
@@ -54,6 +57,8 @@
   }
   std::cout
     << R"(  bench NAME [OPTION]...   run a bench; 'bench help' lists them
+  trace LOGFILE... --id ID what the logs of all instances say about a job, a
+                           task or a worker, as one timeline
 
 Options:
   -s, --server HOST:PORT  administration port (default 127.0.0.1:8081)
@@ -65,6 +70,7 @@
       --submission NAME   submit: the same name submits the same tasks once
       --count N           submit: number of tasks (default 1)
       --phase PHASE       tasks: only those in this phase
+      --id ID             trace: the job, task or worker
   -h, --help              print this text and end
   -V, --version           print the version and end
 
@@ -81,6 +87,7 @@
   std::string base;
   std::string submission;
   std::string phase;
+  std::string id;
   int count = 1;
 };
 
@@ -148,6 +155,9 @@
     case kPhaseOption:
       aLine.phase = optarg;
       return std::nullopt;
+    case kIdOption:
+      aLine.id = optarg;
+      return std::nullopt;
     case 'h':
       PrintHelp();
       return ExitCode::Ok;
@@ -211,5 +221,8 @@
   if (words.empty()) {
     return static_cast<int>(*UsageError("a command is missing"));
   }
+  if (words[0] == "trace") {
+    return RunTrace({ words.begin() + 1, words.end() }, line.id);
+  }
   return static_cast<int>(RunCommand(line, words));
 }
--- /dev/null
+++ b/ctl/src/trace.cpp
@@ -0,0 +1,181 @@
+#include "trace.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fstream>
+#include <iostream>
+
+namespace gooseberry {
+
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitUsage = 2;
+
+// The value that begins at aFrom, without its quotes; moves aFrom behind it.
+auto
+ReadValue(const std::string& aText, std::size_t& aFrom) -> std::string
+{
+  auto value = std::string{};
+  if (aFrom >= aText.size() || aText[aFrom] != '"') {
+    while (aFrom < aText.size() && aText[aFrom] != ' ') {
+      value += aText[aFrom++];
+    }
+    return value;
+  }
+  for (++aFrom; aFrom < aText.size() && aText[aFrom] != '"'; ++aFrom) {
+    if (aText[aFrom] == '\\' && aFrom + 1 < aText.size()) {
+      ++aFrom;
+    }
+    value += aText[aFrom];
+  }
+  ++aFrom;
+  return value;
+}
+
+auto
+Names(const LogLine& aLine, const std::string& aId) -> bool
+{
+  return std::any_of(
+    aLine.fields.begin(), aLine.fields.end(), [&](const auto& aField) {
+      const auto& value = aField.second;
+      return value == aId ||
+             (aField.first == "task" && value.starts_with(aId + "."));
+    });
+}
+
+auto
+NumberOf(const LogLine& aLine, const char* aKey) -> long
+{
+  const auto found = aLine.fields.find(aKey);
+  auto number = 0L;
+  if (found != aLine.fields.end()) {
+    const auto& text = found->second;
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  }
+  return number;
+}
+
+auto
+FieldOf(const LogLine& aLine, const char* aKey) -> std::string
+{
+  const auto found = aLine.fields.find(aKey);
+  return found == aLine.fields.end() ? std::string{} : found->second;
+}
+
+} // namespace
+
+auto
+ParseLogLine(const std::string& aText) -> std::optional<LogLine>
+{
+  // A bench or a collector may put its own words before the line.
+  const auto begin = aText.find("time=");
+  if (begin == std::string::npos) {
+    return std::nullopt;
+  }
+  auto line = LogLine{};
+  for (auto at = begin; at < aText.size();) {
+    const auto equals = aText.find('=', at);
+    if (equals == std::string::npos) {
+      break;
+    }
+    auto key = aText.substr(at, equals - at);
+    at = equals + 1;
+    auto value = ReadValue(aText, at);
+    if (key == "time") {
+      line.time = std::move(value);
+    } else if (key == "instance") {
+      line.instance = std::move(value);
+    } else if (key == "event") {
+      line.event = std::move(value);
+    } else {
+      line.fields.emplace(std::move(key), std::move(value));
+    }
+    while (at < aText.size() && aText[at] == ' ') {
+      ++at;
+    }
+  }
+  if (line.event.empty()) {
+    return std::nullopt;
+  }
+  return line;
+}
+
+auto
+LinesAbout(std::istream& aLog, const std::string& aId) -> std::vector<LogLine>
+{
+  auto lines = std::vector<LogLine>{};
+  auto text = std::string{};
+  while (std::getline(aLog, text)) {
+    if (auto line = ParseLogLine(text); line && Names(*line, aId)) {
+      lines.push_back(std::move(*line));
+    }
+  }
+  return lines;
+}
+
+auto
+OrderLines(std::vector<LogLine> aLines) -> std::vector<LogLine>
+{
+  std::stable_sort(aLines.begin(),
+                   aLines.end(),
+                   [](const LogLine& aLeft, const LogLine& aRight) {
+                     return aLeft.time < aRight.time;
+                   });
+  // Runs of one task in their order, each line no earlier than the last one of
+  // the run before. Quadratic, over the lines of one id.
+  for (auto right = std::size_t{ 1 }; right < aLines.size(); ++right) {
+    for (auto left = std::size_t{ 0 }; left < right; ++left) {
+      const auto task = FieldOf(aLines[left], "task");
+      const auto sameTask =
+        !task.empty() && task == FieldOf(aLines[right], "task");
+      const auto cell = FieldOf(aLines[left], "cell");
+      const auto sameCell =
+        !cell.empty() && cell == FieldOf(aLines[right], "cell");
+      const auto key = sameTask ? "run" : "token";
+      if ((!sameTask && !sameCell) || NumberOf(aLines[right], key) == 0 ||
+          NumberOf(aLines[left], key) <= NumberOf(aLines[right], key)) {
+        continue;
+      }
+      std::rotate(aLines.begin() + static_cast<std::ptrdiff_t>(left),
+                  aLines.begin() + static_cast<std::ptrdiff_t>(right),
+                  aLines.begin() + static_cast<std::ptrdiff_t>(right) + 1);
+      break;
+    }
+  }
+  return aLines;
+}
+
+auto
+RunTrace(const std::vector<std::string>& aFiles, const std::string& aId) -> int
+{
+  if (aFiles.empty() || aId.empty()) {
+    std::cerr << "gooseberryctl: trace needs LOGFILE... and --id ID\n";
+    return kExitUsage;
+  }
+  auto lines = std::vector<LogLine>{};
+  for (const auto& file : aFiles) {
+    auto log = std::ifstream{ file };
+    if (!log) {
+      std::cerr << "gooseberryctl: " << file << ": cannot be read\n";
+      return kExitFailure;
+    }
+    const auto found = LinesAbout(log, aId);
+    lines.insert(lines.end(), found.begin(), found.end());
+  }
+  if (lines.empty()) {
+    std::cerr << "gooseberryctl: no line names '" << aId << "'\n";
+    return kExitFailure;
+  }
+  for (const auto& line : OrderLines(std::move(lines))) {
+    std::cout << line.time << "  " << line.instance << "  " << line.event;
+    for (const auto& [key, value] : line.fields) {
+      std::cout << ' ' << key << '=' << value;
+    }
+    std::cout << '\n';
+  }
+  return kExitOk;
+}
+
+} // namespace gooseberry
--- /dev/null
+++ b/ctl/tests/trace_test.cpp
@@ -0,0 +1,65 @@
+// One timeline from the logs of several instances.
+
+#include <sstream>
+
+#include <criterion/criterion.h>
+
+#include "trace.h"
+
+using namespace gooseberry;
+
+namespace {
+
+constexpr const char* kLog =
+  R"(   1.2 front-a time=2026-01-01T00:00:05.000 instance=a event=job_accepted job=00ff queue=q row=7 tries=1
+time=2026-01-01T00:00:05.010 instance=b event=run_planned task=00ff.0.0.1 run=1 worker=w1
+time=2026-01-01T00:00:05.020 instance=b event=run_planned task=0aff.0.0.1 run=1 worker=w1
+nothing that is a decision
+time=2026-01-01T00:00:05.500 instance=b event=run_ended task=00ff.0.0.1 run=1 how=failed reason="a \"quoted\" one"
+)";
+
+} // namespace
+
+Test(trace, finds_the_lines_of_a_job_and_of_its_tasks)
+{
+  auto log = std::istringstream{ kLog };
+  const auto lines = LinesAbout(log, "00ff");
+  cr_assert_eq(lines.size(), 3);
+  cr_expect_eq(lines[0].event, "job_accepted");
+  cr_expect_eq(lines[0].instance, "a");
+  cr_expect_eq(lines[2].fields.at("reason"), "a \"quoted\" one");
+}
+
+Test(trace, finds_the_lines_of_a_worker)
+{
+  auto log = std::istringstream{ kLog };
+  cr_expect_eq(LinesAbout(log, "w1").size(), 2);
+}
+
+// The clock of the second owner is two seconds behind.
+Test(trace, runs_go_before_clocks)
+{
+  const auto line = [](
+                      const char* aTime, const char* aEvent, const char* aRun) {
+    return *ParseLogLine(std::string{ "time=" } + aTime + " instance=x event=" +
+                         aEvent + " task=00ff.0.0.1 run=" + aRun);
+  };
+  const auto ordered = OrderLines({ line("05.000", "run_planned", "1"),
+                                    line("03.500", "run_planned", "2"),
+                                    line("05.300", "run_forgotten", "1"),
+                                    line("03.900", "run_ended", "2") });
+  cr_assert_eq(ordered.size(), 4);
+  cr_expect_eq(ordered[0].fields.at("run"), "1");
+  cr_expect_eq(ordered[1].fields.at("run"), "1");
+  cr_expect_eq(ordered[2].event, "run_planned");
+  cr_expect_eq(ordered[3].event, "run_ended");
+}
+
+Test(trace, a_later_owner_goes_after_the_earlier_one)
+{
+  const auto ordered = OrderLines(
+    { *ParseLogLine("time=01.000 instance=b event=cell_taken cell=c0 token=2"),
+      *ParseLogLine(
+        "time=02.000 instance=a event=cell_taken cell=c0 token=1") });
+  cr_expect_eq(ordered[0].fields.at("token"), "1");
+}
--- a/eventio/src/httpserver.cpp
+++ b/eventio/src/httpserver.cpp
@@ -79,6 +79,7 @@
     this->answer = {};
     this->answer.version(kHttpVersion);
     this->answer.result(static_cast<unsigned>(aStatus));
+    // JSON, unless the fields name another type.
     if (!aBody.empty()) {
       this->answer.set(http::field::content_type, "application/json");
     }
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -312,6 +312,8 @@
                           { "token", std::to_string(takeover.fencingToken) },
                           { "jobs", std::to_string(takeover.jobs.size()) },
                           { "records", std::to_string(records.size()) } });
+  this->toldCounts = {};
+  this->ports.metrics.CountOwnership("taken");
   auto options = cells::CellOptions{};
   options.leaseMax = this->settings.bounds.leaseMax;
   options.lease = this->LeaseGiven();
@@ -366,6 +368,18 @@
   return this->cell.get();
 }
 
+auto
+CellKeeper::TellMetrics() -> void
+{
+  if (!this->cell) {
+    return;
+  }
+  const auto now = this->cell->Counts();
+  this->ports.metrics.AddCounts(this->toldCounts, now);
+  this->ports.metrics.AddSpans(this->cell->TakeSpans());
+  this->toldCounts = now;
+}
+
 auto
 CellKeeper::Rows() const -> const cells::CellRows&
 {
@@ -595,6 +609,8 @@
 {
   this->ports.log.Write("cell_lost",
                         { { "cell", this->rows.cell }, { "why", aWhy } });
+  this->TellMetrics();
+  this->ports.metrics.CountOwnership(this->releasing ? "released" : "lost");
   ++this->term;
   this->cell.reset();
   this->recorder.reset();
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "cell.h"
+#include "fleetmetrics.h"
 #include "fleetsettings.h"
 #include "loop.h"
 #include "recorder.h"
@@ -28,6 +29,7 @@
   cells::WorkerPort& workers;
   SiteWatch& site;
   cells::DecisionLog& log;
+  FleetMetrics& metrics;
 };
 
 class CellKeeper : public std::enable_shared_from_this<CellKeeper>
@@ -44,6 +46,8 @@
 
   // Null unless this instance owns the cell.
   auto OwnedCell() const -> const cells::Cell*;
+  // Adds to the metrics what the owned cell did since the last call.
+  auto TellMetrics() -> void;
   auto Rows() const -> const cells::CellRows&;
   // This instance accepted the job or its cancellation itself.
   auto OnAccepted(const cells::JobRow& aRow) -> void;
@@ -110,6 +114,7 @@
   // Owning.
   std::shared_ptr<Load> load;
   std::unique_ptr<cells::Cell> cell;
+  cells::CellCounts toldCounts{};
   std::optional<cells::Recorder> recorder;
   std::shared_ptr<TableFollower> jobRows;
   std::shared_ptr<TableFollower> cancelRows;
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -4,6 +4,13 @@
 
 namespace {
 
+// What callers ask, as the metrics name it.
+constexpr const char* kAnyVerb = "any";
+constexpr const char* kSubmitVerb = "submit";
+constexpr const char* kStateVerb = "state";
+constexpr const char* kCancelVerb = "cancel";
+constexpr const char* kCountVerb = "count";
+
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
@@ -64,13 +71,28 @@
              cells::TablePort& aTables,
              SiteWatch& aSite,
              CellKeeper& aKeeper,
-             cells::DecisionLog& aLog)
+             cells::DecisionLog& aLog,
+             FleetMetrics& aMetrics)
   : loop(aLoop)
   , tables(aTables)
   , site(aSite)
   , keeper(aKeeper)
   , log(aLog)
+  , metrics(aMetrics)
+{
+}
+
+auto
+Entry::Answer(HttpExchange& aExchange,
+              const char* aVerb,
+              int aStatus,
+              const char* aReason,
+              std::string aBody,
+              HttpFields aFields) -> void
 {
+  this->metrics.CountAnswer(
+    aVerb, aStatus, aReason, this->loop.Now() - aExchange.ArrivedAt());
+  aExchange.Answer(aStatus, std::move(aBody), std::move(aFields));
 }
 
 auto
@@ -78,14 +100,23 @@
 {
   const auto config = this->site.Config();
   if (!config) {
-    aExchange->Answer(
-      kUnavailable, wire::ErrorBody("no configuration yet"), RetryAfter(1));
+    this->Answer(*aExchange,
+                 kAnyVerb,
+                 kUnavailable,
+                 "no_configuration",
+                 wire::ErrorBody("no configuration yet"),
+                 RetryAfter(1));
     return;
   }
   const auto request = wire::ReadCallerRequest(aExchange->Request());
   const auto* const queue = config->FindQueue(request.host, request.path);
   if (queue == nullptr) {
-    aExchange->Answer(kNotFound, wire::ErrorBody("no such queue"), {});
+    this->Answer(*aExchange,
+                 kAnyVerb,
+                 kNotFound,
+                 "no_queue",
+                 wire::ErrorBody("no such queue"),
+                 {});
     return;
   }
   const auto rest = request.path.substr(queue->pathPrefix.size());
@@ -96,13 +127,21 @@
   }
   const auto job = cells::JobId::Parse(rest);
   if (verb == wire::CallerVerb::Unknown) {
-    aExchange->Answer(kNotAllowed, wire::ErrorBody("method not known"), {});
+    this->Answer(*aExchange,
+                 kAnyVerb,
+                 kNotAllowed,
+                 "method",
+                 wire::ErrorBody("method not known"),
+                 {});
     return;
   }
   if (!job) {
-    aExchange->Answer(kBadRequest,
-                      wire::ErrorBody("a job's name is 16 hexadecimal digits"),
-                      {});
+    this->Answer(*aExchange,
+                 kAnyVerb,
+                 kBadRequest,
+                 "job_name",
+                 wire::ErrorBody("a job's name is 16 hexadecimal digits"),
+                 {});
     return;
   }
   if (verb == wire::CallerVerb::Submit) {
@@ -133,7 +172,12 @@
   if (!spec) {
     this->log.Write("job_refused",
                     { { "job", aJob.Text() }, { "reason", reason } });
-    aExchange->Answer(kBadRequest, wire::ErrorBody(reason), {});
+    this->Answer(*aExchange,
+                 kSubmitVerb,
+                 kBadRequest,
+                 "malformed",
+                 wire::ErrorBody(reason),
+                 {});
     return;
   }
   auto submission = std::make_shared<Submission>();
@@ -186,13 +230,13 @@
                         { "queue", aSubmission->row.queue.text },
                         { "row", std::to_string(aOutcome.version) },
                         { "tries", std::to_string(aSubmission->tries) } });
-      this->AnswerSubmission(*aSubmission, kOk, "{}", {});
+      this->AnswerSubmission(*aSubmission, kOk, "accepted", "{}", {});
       this->keeper.OnAccepted(aSubmission->row);
       return;
     case cells::TableEnd::Conflict:
       // An earlier try of the same job was written.
       this->log.Write("job_known", { { "job", job.Text() } });
-      this->AnswerSubmission(*aSubmission, kOk, "{}", {});
+      this->AnswerSubmission(*aSubmission, kOk, "known", "{}", {});
       return;
     case cells::TableEnd::Unknown:
       aSubmission->mayBeStored = true;
@@ -224,11 +268,13 @@
   if (aSubmission.mayBeStored) {
     this->AnswerSubmission(aSubmission,
                            kGatewayTimeout,
+                           "store_silent",
                            wire::ErrorBody("the store did not answer"),
                            {});
   } else {
     this->AnswerSubmission(aSubmission,
                            kUnavailable,
+                           "store_refuses",
                            wire::ErrorBody("the store takes nothing"),
                            RetryAfter(1));
   }
@@ -237,12 +283,18 @@
 auto
 Entry::AnswerSubmission(Submission& aSubmission,
                         int aStatus,
+                        const char* aReason,
                         std::string aBody,
                         HttpFields aFields) -> void
 {
   aSubmission.answered = true;
   aSubmission.timer.reset();
-  aSubmission.exchange->Answer(aStatus, std::move(aBody), std::move(aFields));
+  this->Answer(*aSubmission.exchange,
+               kSubmitVerb,
+               aStatus,
+               aReason,
+               std::move(aBody),
+               std::move(aFields));
 }
 
 auto
@@ -251,7 +303,12 @@
   if (const auto* const cell = this->keeper.OwnedCell()) {
     if (const auto* const job = cell->FindJob(aQuestion->job)) {
       auto state = IsFinal(job->state) ? job->recorded : job->state;
-      aQuestion->exchange->Answer(kOk, wire::StateBody(state), {});
+      this->Answer(*aQuestion->exchange,
+                   kStateVerb,
+                   kOk,
+                   ToText(state),
+                   wire::StateBody(state),
+                   {});
       return;
     }
   }
@@ -262,24 +319,28 @@
 Entry::ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void
 {
   const auto key = this->keeper.Rows().Record(aQuestion->job);
-  this->tables.Read(
-    { key.table, key.part, key.key, key.key + "!" },
-    kCallTimeout,
-    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-      if (aOutcome.end != cells::TableEnd::Done) {
-        this->RetryQuestion(aQuestion, &Entry::ReadRecord);
-        return;
-      }
-      auto reason = std::string{};
-      if (!aOutcome.rows.empty()) {
-        if (const auto record =
-              cells::DecodeRecord(aOutcome.rows.front().value, reason)) {
-          aQuestion->exchange->Answer(kOk, wire::StateBody(record->state), {});
-          return;
-        }
-      }
-      this->ReadSubmission(aQuestion);
-    });
+  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
+                    kCallTimeout,
+                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
+                      if (aOutcome.end != cells::TableEnd::Done) {
+                        this->RetryQuestion(aQuestion, &Entry::ReadRecord);
+                        return;
+                      }
+                      auto reason = std::string{};
+                      if (!aOutcome.rows.empty()) {
+                        if (const auto record = cells::DecodeRecord(
+                              aOutcome.rows.front().value, reason)) {
+                          this->Answer(*aQuestion->exchange,
+                                       kStateVerb,
+                                       kOk,
+                                       ToText(record->state),
+                                       wire::StateBody(record->state),
+                                       {});
+                          return;
+                        }
+                      }
+                      this->ReadSubmission(aQuestion);
+                    });
 }
 
 auto
@@ -292,11 +353,19 @@
                       if (aOutcome.end != cells::TableEnd::Done) {
                         this->RetryQuestion(aQuestion, &Entry::ReadSubmission);
                       } else if (aOutcome.rows.empty()) {
-                        aQuestion->exchange->Answer(
-                          kGone, wire::ErrorBody("no such job"), {});
+                        this->Answer(*aQuestion->exchange,
+                                     kStateVerb,
+                                     kGone,
+                                     "no_job",
+                                     wire::ErrorBody("no such job"),
+                                     {});
                       } else {
-                        aQuestion->exchange->Answer(
-                          kOk, wire::StateBody(cells::JobState::Queued), {});
+                        this->Answer(*aQuestion->exchange,
+                                     kStateVerb,
+                                     kOk,
+                                     ToText(cells::JobState::Queued),
+                                     wire::StateBody(cells::JobState::Queued),
+                                     {});
                       }
                     });
 }
@@ -307,9 +376,12 @@
   -> void
 {
   if (this->loop.Now() + kTryAgain >= aQuestion->deadline) {
-    aQuestion->exchange->Answer(kUnavailable,
-                                wire::ErrorBody("the store does not answer"),
-                                RetryAfter(1));
+    this->Answer(*aQuestion->exchange,
+                 kStateVerb,
+                 kUnavailable,
+                 "store_silent",
+                 wire::ErrorBody("the store does not answer"),
+                 RetryAfter(1));
     return;
   }
   aQuestion->timer = this->loop.After(
@@ -326,8 +398,12 @@
                       if (aOutcome.end != cells::TableEnd::Done) {
                         this->RetryQuestion(aQuestion, &Entry::Cancel);
                       } else if (aOutcome.rows.empty()) {
-                        aQuestion->exchange->Answer(
-                          kGone, wire::ErrorBody("no such job"), {});
+                        this->Answer(*aQuestion->exchange,
+                                     kCancelVerb,
+                                     kGone,
+                                     "no_job",
+                                     wire::ErrorBody("no such job"),
+                                     {});
                       } else {
                         this->WriteCancel(aQuestion);
                       }
@@ -347,7 +423,8 @@
         return;
       }
       this->log.Write("job_cancelled", { { "job", aQuestion->job.Text() } });
-      aQuestion->exchange->Answer(kOk, "{}", {});
+      this->Answer(
+        *aQuestion->exchange, kCancelVerb, kOk, "cancelled", "{}", {});
       this->keeper.OnCancelled(aQuestion->job);
     });
 }
@@ -357,7 +434,12 @@
                     const cells::Queue& aQueue) -> void
 {
   if (const auto* const cell = this->keeper.OwnedCell()) {
-    aExchange->Answer(kOk, wire::PendingBody(cell->PendingIn(aQueue.id)), {});
+    this->Answer(*aExchange,
+                 kCountVerb,
+                 kOk,
+                 "owner",
+                 wire::PendingBody(cell->PendingIn(aQueue.id)),
+                 {});
     return;
   }
   if (this->pendingAt && this->loop.Now() < *this->pendingAt + kPendingAge) {
@@ -393,21 +475,26 @@
         if (row || this->pendingAt) {
           this->AnswerPending(*exchange, queue);
         } else {
-          exchange->Answer(kUnavailable,
-                           wire::ErrorBody("the count is not known"),
-                           RetryAfter(1));
+          this->Answer(*exchange,
+                       kCountVerb,
+                       kUnavailable,
+                       "store_silent",
+                       wire::ErrorBody("the count is not known"),
+                       RetryAfter(1));
         }
       }
     });
 }
 
 auto
-Entry::AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) const
-  -> void
+Entry::AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void
 {
   const auto found = this->pending.find(aQueue.text);
-  aExchange.Answer(
+  this->Answer(
+    aExchange,
+    kCountVerb,
     kOk,
+    "read",
     wire::PendingBody(found == this->pending.end() ? 0 : found->second),
     {});
 }
--- a/fleet/src/entry.h
+++ b/fleet/src/entry.h
@@ -21,7 +21,8 @@
         cells::TablePort& aTables,
         SiteWatch& aSite,
         CellKeeper& aKeeper,
-        cells::DecisionLog& aLog);
+        cells::DecisionLog& aLog,
+        FleetMetrics& aMetrics);
 
   auto Handle(std::shared_ptr<HttpExchange> aExchange) -> void;
 
@@ -29,6 +30,13 @@
   struct Submission;
   struct Question;
 
+  // Answers and counts the answer with its reason.
+  auto Answer(HttpExchange& aExchange,
+              const char* aVerb,
+              int aStatus,
+              const char* aReason,
+              std::string aBody,
+              HttpFields aFields) -> void;
   auto Submit(std::shared_ptr<HttpExchange> aExchange,
               const wire::CallerRequest& aRequest,
               const cells::Queue& aQueue,
@@ -39,6 +47,7 @@
   auto GiveUp(Submission& aSubmission) -> void;
   auto AnswerSubmission(Submission& aSubmission,
                         int aStatus,
+                        const char* aReason,
                         std::string aBody,
                         HttpFields aFields) -> void;
   auto AskState(const std::shared_ptr<Question>& aQuestion) -> void;
@@ -52,14 +61,14 @@
   auto CountPending(const std::shared_ptr<HttpExchange>& aExchange,
                     const cells::Queue& aQueue) -> void;
   auto ReadPending() -> void;
-  auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) const
-    -> void;
+  auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void;
 
   Loop& loop;
   cells::TablePort& tables;
   SiteWatch& site;
   CellKeeper& keeper;
   cells::DecisionLog& log;
+  FleetMetrics& metrics;
   // What the cell's owner last told, and when it was asked.
   std::map<std::string, std::size_t> pending;
   std::optional<Time> pendingAt;
--- a/fleet/src/fleetinstance.cpp
+++ b/fleet/src/fleetinstance.cpp
@@ -14,6 +14,7 @@
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
 constexpr const char* kTheCell = "c0";
+constexpr const char* kMetricsPath = "/metrics";
 // The balancer needs two looks, a second apart, to stop sending new
 // connections.
 constexpr Millis kBalancerLag{ 2300 };
@@ -25,7 +26,9 @@
 
 FleetInstance::FleetInstance(FleetSettings aSettings)
   : settings(std::move(aSettings))
-  , log(this->settings.instance)
+  , log(this->settings.instance,
+        LogLimits{ this->settings.logLinesPerSecond,
+                   this->settings.logShareOfJobs })
 {
 }
 
@@ -40,17 +43,28 @@
               "' is not ADDRESS:PORT";
     return false;
   }
-  this->tables = std::make_unique<wire::WireTables>(this->loop, *store);
-  this->workers = std::make_unique<wire::WireWorkers>(this->loop);
+  this->wireTables = std::make_unique<wire::WireTables>(this->loop, *store);
+  this->wireWorkers = std::make_unique<wire::WireWorkers>(this->loop);
+  this->tables = std::make_unique<MeteredTables>(
+    *this->wireTables, this->loop, this->metrics);
+  this->workers = std::make_unique<MeteredWorkers>(
+    *this->wireWorkers, this->loop, this->metrics);
   this->site =
     std::make_unique<SiteWatch>(this->loop, *this->tables, this->log);
-  this->keeper = std::make_shared<CellKeeper>(
-    this->settings,
-    kTheCell,
-    KeeperPorts{
-      this->loop, *this->tables, *this->workers, *this->site, this->log });
-  this->entry = std::make_unique<Entry>(
-    this->loop, *this->tables, *this->site, *this->keeper, this->log);
+  this->keeper = std::make_shared<CellKeeper>(this->settings,
+                                              kTheCell,
+                                              KeeperPorts{ this->loop,
+                                                           *this->tables,
+                                                           *this->workers,
+                                                           *this->site,
+                                                           this->log,
+                                                           this->metrics });
+  this->entry = std::make_unique<Entry>(this->loop,
+                                        *this->tables,
+                                        *this->site,
+                                        *this->keeper,
+                                        this->log,
+                                        this->metrics);
   this->site->SetOnChange([this] {
     if (const auto config = this->site->Config()) {
       auto limits = HttpServerLimits{};
@@ -74,8 +88,19 @@
       aExchange->Answer(this->Ready() ? kOk : kUnavailable, "", {});
     }
   };
+  const auto metrics = [this](const std::shared_ptr<HttpExchange>& aExchange) {
+    if (aExchange->Request().target != kMetricsPath) {
+      aExchange->Answer(kNotFound, "", {});
+    } else {
+      this->TellMetrics();
+      aExchange->Answer(
+        kOk, this->metrics.Text(), { { "Content-Type", "text/plain" } });
+    }
+  };
   if (!this->Listen(this->callers, this->settings.callers, handle, aReason) ||
-      !this->Listen(this->ready, this->settings.ready, tell, aReason)) {
+      !this->Listen(this->ready, this->settings.ready, tell, aReason) ||
+      !this->Listen(
+        this->metricsPort, this->settings.metrics, metrics, aReason)) {
     return false;
   }
   this->WatchSignals();
@@ -153,6 +178,26 @@
   return !this->stopping && this->site->Config() != nullptr;
 }
 
+auto
+FleetInstance::TellMetrics() -> void
+{
+  this->keeper->TellMetrics();
+  const auto* const cell = this->keeper->OwnedCell();
+  const auto config = this->site->Config();
+  const auto set = [this](const char* aName, auto aValue) {
+    this->metrics.Set(aName, static_cast<double>(aValue));
+  };
+  set("owned_cells", cell == nullptr ? 0 : 1);
+  set("jobs", cell == nullptr ? 0 : cell->Jobs());
+  set("workers", cell == nullptr ? 0 : cell->Workers().size());
+  set("config_version", config ? config->version : 0);
+  set("caller_connections", this->callers->Connections());
+  set("unanswered", this->callers->Unanswered());
+  set("worker_connections_opened", this->wireWorkers->Opened());
+  set("log_lines_dropped", this->log.Dropped());
+  set("ready", this->Ready() ? 1 : 0);
+}
+
 auto
 FleetInstance::Shutdown() -> void
 {
--- a/fleet/src/fleetinstance.h
+++ b/fleet/src/fleetinstance.h
@@ -42,17 +42,22 @@
   auto Shutdown() -> void;
   auto EndWhenIdle() -> void;
   auto Ready() const -> bool;
+  auto TellMetrics() -> void;
 
   const FleetSettings settings;
   FleetLog log;
   EventLoop loop;
-  std::unique_ptr<wire::WireTables> tables;
-  std::unique_ptr<wire::WireWorkers> workers;
+  FleetMetrics metrics;
+  std::unique_ptr<wire::WireTables> wireTables;
+  std::unique_ptr<wire::WireWorkers> wireWorkers;
+  std::unique_ptr<cells::TablePort> tables;
+  std::unique_ptr<cells::WorkerPort> workers;
   std::unique_ptr<SiteWatch> site;
   std::shared_ptr<CellKeeper> keeper;
   std::unique_ptr<Entry> entry;
   std::shared_ptr<HttpServer> callers;
   std::shared_ptr<HttpServer> ready;
+  std::shared_ptr<HttpServer> metricsPort;
   std::shared_ptr<void> signals;
   bool stopping = false;
   bool released = false;
--- a/fleet/src/fleetlog.cpp
+++ b/fleet/src/fleetlog.cpp
@@ -1,5 +1,9 @@
 #include "fleetlog.h"
 
+#include <algorithm>
+#include <array>
+#include <string_view>
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -10,7 +14,7 @@
 namespace {
 
 // Lines that may wait for the writer; some hundred kilobytes at most.
-constexpr std::size_t kMaxQueued = 200000;
+constexpr std::size_t kMaxQueued = 4000;
 // An empty line asks the writer to end.
 const std::string kEnd;
 
@@ -31,6 +35,16 @@
   return text + "\"";
 }
 
+// Events of which a job has many; refusals, losses and ends of jobs are not.
+auto
+IsStepOfJob(std::string_view aEvent) -> bool
+{
+  constexpr std::array<std::string_view, 4> kSteps{
+    "run_planned", "start_answered", "run_ended", "run_paced"
+  };
+  return std::find(kSteps.begin(), kSteps.end(), aEvent) != kSteps.end();
+}
+
 auto
 MakeLogger() -> log4cxx::LoggerPtr
 {
@@ -48,8 +62,48 @@
 
 } // namespace
 
-FleetLog::FleetLog(std::string aInstance)
+LogBudget::LogBudget(LogLimits aLimits)
+  : limits(aLimits)
+{
+}
+
+auto
+LogBudget::Follows(const cells::JobId& aJob) const -> bool
+{
+  constexpr std::uint64_t kParts = 10000;
+  return static_cast<double>(aJob.Hash() % kParts) <
+         this->limits.shareOfJobs * static_cast<double>(kParts);
+}
+
+auto
+LogBudget::Take(Time aNow, bool aOfJob) -> bool
+{
+  if (aNow >= this->second + std::chrono::seconds{ 1 }) {
+    this->second = aNow;
+    this->taken = 0;
+    this->leftOutBefore += std::exchange(this->leftOut, 0);
+  }
+  // The last fifth is for lines that are not about one step of one job.
+  constexpr std::int64_t kParts = 5;
+  const auto room = this->limits.linesPerSecond -
+                    (aOfJob ? this->limits.linesPerSecond / kParts : 0);
+  if (this->taken >= room) {
+    ++this->leftOut;
+    return false;
+  }
+  ++this->taken;
+  return true;
+}
+
+auto
+LogBudget::TakeLeftOut() -> std::uint64_t
+{
+  return std::exchange(this->leftOutBefore, 0);
+}
+
+FleetLog::FleetLog(std::string aInstance, LogLimits aLimits)
   : instance(std::move(aInstance))
+  , budget(aLimits)
 {
   this->lines.set_capacity(kMaxQueued);
   this->writer = std::thread([this] { this->Run(); });
@@ -62,15 +116,24 @@
 }
 
 auto
-FleetLog::Follows(const cells::JobId& /*aJob*/) const -> bool
+FleetLog::Follows(const cells::JobId& aJob) const -> bool
 {
-  return true;
+  return this->budget.Follows(aJob);
 }
 
 auto
 FleetLog::Write(const char* aEvent,
                 std::initializer_list<cells::DecisionField> aFields) -> void
 {
+  const auto now = std::chrono::floor<Micros>(std::chrono::steady_clock::now());
+  if (!this->budget.Take(now, IsStepOfJob(aEvent))) {
+    this->dropped.fetch_add(1, std::memory_order_relaxed);
+    return;
+  }
+  if (const auto leftOut = this->budget.TakeLeftOut(); leftOut > 0) {
+    this->Put("instance=" + this->instance +
+              " event=lines_left_out lines=" + std::to_string(leftOut));
+  }
   auto line = std::string{ "instance=" } + this->instance + " event=" + aEvent;
   for (const auto& field : aFields) {
     line += ' ';
@@ -78,7 +141,13 @@
     line += '=';
     line += Quoted(field.value);
   }
-  if (!this->lines.try_push(std::move(line))) {
+  this->Put(std::move(line));
+}
+
+auto
+FleetLog::Put(std::string aLine) -> void
+{
+  if (!this->lines.try_push(std::move(aLine))) {
     this->dropped.fetch_add(1, std::memory_order_relaxed);
   }
 }
--- a/fleet/src/fleetlog.h
+++ b/fleet/src/fleetlog.h
@@ -11,13 +11,46 @@
 #include <oneapi/tbb/concurrent_queue.h>
 
 #include "decisionlog.h"
+#include "types.h"
 
 namespace gooseberry::fleet {
 
+struct LogLimits
+{
+  std::int64_t linesPerSecond = 2000;
+  // Of the jobs that are followed, from 0 to 1.
+  double shareOfJobs = 1.0;
+
+  auto operator==(const LogLimits&) const -> bool = default;
+};
+
+// How many lines of each second are written: whole jobs are left out first, and
+// the rest of the budget is kept for everything else.
+class LogBudget
+{
+public:
+  explicit LogBudget(LogLimits aLimits);
+
+  // By its id alone, so that all instances follow the same jobs.
+  auto Follows(const cells::JobId& aJob) const -> bool;
+  // Takes a line; false if this second has no room left for it. aOfJob: the
+  // line tells one of many steps of a job.
+  auto Take(Time aNow, bool aOfJob) -> bool;
+  // Lines left out in the second before, once for each second.
+  auto TakeLeftOut() -> std::uint64_t;
+
+private:
+  const LogLimits limits;
+  Time second{};
+  std::int64_t taken = 0;
+  std::uint64_t leftOut = 0;
+  std::uint64_t leftOutBefore = 0;
+};
+
 class FleetLog : public cells::DecisionLog
 {
 public:
-  explicit FleetLog(std::string aInstance);
+  FleetLog(std::string aInstance, LogLimits aLimits);
   FleetLog(const FleetLog&) = delete;
   auto operator=(const FleetLog&) -> FleetLog& = delete;
   // Writes what is queued, for a moment at most.
@@ -33,7 +66,10 @@
 private:
   auto Run() -> void;
 
+  auto Put(std::string aLine) -> void;
+
   const std::string instance;
+  LogBudget budget;
   tbb::concurrent_bounded_queue<std::string> lines;
   std::atomic<std::uint64_t> dropped = 0;
   std::thread writer;
--- /dev/null
+++ b/fleet/src/fleetmetrics.cpp
@@ -0,0 +1,230 @@
+#include "fleetmetrics.h"
+
+#include <prometheus/text_serializer.h>
+
+namespace gooseberry::fleet {
+
+namespace {
+
+using prometheus::BuildCounter;
+using prometheus::BuildGauge;
+using prometheus::BuildHistogram;
+using prometheus::Histogram;
+
+// In seconds: from an answer on the same rack to a job of minutes.
+const Histogram::BucketBoundaries kBuckets{ 0.002, 0.005, 0.01, 0.02, 0.05,
+                                            0.1,   0.2,   0.5,  1.0,  2.0,
+                                            5.0,   10.0,  30.0, 100.0 };
+
+auto
+Seconds(Micros aTime) -> double
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+FleetMetrics::FleetMetrics()
+  : registry(std::make_shared<prometheus::Registry>())
+  , storeCalls(BuildCounter()
+                 .Name("gooseberry_store_calls_total")
+                 .Help("Calls to the platform's store, by kind and outcome")
+                 .Register(*this->registry))
+  , storeSeconds(BuildHistogram()
+                   .Name("gooseberry_store_call_seconds")
+                   .Help("Time from a call to the store to its answer")
+                   .Register(*this->registry))
+  , workerCalls(BuildCounter()
+                  .Name("gooseberry_worker_calls_total")
+                  .Help("Calls to workers, by kind and outcome")
+                  .Register(*this->registry))
+  , workerSeconds(BuildHistogram()
+                    .Name("gooseberry_worker_call_seconds")
+                    .Help("Time from a call to a worker to its answer")
+                    .Register(*this->registry))
+  , answers(BuildCounter()
+              .Name("gooseberry_answers_total")
+              .Help("Answers to callers, by what they asked and why")
+              .Register(*this->registry))
+  , answerSeconds(BuildHistogram()
+                    .Name("gooseberry_answer_seconds")
+                    .Help("Time from a request's first byte to its answer")
+                    .Register(*this->registry))
+  , events(BuildCounter()
+             .Name("gooseberry_cell_events_total")
+             .Help("Starts, ends, stops, losses and their like in owned cells")
+             .Register(*this->registry))
+  , spans(BuildHistogram()
+            .Name("gooseberry_job_seconds")
+            .Help("Waits of jobs and tasks in owned cells, by kind")
+            .Register(*this->registry))
+  , ownership(BuildCounter()
+                .Name("gooseberry_ownership_changes_total")
+                .Help("Cells taken, lost and released by this instance")
+                .Register(*this->registry))
+  , gauges(BuildGauge()
+             .Name("gooseberry_state")
+             .Help("What this instance holds at present, by name")
+             .Register(*this->registry))
+{
+}
+
+auto
+FleetMetrics::CountStoreCall(const char* aKind,
+                             cells::TableEnd aEnd,
+                             Micros aTook) -> void
+{
+  this->storeCalls.Add({ { "kind", aKind }, { "end", ToText(aEnd) } })
+    .Increment();
+  this->storeSeconds.Add({ { "kind", aKind } }, kBuckets)
+    .Observe(Seconds(aTook));
+}
+
+auto
+FleetMetrics::CountWorkerCall(cells::CallKind aKind,
+                              cells::CallEnd aEnd,
+                              Micros aTook) -> void
+{
+  this->workerCalls.Add({ { "kind", ToText(aKind) }, { "end", ToText(aEnd) } })
+    .Increment();
+  this->workerSeconds.Add({ { "kind", ToText(aKind) } }, kBuckets)
+    .Observe(Seconds(aTook));
+}
+
+auto
+FleetMetrics::CountAnswer(const char* aVerb,
+                          int aStatus,
+                          const char* aReason,
+                          Micros aTook) -> void
+{
+  this->answers
+    .Add({ { "verb", aVerb },
+           { "status", std::to_string(aStatus) },
+           { "reason", aReason } })
+    .Increment();
+  this->answerSeconds.Add({ { "verb", aVerb } }, kBuckets)
+    .Observe(Seconds(aTook));
+}
+
+auto
+FleetMetrics::AddCounts(const cells::CellCounts& aBefore,
+                        const cells::CellCounts& aAfter) -> void
+{
+  for (auto event = std::size_t{ 0 }; event < aAfter.size(); ++event) {
+    if (aAfter[event] > aBefore[event]) {
+      this->events
+        .Add({ { "event", ToText(static_cast<cells::CellEvent>(event)) } })
+        .Increment(static_cast<double>(aAfter[event] - aBefore[event]));
+    }
+  }
+}
+
+auto
+FleetMetrics::AddSpans(const std::vector<cells::Span>& aSpans) -> void
+{
+  for (const auto& span : aSpans) {
+    this->spans.Add({ { "kind", ToText(span.kind) } }, kBuckets)
+      .Observe(Seconds(span.time));
+  }
+}
+
+auto
+FleetMetrics::CountOwnership(const char* aChange) -> void
+{
+  this->ownership.Add({ { "change", aChange } }).Increment();
+}
+
+auto
+FleetMetrics::Set(const char* aName, double aValue) -> void
+{
+  this->gauges.Add({ { "name", aName } }).Set(aValue);
+}
+
+auto
+FleetMetrics::Text() -> std::string
+{
+  return prometheus::TextSerializer{}.Serialize(this->registry->Collect());
+}
+
+MeteredTables::MeteredTables(cells::TablePort& aTables,
+                             const Clock& aClock,
+                             FleetMetrics& aMetrics)
+  : tables(aTables)
+  , clock(aClock)
+  , metrics(aMetrics)
+{
+}
+
+auto
+MeteredTables::Commit(const cells::RowsCommit& aCommit,
+                      Millis aTimeout,
+                      std::function<void(cells::CommitOutcome)> aDone) -> void
+{
+  this->tables.Commit(aCommit,
+                      aTimeout,
+                      [this,
+                       asked = this->clock.Now(),
+                       done = std::move(aDone)](cells::CommitOutcome aOutcome) {
+                        this->metrics.CountStoreCall(
+                          "commit", aOutcome.end, this->clock.Now() - asked);
+                        done(std::move(aOutcome));
+                      });
+}
+
+auto
+MeteredTables::Read(const cells::RowsRange& aRange,
+                    Millis aTimeout,
+                    std::function<void(cells::RowsOutcome)> aDone) -> void
+{
+  this->tables.Read(aRange,
+                    aTimeout,
+                    [this, asked = this->clock.Now(), done = std::move(aDone)](
+                      cells::RowsOutcome aOutcome) {
+                      this->metrics.CountStoreCall(
+                        "read", aOutcome.end, this->clock.Now() - asked);
+                      done(std::move(aOutcome));
+                    });
+}
+
+auto
+MeteredTables::Feed(const std::string& aTable,
+                    std::uint64_t aAfter,
+                    Millis aPatience,
+                    std::function<void(cells::FeedOutcome)> aDone) -> void
+{
+  this->tables.Feed(aTable,
+                    aAfter,
+                    aPatience,
+                    [this, asked = this->clock.Now(), done = std::move(aDone)](
+                      cells::FeedOutcome aOutcome) {
+                      this->metrics.CountStoreCall(
+                        "feed", aOutcome.end, this->clock.Now() - asked);
+                      done(std::move(aOutcome));
+                    });
+}
+
+MeteredWorkers::MeteredWorkers(cells::WorkerPort& aWorkers,
+                               const Clock& aClock,
+                               FleetMetrics& aMetrics)
+  : workers(aWorkers)
+  , clock(aClock)
+  , metrics(aMetrics)
+{
+}
+
+auto
+MeteredWorkers::Call(const cells::WorkerCall& aCall,
+                     std::function<void(cells::WorkerAnswer)> aDone) -> void
+{
+  this->workers.Call(aCall,
+                     [this,
+                      kind = aCall.kind,
+                      asked = this->clock.Now(),
+                      done = std::move(aDone)](cells::WorkerAnswer aAnswer) {
+                       this->metrics.CountWorkerCall(
+                         kind, aAnswer.end, this->clock.Now() - asked);
+                       done(std::move(aAnswer));
+                     });
+}
+
+} // namespace gooseberry::fleet
--- /dev/null
+++ b/fleet/src/fleetmetrics.h
@@ -0,0 +1,104 @@
+#ifndef GOOSEBERRY_FLEETMETRICS_H
+#define GOOSEBERRY_FLEETMETRICS_H
+
+// Counters and latency histograms of one instance, by prometheus-cpp, and ports
+// that count what goes through them. Belongs to the event loop.
+
+#include <memory>
+#include <string>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include "cell.h"
+#include "loop.h"
+#include "tableport.h"
+#include "workerport.h"
+
+namespace gooseberry::fleet {
+
+class FleetMetrics
+{
+public:
+  FleetMetrics();
+
+  // aKind: commit, read or feed.
+  auto CountStoreCall(const char* aKind, cells::TableEnd aEnd, Micros aTook)
+    -> void;
+  auto CountWorkerCall(cells::CallKind aKind, cells::CallEnd aEnd, Micros aTook)
+    -> void;
+  // aVerb and aReason name what a caller asked and why it got this answer.
+  auto CountAnswer(const char* aVerb,
+                   int aStatus,
+                   const char* aReason,
+                   Micros aTook) -> void;
+  // Adds what a cell's counts grew by.
+  auto AddCounts(const cells::CellCounts& aBefore,
+                 const cells::CellCounts& aAfter) -> void;
+  auto AddSpans(const std::vector<cells::Span>& aSpans) -> void;
+  auto CountOwnership(const char* aChange) -> void;
+  auto Set(const char* aName, double aValue) -> void;
+  // In the text format of Prometheus.
+  auto Text() -> std::string;
+
+private:
+  std::shared_ptr<prometheus::Registry> registry;
+  prometheus::Family<prometheus::Counter>& storeCalls;
+  prometheus::Family<prometheus::Histogram>& storeSeconds;
+  prometheus::Family<prometheus::Counter>& workerCalls;
+  prometheus::Family<prometheus::Histogram>& workerSeconds;
+  prometheus::Family<prometheus::Counter>& answers;
+  prometheus::Family<prometheus::Histogram>& answerSeconds;
+  prometheus::Family<prometheus::Counter>& events;
+  prometheus::Family<prometheus::Histogram>& spans;
+  prometheus::Family<prometheus::Counter>& ownership;
+  prometheus::Family<prometheus::Gauge>& gauges;
+};
+
+// Counts the calls to the store and how long they took.
+class MeteredTables : public cells::TablePort
+{
+public:
+  MeteredTables(cells::TablePort& aTables,
+                const Clock& aClock,
+                FleetMetrics& aMetrics);
+
+  auto Commit(const cells::RowsCommit& aCommit,
+              Millis aTimeout,
+              std::function<void(cells::CommitOutcome)> aDone) -> void override;
+  auto Read(const cells::RowsRange& aRange,
+            Millis aTimeout,
+            std::function<void(cells::RowsOutcome)> aDone) -> void override;
+  auto Feed(const std::string& aTable,
+            std::uint64_t aAfter,
+            Millis aPatience,
+            std::function<void(cells::FeedOutcome)> aDone) -> void override;
+
+private:
+  cells::TablePort& tables;
+  const Clock& clock;
+  FleetMetrics& metrics;
+};
+
+// Counts the calls to workers and how long they took.
+class MeteredWorkers : public cells::WorkerPort
+{
+public:
+  MeteredWorkers(cells::WorkerPort& aWorkers,
+                 const Clock& aClock,
+                 FleetMetrics& aMetrics);
+
+  auto Call(const cells::WorkerCall& aCall,
+            std::function<void(cells::WorkerAnswer)> aDone) -> void override;
+
+private:
+  cells::WorkerPort& workers;
+  const Clock& clock;
+  FleetMetrics& metrics;
+};
+
+} // namespace gooseberry::fleet
+
+#endif
--- a/fleet/src/fleetsettings.cpp
+++ b/fleet/src/fleetsettings.cpp
@@ -71,7 +71,10 @@
     map.Integer("max_descriptors", settings.maxDescriptors, 64, kMaxRate);
   settings.cloud = map.String("cloud", "");
   settings.advice = map.String("advice", "");
-  settings.logLevel = map.String("log_level", settings.logLevel);
+  settings.logLinesPerSecond = map.Integer(
+    "log_lines_per_second", settings.logLinesPerSecond, 1, kMaxRate);
+  settings.logShareOfJobs =
+    map.Number("log_share_of_jobs", settings.logShareOfJobs, 0.0, 1.0);
   if (auto store = map.Map("store")) {
     settings.store = ReadStore(*store);
   } else {
--- a/fleet/src/fleetsettings.h
+++ b/fleet/src/fleetsettings.h
@@ -61,7 +61,11 @@
   std::string cloud;
   std::string advice;
   BoundSettings bounds;
-  std::string logLevel = "info";
+  // Most lines a second; lines of refusals, losses and the like go first.
+  std::int64_t logLinesPerSecond = 2000;
+  // Share of the jobs whose every decision is told, from 0 to 1; the same jobs
+  // on all instances.
+  double logShareOfJobs = 1.0;
 
   auto operator==(const FleetSettings&) const -> bool = default;
 };
--- a/fleet/tests/fleet_test.cpp
+++ b/fleet/tests/fleet_test.cpp
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "fleetlog.h"
+#include "fleetmetrics.h"
 #include "fleetsettings.h"
 
 using namespace gooseberry;
@@ -78,3 +80,58 @@
                 std::string::npos);
   cr_expect_neq(fault("instance: a\n").key.find("store"), std::string::npos);
 }
+
+Test(log, lines_of_jobs_make_room_for_what_matters_more)
+{
+  auto budget = LogBudget{ { 10, 1.0 } };
+  const auto now = Time{ std::chrono::seconds{ 5 } };
+  auto written = 0;
+  for (auto line = 0; line < 20; ++line) {
+    written += budget.Take(now, true) ? 1 : 0;
+  }
+  cr_expect_eq(written, 8);
+  cr_expect(budget.Take(now, false));
+  cr_expect(budget.Take(now, false));
+  cr_expect_not(budget.Take(now, false));
+  // The next second has room again, and tells what was left out.
+  cr_expect_eq(budget.TakeLeftOut(), 0);
+  cr_expect(budget.Take(now + std::chrono::seconds{ 1 }, true));
+  cr_expect_eq(budget.TakeLeftOut(), 13);
+  cr_expect_eq(budget.TakeLeftOut(), 0);
+}
+
+Test(log, all_instances_follow_the_same_share_of_jobs)
+{
+  const auto one = LogBudget{ { 10, 0.25 } };
+  const auto other = LogBudget{ { 1000, 0.25 } };
+  auto followed = 0;
+  for (auto number = 0; number < 1000; ++number) {
+    auto text = std::to_string(number);
+    text.insert(0, cells::JobId::kDigits - text.size(), '0');
+    const auto job = *cells::JobId::Parse(text);
+    cr_expect_eq(one.Follows(job), other.Follows(job));
+    followed += one.Follows(job) ? 1 : 0;
+  }
+  cr_expect(followed > 180 && followed < 320, "%d", followed);
+}
+
+Test(metrics, count_by_reason)
+{
+  auto metrics = FleetMetrics{};
+  metrics.CountAnswer("submit", 503, "store_refuses", Millis{ 30 });
+  metrics.CountStoreCall("commit", cells::TableEnd::Refused, Millis{ 3 });
+  auto counts = cells::CellCounts{};
+  counts[static_cast<std::size_t>(cells::CellEvent::StopDisplaced)] = 3;
+  metrics.AddCounts({}, counts);
+  const auto text = metrics.Text();
+  cr_expect_neq(
+    text.find(
+      R"(gooseberry_answers_total{reason="store_refuses",status="503",verb="submit"} 1)"),
+    std::string::npos);
+  cr_expect_neq(
+    text.find(R"(gooseberry_store_calls_total{end="refused",kind="commit"} 1)"),
+    std::string::npos);
+  cr_expect_neq(
+    text.find(R"(gooseberry_cell_events_total{event="stop_displaced"} 3)"),
+    std::string::npos);
+}
