Cells by racks, drawn owners, a layout and loads told through one part of the store

Cause: one cell and one owner, drawn by who came first, for the whole fleet. Change: racks are dealt to cells of some 400 workers (cell_workers), each with racks of several failure domains; each cell has four candidates by weighted rendezvous of processor shares, which step in one after the other; a job's row lies by its id alone and names its cell, chosen by its data, else by room and backlog. Only candidates watch an owner's row.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -69,7 +69,8 @@
   std::unique_ptr<InstanceWorkers> workers;
   fleet::FleetMetrics metrics;
   std::unique_ptr<fleet::SiteWatch> site;
-  std::shared_ptr<fleet::CellKeeper> keeper;
+  std::shared_ptr<fleet::FleetView> view;
+  std::shared_ptr<fleet::CellBoard> board;
   std::unique_ptr<fleet::Entry> entry;
   // Everything of dead processes, for calls that are still on their way.
   std::vector<std::shared_ptr<void>> graveyard;
@@ -362,6 +363,7 @@
   for (auto number = 0; number < aOptions.instances; ++number) {
     auto instance = std::make_unique<Instance>();
     instance->settings.instance = "entry-" + std::to_string(number);
+    instance->settings.cellWorkers = this->options.cellWorkers;
     instance->log = std::make_unique<TraceLog>(
       this->queue, this->options.trace, instance->settings.instance);
     this->instances.push_back(std::move(instance));
@@ -422,25 +424,29 @@
   instance.workers = std::make_unique<InstanceWorkers>(*this, instance);
   instance.site = std::make_unique<fleet::SiteWatch>(
     *instance.loop, *instance.tables, *instance.log);
-  instance.keeper =
-    std::make_shared<fleet::CellKeeper>(instance.settings,
-                                        "c0",
-                                        fleet::KeeperPorts{ *instance.loop,
-                                                            *instance.tables,
-                                                            *instance.workers,
-                                                            *instance.site,
-                                                            *instance.log,
-                                                            instance.metrics });
+  instance.view = std::make_shared<fleet::FleetView>(
+    instance.settings, *instance.loop, *instance.tables, *instance.log);
+  instance.board =
+    std::make_shared<fleet::CellBoard>(instance.settings,
+                                       fleet::KeeperPorts{ *instance.loop,
+                                                           *instance.tables,
+                                                           *instance.workers,
+                                                           *instance.site,
+                                                           *instance.view,
+                                                           *instance.log,
+                                                           instance.metrics });
   instance.entry = std::make_unique<fleet::Entry>(*instance.loop,
                                                   *instance.tables,
                                                   *instance.site,
-                                                  *instance.keeper,
+                                                  *instance.board,
+                                                  *instance.view,
                                                   *instance.log,
                                                   instance.metrics);
   instance.site->SetOnChange(
-    [raw = &instance] { raw->keeper->OnSiteChanged(); });
+    [raw = &instance] { raw->board->OnSiteChanged(); });
   instance.site->Start();
-  instance.keeper->Start();
+  instance.view->Start([raw = &instance] { return raw->board->OwnLoads(); },
+                       [raw = &instance] { raw->board->OnViewChanged(); });
 }
 
 auto
@@ -458,7 +464,8 @@
         std::move(aPart)));
   };
   bury(instance.entry);
-  bury(instance.keeper);
+  bury(instance.board);
+  bury(instance.view);
   bury(instance.site);
   bury(instance.workers);
   bury(instance.tables);
@@ -499,7 +506,7 @@
   for (auto number = 0; number < this->options.instances; ++number) {
     const auto& instance =
       *this->instances.at(static_cast<std::size_t>(number));
-    if (instance.keeper && instance.keeper->OwnedCell() != nullptr) {
+    if (instance.board && !instance.board->OwnedCells().empty()) {
       return number;
     }
   }
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "cellkeeper.h"
+#include "cellboard.h"
 #include "entry.h"
 #include "fleetsettings.h"
 #include "jobjudge.h"
@@ -47,6 +47,8 @@
   int instances = 3;
   int workers = 12;
   int domains = 3;
+  // Workers of a cell.
+  std::size_t cellWorkers = 400;
   std::uint64_t seed = 1;
 };
 
--- a/bench/src/jobsbench.cpp
+++ b/bench/src/jobsbench.cpp
@@ -305,6 +305,12 @@
   auto options = FleetWorldOptions{};
   options.seed = aSeed;
   options.trace = aTrace;
+  // Each third fleet has two cells or three.
+  constexpr std::uint64_t kEach = 3;
+  constexpr std::size_t kSmallCell = 4;
+  if (aSeed % kEach == 0) {
+    options.cellWorkers = kSmallCell;
+  }
   auto world = FleetWorld{ options };
   auto result = JobsResult{ aSeed };
   world.RunFor(kSettle);
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -18,6 +18,7 @@
 #include "decisionlog.h"
 #include "disturbance.h"
 #include "job.h"
+#include "layout.h"
 #include "site.h"
 #include "workercall.h"
 #include "workerslot.h"
@@ -162,6 +163,8 @@
   auto PendingIn(const QueueId& aQueue) const -> std::size_t;
   // Of all queues that have any.
   auto Pending() const -> std::map<std::string, std::size_t>;
+  // What other instances are told of the cell.
+  auto Load() const -> CellLoad;
   auto Counts() const -> const CellCounts&;
   // Waits that ended since the last call.
   auto TakeSpans() -> std::vector<Span>;
--- a/cells/src/cellview.cpp
+++ b/cells/src/cellview.cpp
@@ -19,6 +19,36 @@
 
 } // namespace
 
+auto
+Cell::Load() const -> CellLoad
+{
+  auto load = CellLoad{};
+  load.fencingToken = this->fencingToken;
+  load.pending = this->Pending();
+  auto labels = std::set<std::string>{};
+  for (const auto& [id, slot] : this->workers) {
+    if (!this->MayTake(Time::max(), slot)) {
+      continue;
+    }
+    load.capacity[slot.entry.service.text] += slot.entry.capacity.cpuMillis;
+    load.room += slot.Room().cpuMillis;
+    labels.insert(slot.entry.labels.begin(), slot.entry.labels.end());
+    labels.erase(slot.entry.Rack());
+  }
+  load.labels.assign(labels.begin(), labels.end());
+  auto work = 0.0;
+  for (const auto& [id, job] : this->activeJobs) {
+    if (job->Spec().Lasting()) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job->occurrences) {
+      work += CandidateOf(*job, occurrence).workLeft;
+    }
+  }
+  load.backlog = static_cast<std::int64_t>(work);
+  return load;
+}
+
 auto
 Cell::TellLoad(Time aNow) -> void
 {
--- a/cells/src/jobspec.cpp
+++ b/cells/src/jobspec.cpp
@@ -158,7 +158,8 @@
                               { "t", aRow.policy.target.count() },
                               { "pl", aRow.spec.payload },
                               { "st", std::move(steps) },
-                              { "at", aRow.acceptedUnixMs } };
+                              { "at", aRow.acceptedUnixMs },
+                              { "ce", aRow.cell } };
   if (aRow.policy.advised) {
     json["ad"] = true;
   }
@@ -193,6 +194,7 @@
     row.policy.advised = json.value("ad", false);
     json.at("pl").get_to(row.spec.payload);
     json.at("at").get_to(row.acceptedUnixMs);
+    json.at("ce").get_to(row.cell);
     for (const auto& step : json.at("st")) {
       row.spec.steps.push_back(StepFromJson(step));
     }
--- a/cells/src/jobspec.h
+++ b/cells/src/jobspec.h
@@ -95,6 +95,8 @@
   JobSpec spec;
   // Time of day of the accepting instance.
   std::int64_t acceptedUnixMs = 0;
+  // The cell that runs it, chosen when it was accepted.
+  std::string cell = "c0";
 
   auto operator==(const JobRow&) const -> bool = default;
 };
--- a/cells/src/ownerrow.cpp
+++ b/cells/src/ownerrow.cpp
@@ -10,7 +10,6 @@
                                                 fencingToken,
                                                 batch,
                                                 beat,
-                                                pending,
                                                 leaseMs,
                                                 silent,
                                                 released)
--- a/cells/src/ownerrow.h
+++ b/cells/src/ownerrow.h
@@ -24,8 +24,6 @@
   std::uint64_t batch = 0;
   // Grows while nothing else is written, so that others see it alive.
   std::uint64_t beat = 0;
-  // Jobs of each queue for which nothing was started yet; none if absent.
-  std::map<std::string, std::size_t> pending;
   // Leases that this owner gives to workers.
   std::int64_t leaseMs = 0;
   // Workers that do not answer, and the time on the store's steady clock by
--- a/cells/src/recorder.cpp
+++ b/cells/src/recorder.cpp
@@ -4,6 +4,18 @@
 
 namespace gooseberry::cells {
 
+namespace {
+
+const std::string kPartPrefix = "in-";
+
+auto
+PartOf(const JobId& aJob) -> std::string
+{
+  return kPartPrefix + std::to_string(aJob.Hash() % CellRows::kCallerParts);
+}
+
+} // namespace
+
 auto
 CellRows::Owner() const -> RowKey
 {
@@ -23,33 +35,27 @@
 }
 
 auto
-CellRows::Submission(const JobId& aJob) const -> RowKey
+CellRows::Submission(const JobId& aJob) -> RowKey
 {
-  return { kSubmissionTable, this->PartOf(aJob), aJob.Text() };
+  return { kSubmissionTable, PartOf(aJob), aJob.Text() };
 }
 
 auto
-CellRows::Cancellation(const JobId& aJob) const -> RowKey
+CellRows::Cancellation(const JobId& aJob) -> RowKey
 {
-  return { kCancellationTable, this->PartOf(aJob), aJob.Text() };
+  return { kCancellationTable, PartOf(aJob), aJob.Text() };
 }
 
 auto
-CellRows::CallerParts() const -> std::vector<std::string>
+CellRows::CallerParts() -> std::vector<std::string>
 {
   auto parts = std::vector<std::string>{};
   for (auto number = std::size_t{ 0 }; number < kCallerParts; ++number) {
-    parts.push_back(this->cell + "-in-" + std::to_string(number));
+    parts.push_back(kPartPrefix + std::to_string(number));
   }
   return parts;
 }
 
-auto
-CellRows::PartOf(const JobId& aJob) const -> std::string
-{
-  return this->cell + "-in-" + std::to_string(aJob.Hash() % kCallerParts);
-}
-
 Recorder::Recorder(CellRows aRows, OwnerRow aOwner, std::uint64_t aVersion)
   : rows(std::move(aRows))
   , owner(std::move(aOwner))
@@ -57,12 +63,6 @@
 {
 }
 
-auto
-Recorder::SetPending(std::map<std::string, std::size_t> aPending) -> void
-{
-  this->owner.pending = std::move(aPending);
-}
-
 auto
 Recorder::SetSilent(std::map<std::string, std::int64_t> aSilent) -> void
 {
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -22,11 +22,12 @@
   auto Owner() const -> RowKey;
   auto Record(const JobId& aJob) const -> RowKey;
   auto RecordRange() const -> RowsRange;
-  // Rows of submitted jobs and of cancellations, written by any instance.
-  auto Submission(const JobId& aJob) const -> RowKey;
-  auto Cancellation(const JobId& aJob) const -> RowKey;
+  // Rows of submitted jobs and of cancellations, written by any instance. They
+  // lie by the job's id alone, so that an id names one job whatever the cell.
+  static auto Submission(const JobId& aJob) -> RowKey;
+  static auto Cancellation(const JobId& aJob) -> RowKey;
   // The parts of both tables.
-  auto CallerParts() const -> std::vector<std::string>;
+  static auto CallerParts() -> std::vector<std::string>;
 
   // A part takes one transaction after the other: a store that is 24 times
   // slower than usual takes 5 a second in one part, callers bring up to 30.
@@ -35,9 +36,6 @@
   static constexpr const char* kRecordTable = "record";
   static constexpr const char* kSubmissionTable = "job";
   static constexpr const char* kCancellationTable = "cancel";
-
-private:
-  auto PartOf(const JobId& aJob) const -> std::string;
 };
 
 // What became known of batches.
@@ -61,8 +59,7 @@
   // aVersion: of the owner's row as the takeover wrote it.
   Recorder(CellRows aRows, OwnerRow aOwner, std::uint64_t aVersion);
 
-  // Told to other instances with the next transaction.
-  auto SetPending(std::map<std::string, std::size_t> aPending) -> void;
+  // Told to a later owner with the next transaction.
   auto SetSilent(std::map<std::string, std::int64_t> aSilent) -> void;
   // The transaction for a batch; only one may be under way.
   auto Write(const RecordBatch& aBatch) -> RowsCommit;
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -179,6 +179,24 @@
 inline constexpr Millis kMoveCost{ 700 };
 inline constexpr int kMostMoves = 2;
 
+// Workers of a cell. Room is shared within a cell only, so cells are as large
+// as one owner can serve: 350 workers and 600 starts a second took 0.1 of a
+// core. The same site in 7 cells of 50 was worth 0.53 instead of 0.68.
+inline constexpr std::size_t kCellWorkers = 400;
+
+// Instances write their own row, and read all rows, this often.
+inline constexpr Millis kMemberBeat{ 2500 };
+// Longer gaps between two readings do not count against anybody.
+inline constexpr Millis kMemberReadGap{ 3000 };
+// A member whose row did not change for so long is gone: two beats were missed.
+inline constexpr Millis kMemberSilence{ 7000 };
+// Instances that may own a cell: all but one of them may be lost at once.
+inline constexpr std::size_t kCandidates = 4;
+// An owner has at least this part of the mean share of a processor, and larger
+// shares win by their third power: an owner that lags holds up a whole cell.
+inline constexpr double kLeastOwnerShare = 0.8;
+inline constexpr double kOwnerSharePower = 3.0;
+
 // Most measured waits that are kept until they are asked for.
 inline constexpr std::size_t kMaxSpans = 1000;
 
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -7,6 +7,8 @@
 // How often the owner's row is looked at, and how long it may stay unchanged.
 constexpr Millis kWatchInterval{ 400 };
 constexpr Millis kOwnerSilence{ 1500 };
+// Instances step in one after the other, by their rank.
+constexpr Millis kRankDelay{ 300 };
 // An owner with nothing to record shows this often that it is alive.
 constexpr Millis kBeatInterval{ 500 };
 // Lease that workers are given: longer ones outlive longer cuts and outages,
@@ -68,6 +70,15 @@
   if (this->releasing || this->recorder || this->taking) {
     return;
   }
+  const auto mine =
+    this->ports.view.Members().RankOf(this->settings.instance, this->rows.cell);
+  if (!mine) {
+    // Others look after it.
+    this->seenAt = this->ports.loop.Now();
+    this->Later(this->watchTimer, kWatchInterval, &CellKeeper::Watch);
+    return;
+  }
+  this->rank = *mine;
   const auto owner = this->rows.Owner();
   this->ports.tables.Read(
     { owner.table, owner.part, "", "" },
@@ -90,8 +101,13 @@
     return;
   }
   if (aOutcome.rows.empty()) {
-    this->earlier.reset();
-    this->TakeOver(0, 1);
+    if (this->seenAt == Time{}) {
+      this->seenAt = now;
+    }
+    if (now >= this->seenAt + this->Patience(true)) {
+      this->earlier.reset();
+      this->TakeOver(0, 1);
+    }
     return;
   }
   const auto& row = aOutcome.rows.front();
@@ -107,12 +123,19 @@
   }
   // A row with the own name is of an earlier life of this process.
   const auto ownEarlier = owner->owner.text == this->settings.instance;
-  if (owner->released || ownEarlier || now > this->seenAt + kOwnerSilence) {
+  if (ownEarlier || now >= this->seenAt + this->Patience(owner->released)) {
     this->earlier = owner;
     this->TakeOver(row.version, owner->fencingToken + 1);
   }
 }
 
+auto
+CellKeeper::Patience(bool aReleased) const -> Millis
+{
+  const auto turn = kRankDelay * static_cast<Millis::rep>(this->rank);
+  return aReleased ? turn : kOwnerSilence + turn;
+}
+
 auto
 CellKeeper::TakeOver(std::uint64_t aVersion, std::uint64_t aToken) -> void
 {
@@ -126,7 +149,6 @@
   owner.leaseMs = this->LeaseGiven().count();
   if (this->earlier) {
     // Not known better before the records are read.
-    owner.pending = this->earlier->pending;
     owner.silent = this->earlier->silent;
   }
   auto commit = cells::RowsCommit{};
@@ -209,7 +231,7 @@
 {
   this->ports.site.FollowWorkers(true);
   this->load = std::make_shared<Load>();
-  const auto parts = this->rows.CallerParts();
+  const auto parts = cells::CellRows::CallerParts();
   this->load->missing = 1 + 2 * static_cast<int>(parts.size());
   this->ReadInto(this->rows.RecordRange(), &Load::records);
   for (const auto& part : parts) {
@@ -297,13 +319,17 @@
                             { { "job", row.key.key }, { "reason", reason } });
       continue;
     }
+    if (job->cell != this->rows.cell) {
+      continue;
+    }
     const auto record = records.find(row.key.key);
     takeover.jobs.emplace_back(
       std::move(*job),
       record == records.end() ? std::nullopt : std::optional{ record->second });
   }
   for (const auto& row : loaded->cancellations) {
-    if (const auto id = cells::JobId::Parse(row.key.key)) {
+    const auto id = cells::JobId::Parse(row.key.key);
+    if (id && row.value == this->rows.cell) {
       takeover.cancelled.push_back(*id);
     }
   }
@@ -327,7 +353,7 @@
       this->ports.loop,
       this->ports.tables,
       FollowerOptions{
-        aTable, this->rows.CallerParts(), kJobPatience, Millis{ 0 } },
+        aTable, cells::CellRows::CallerParts(), kJobPatience, Millis{ 0 } },
       this->ports.log,
       [weak = this->weak_from_this(),
        aHandler](const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
@@ -357,11 +383,24 @@
   this->cell->OnConfig(this->ports.site.Config());
   this->cell->OnEvacuations(now, this->ports.site.Evacuated());
   if (this->ports.site.WorkersKnown()) {
-    this->cell->OnWorkers(now, this->ports.site.Workers());
+    this->cell->OnWorkers(now, this->OwnWorkers());
   }
   this->StepSoon();
 }
 
+auto
+CellKeeper::OwnWorkers() const -> cells::WorkerTable
+{
+  const auto& layout = this->ports.view.Layout();
+  auto own = cells::WorkerTable{};
+  for (const auto& [id, worker] : this->ports.site.Workers()) {
+    if (layout && layout->CellOf(worker) == this->rows.cell) {
+      own.emplace(id, worker);
+    }
+  }
+  return own;
+}
+
 auto
 CellKeeper::OwnedCell() const -> const cells::Cell*
 {
@@ -414,7 +453,9 @@
     }
     auto reason = std::string{};
     if (const auto job = cells::DecodeJobRow(row.value, reason)) {
-      this->OnAccepted(*job);
+      if (job->cell == this->rows.cell) {
+        this->OnAccepted(*job);
+      }
     } else {
       this->ports.log.Write("job_unreadable",
                             { { "job", row.key.key }, { "reason", reason } });
@@ -427,7 +468,7 @@
 {
   for (const auto& row : aRows) {
     const auto id = cells::JobId::Parse(row.key.key);
-    if (row.version != 0 && id) {
+    if (row.version != 0 && id && row.value == this->rows.cell) {
       this->OnCancelled(*id);
     }
   }
@@ -502,7 +543,6 @@
     return;
   }
   const auto now = this->ports.loop.Now();
-  this->recorder->SetPending(this->cell->Pending());
   this->recorder->SetSilent(this->SilentForRow());
   if (const auto batch = this->cell->NextBatch(now)) {
     this->Commit(this->recorder->Write(*batch));
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -13,6 +13,7 @@
 #include "cell.h"
 #include "fleetmetrics.h"
 #include "fleetsettings.h"
+#include "fleetview.h"
 #include "loop.h"
 #include "recorder.h"
 #include "sitewatch.h"
@@ -28,6 +29,7 @@
   cells::TablePort& tables;
   cells::WorkerPort& workers;
   SiteWatch& site;
+  FleetView& view;
   cells::DecisionLog& log;
   FleetMetrics& metrics;
 };
@@ -59,6 +61,9 @@
   // Watching.
   auto Watch() -> void;
   auto OnOwnerRow(const cells::RowsOutcome& aOutcome) -> void;
+  // How long the owner's row must be as it is before this instance steps in.
+  auto Patience(bool aReleased) const -> Millis;
+  auto OwnWorkers() const -> cells::WorkerTable;
   auto TakeOver(std::uint64_t aVersion, std::uint64_t aToken) -> void;
   auto LoadRecords() -> void;
   auto ReadInto(const cells::RowsRange& aRange,
@@ -108,6 +113,8 @@
   std::optional<cells::OwnerRow> earlier;
   std::uint64_t seenVersion = 0;
   Time seenAt{};
+  bool seenReleased = false;
+  std::size_t rank = 0;
   bool taking = false;
   TimerHandle watchTimer;
 
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -35,6 +35,8 @@
 constexpr double kSubmissionPart = 0.42;
 // A count may be this old, besides the owner's own beat.
 constexpr Millis kPendingAge{ 700 };
+// Jobs whose cell is remembered; callers ask for a job's state many times.
+constexpr std::size_t kNotedJobs = 4000;
 
 auto
 RetryAfter(int aSeconds) -> HttpFields
@@ -65,18 +67,21 @@
   cells::JobId job;
   Time deadline{};
   TimerHandle timer;
+  bool cancels = false;
 };
 
 Entry::Entry(Loop& aLoop,
              cells::TablePort& aTables,
              SiteWatch& aSite,
-             CellKeeper& aKeeper,
+             CellBoard& aBoard,
+             FleetView& aView,
              cells::DecisionLog& aLog,
              FleetMetrics& aMetrics)
   : loop(aLoop)
   , tables(aTables)
   , site(aSite)
-  , keeper(aKeeper)
+  , board(aBoard)
+  , view(aView)
   , log(aLog)
   , metrics(aMetrics)
 {
@@ -190,6 +195,16 @@
   submission->row = {
     aJob, aQueue.id, aQueue.policy, std::move(*spec), this->loop.UnixMillis()
   };
+  const auto& layout = this->view.Layout();
+  const auto cell =
+    layout ? cells::ChooseCell(*layout, this->view.Loads(), submission->row)
+           : std::nullopt;
+  if (!cell) {
+    submission->reason = "no worker was seen yet";
+    this->GiveUp(*submission);
+    return;
+  }
+  submission->row.cell = *cell;
   submission->bytes = cells::EncodeJobRow(submission->row);
   this->WriteJob(submission);
 }
@@ -199,7 +214,7 @@
 {
   ++aSubmission->tries;
   ++aSubmission->underWay;
-  const auto key = this->keeper.Rows().Submission(aSubmission->row.id);
+  const auto key = cells::CellRows::Submission(aSubmission->row.id);
   this->tables.Commit(
     { { { key, 0 } }, { { key, aSubmission->bytes } }, {} },
     ToMillis(aSubmission->giveUpAt - this->loop.Now()),
@@ -231,7 +246,8 @@
                         { "row", std::to_string(aOutcome.version) },
                         { "tries", std::to_string(aSubmission->tries) } });
       this->AnswerSubmission(*aSubmission, kOk, "accepted", "{}", {});
-      this->keeper.OnAccepted(aSubmission->row);
+      this->NoteCell(job, aSubmission->row.cell);
+      this->board.OnAccepted(aSubmission->row);
       return;
     case cells::TableEnd::Conflict:
       // An earlier try of the same job was written.
@@ -300,74 +316,120 @@
 auto
 Entry::AskState(const std::shared_ptr<Question>& aQuestion) -> void
 {
-  if (const auto* const cell = this->keeper.OwnedCell()) {
-    if (const auto* const job = cell->FindJob(aQuestion->job)) {
-      auto state = IsFinal(job->state) ? job->recorded : job->state;
-      this->Answer(*aQuestion->exchange,
-                   kStateVerb,
-                   kOk,
-                   ToText(state),
-                   wire::StateBody(state),
-                   {});
-      return;
-    }
+  if (const auto* const job = this->board.FindJob(aQuestion->job)) {
+    this->AnswerState(*aQuestion,
+                      IsFinal(job->state) ? job->recorded : job->state);
+    return;
+  }
+  if (this->CellOf(aQuestion->job)) {
+    this->ReadRecord(aQuestion);
+  } else {
+    this->ReadSubmission(aQuestion);
   }
-  this->ReadRecord(aQuestion);
 }
 
 auto
-Entry::ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void
+Entry::AnswerState(Question& aQuestion, cells::JobState aState) -> void
 {
-  const auto key = this->keeper.Rows().Record(aQuestion->job);
-  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
-                    kCallTimeout,
-                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-                      if (aOutcome.end != cells::TableEnd::Done) {
-                        this->RetryQuestion(aQuestion, &Entry::ReadRecord);
-                        return;
-                      }
-                      auto reason = std::string{};
-                      if (!aOutcome.rows.empty()) {
-                        if (const auto record = cells::DecodeRecord(
-                              aOutcome.rows.front().value, reason)) {
-                          this->Answer(*aQuestion->exchange,
-                                       kStateVerb,
-                                       kOk,
-                                       ToText(record->state),
-                                       wire::StateBody(record->state),
-                                       {});
-                          return;
-                        }
-                      }
-                      this->ReadSubmission(aQuestion);
-                    });
+  this->Answer(*aQuestion.exchange,
+               kStateVerb,
+               kOk,
+               ToText(aState),
+               wire::StateBody(aState),
+               {});
 }
 
+// The row of the job tells its cell.
 auto
 Entry::ReadSubmission(const std::shared_ptr<Question>& aQuestion) -> void
 {
-  const auto key = this->keeper.Rows().Submission(aQuestion->job);
-  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
-                    kCallTimeout,
-                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-                      if (aOutcome.end != cells::TableEnd::Done) {
-                        this->RetryQuestion(aQuestion, &Entry::ReadSubmission);
-                      } else if (aOutcome.rows.empty()) {
-                        this->Answer(*aQuestion->exchange,
-                                     kStateVerb,
-                                     kGone,
-                                     "no_job",
-                                     wire::ErrorBody("no such job"),
-                                     {});
-                      } else {
-                        this->Answer(*aQuestion->exchange,
-                                     kStateVerb,
-                                     kOk,
-                                     ToText(cells::JobState::Queued),
-                                     wire::StateBody(cells::JobState::Queued),
-                                     {});
-                      }
-                    });
+  this->ReadRow(cells::CellRows::Submission(aQuestion->job),
+                aQuestion,
+                &Entry::ReadSubmission,
+                [this, aQuestion](const std::string* aRow) {
+                  auto reason = std::string{};
+                  if (aRow == nullptr) {
+                    this->Answer(*aQuestion->exchange,
+                                 aQuestion->cancels ? kCancelVerb : kStateVerb,
+                                 kGone,
+                                 "no_job",
+                                 wire::ErrorBody("no such job"),
+                                 {});
+                  } else if (const auto row =
+                               cells::DecodeJobRow(*aRow, reason)) {
+                    this->NoteCell(aQuestion->job, row->cell);
+                    if (aQuestion->cancels) {
+                      this->WriteCancel(aQuestion);
+                    } else {
+                      this->ReadRecord(aQuestion);
+                    }
+                  } else {
+                    this->log.Write("job_unreadable",
+                                    { { "job", aQuestion->job.Text() },
+                                      { "reason", reason } });
+                    this->AnswerState(*aQuestion, cells::JobState::Queued);
+                  }
+                });
+}
+
+auto
+Entry::ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void
+{
+  const auto rows =
+    cells::CellRows{ this->CellOf(aQuestion->job).value_or("") };
+  this->ReadRow(
+    rows.Record(aQuestion->job),
+    aQuestion,
+    &Entry::ReadRecord,
+    [this, aQuestion](const std::string* aRow) {
+      auto reason = std::string{};
+      const auto record =
+        aRow == nullptr ? std::nullopt : cells::DecodeRecord(*aRow, reason);
+      this->AnswerState(*aQuestion,
+                        record ? record->state : cells::JobState::Queued);
+    });
+}
+
+// aThen gets the row's value, null if there is no row; aAgain is tried later if
+// the store does not answer.
+auto
+Entry::ReadRow(const cells::RowKey& aKey,
+               const std::shared_ptr<Question>& aQuestion,
+               void (Entry::*aAgain)(const std::shared_ptr<Question>&),
+               std::function<void(const std::string*)> aThen) -> void
+{
+  this->tables.Read(
+    { aKey.table, aKey.part, aKey.key, aKey.key + "!" },
+    kCallTimeout,
+    [this, aQuestion, aAgain, then = std::move(aThen)](
+      const cells::RowsOutcome& aOutcome) {
+      if (aOutcome.end != cells::TableEnd::Done) {
+        this->RetryQuestion(aQuestion, aAgain);
+      } else {
+        then(aOutcome.rows.empty() ? nullptr : &aOutcome.rows.front().value);
+      }
+    });
+}
+
+auto
+Entry::NoteCell(const cells::JobId& aJob, const std::string& aCell) -> void
+{
+  if (!this->cellsOfJobs.insert_or_assign(aJob, aCell).second) {
+    return;
+  }
+  this->notedJobs.push_back(aJob);
+  if (this->notedJobs.size() > kNotedJobs) {
+    this->cellsOfJobs.erase(this->notedJobs.front());
+    this->notedJobs.pop_front();
+  }
+}
+
+auto
+Entry::CellOf(const cells::JobId& aJob) const -> std::optional<std::string>
+{
+  const auto found = this->cellsOfJobs.find(aJob);
+  return found == this->cellsOfJobs.end() ? std::nullopt
+                                          : std::optional{ found->second };
 }
 
 auto
@@ -391,33 +453,23 @@
 auto
 Entry::Cancel(const std::shared_ptr<Question>& aQuestion) -> void
 {
-  const auto key = this->keeper.Rows().Submission(aQuestion->job);
-  this->tables.Read({ key.table, key.part, key.key, key.key + "!" },
-                    kCallTimeout,
-                    [this, aQuestion](const cells::RowsOutcome& aOutcome) {
-                      if (aOutcome.end != cells::TableEnd::Done) {
-                        this->RetryQuestion(aQuestion, &Entry::Cancel);
-                      } else if (aOutcome.rows.empty()) {
-                        this->Answer(*aQuestion->exchange,
-                                     kCancelVerb,
-                                     kGone,
-                                     "no_job",
-                                     wire::ErrorBody("no such job"),
-                                     {});
-                      } else {
-                        this->WriteCancel(aQuestion);
-                      }
-                    });
+  aQuestion->cancels = true;
+  if (this->CellOf(aQuestion->job)) {
+    this->WriteCancel(aQuestion);
+  } else {
+    this->ReadSubmission(aQuestion);
+  }
 }
 
 auto
 Entry::WriteCancel(const std::shared_ptr<Question>& aQuestion) -> void
 {
-  const auto key = this->keeper.Rows().Cancellation(aQuestion->job);
+  const auto key = cells::CellRows::Cancellation(aQuestion->job);
+  const auto cell = this->CellOf(aQuestion->job).value_or("");
   this->tables.Commit(
-    { {}, { { key, "1" } }, {} },
+    { {}, { { key, cell } }, {} },
     kCallTimeout,
-    [this, aQuestion](const cells::CommitOutcome& aOutcome) {
+    [this, aQuestion, cell](const cells::CommitOutcome& aOutcome) {
       if (aOutcome.end != cells::TableEnd::Done) {
         this->RetryQuestion(aQuestion, &Entry::WriteCancel);
         return;
@@ -425,78 +477,51 @@
       this->log.Write("job_cancelled", { { "job", aQuestion->job.Text() } });
       this->Answer(
         *aQuestion->exchange, kCancelVerb, kOk, "cancelled", "{}", {});
-      this->keeper.OnCancelled(aQuestion->job);
+      this->board.OnCancelled(cell, aQuestion->job);
     });
 }
 
+// Counts of owned cells are at hand; the others are told through the store.
 auto
 Entry::CountPending(const std::shared_ptr<HttpExchange>& aExchange,
                     const cells::Queue& aQueue) -> void
 {
-  if (const auto* const cell = this->keeper.OwnedCell()) {
-    this->Answer(*aExchange,
-                 kCountVerb,
-                 kOk,
-                 "owner",
-                 wire::PendingBody(cell->PendingIn(aQueue.id)),
-                 {});
-    return;
-  }
-  if (this->pendingAt && this->loop.Now() < *this->pendingAt + kPendingAge) {
+  const auto& layout = this->view.Layout();
+  const auto ownsAll =
+    layout && this->board.OwnedCells().size() == layout->cells.size();
+  const auto readAt = this->view.ReadAt();
+  if (ownsAll || (readAt && this->loop.Now() < *readAt + kPendingAge)) {
     this->AnswerPending(*aExchange, aQueue.id);
     return;
   }
-  this->pendingAskers.emplace_back(aExchange, aQueue.id);
-  if (this->pendingAskers.size() == 1) {
-    this->ReadPending();
-  }
-}
-
-auto
-Entry::ReadPending() -> void
-{
-  const auto asked = this->loop.Now();
-  const auto owner = this->keeper.Rows().Owner();
-  this->tables.Read(
-    { owner.table, owner.part, "", "" },
-    kCallTimeout,
-    [this, asked](const cells::RowsOutcome& aOutcome) {
-      auto reason = std::string{};
-      const auto row =
-        aOutcome.rows.empty()
-          ? std::nullopt
-          : cells::DecodeOwner(aOutcome.rows.front().value, reason);
-      if (row) {
-        this->pending = row->pending;
-        this->pendingAt = asked;
-      }
-      for (const auto& [exchange, queue] :
-           std::exchange(this->pendingAskers, {})) {
-        if (row || this->pendingAt) {
-          this->AnswerPending(*exchange, queue);
-        } else {
-          this->Answer(*exchange,
-                       kCountVerb,
-                       kUnavailable,
-                       "store_silent",
-                       wire::ErrorBody("the count is not known"),
-                       RetryAfter(1));
-        }
-      }
-    });
+  this->view.ReadNow([this, aExchange, queue = aQueue.id] {
+    if (this->view.ReadAt()) {
+      this->AnswerPending(*aExchange, queue);
+    } else {
+      this->Answer(*aExchange,
+                   kCountVerb,
+                   kUnavailable,
+                   "store_silent",
+                   wire::ErrorBody("the count is not known"),
+                   RetryAfter(1));
+    }
+  });
 }
 
 auto
 Entry::AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void
 {
-  const auto found = this->pending.find(aQueue.text);
+  auto pending = std::size_t{ 0 };
+  for (const auto& [cell, load] : this->view.Loads()) {
+    if (const auto* const mine = this->board.Owned(cell)) {
+      pending += mine->PendingIn(aQueue);
+    } else if (const auto found = load.pending.find(aQueue.text);
+               found != load.pending.end()) {
+      pending += found->second;
+    }
+  }
   this->Answer(
-    aExchange,
-    kCountVerb,
-    kOk,
-    "read",
-    wire::PendingBody(found == this->pending.end() ? 0 : found->second),
-    {});
+    aExchange, kCountVerb, kOk, "counted", wire::PendingBody(pending), {});
 }
 
 } // namespace gooseberry::fleet
--- a/fleet/src/entry.h
+++ b/fleet/src/entry.h
@@ -4,9 +4,12 @@
 // What callers ask: jobs are taken in, cancelled and told about. A job counts
 // as accepted once its row is in the store.
 
+#include <deque>
+#include <map>
 #include <memory>
+#include <optional>
 
-#include "cellkeeper.h"
+#include "cellboard.h"
 #include "httpserver.h"
 #include "wirecallers.h"
 
@@ -20,7 +23,8 @@
   Entry(Loop& aLoop,
         cells::TablePort& aTables,
         SiteWatch& aSite,
-        CellKeeper& aKeeper,
+        CellBoard& aBoard,
+        FleetView& aView,
         cells::DecisionLog& aLog,
         FleetMetrics& aMetrics);
 
@@ -51,6 +55,11 @@
                         std::string aBody,
                         HttpFields aFields) -> void;
   auto AskState(const std::shared_ptr<Question>& aQuestion) -> void;
+  auto AnswerState(Question& aQuestion, cells::JobState aState) -> void;
+  auto ReadRow(const cells::RowKey& aKey,
+               const std::shared_ptr<Question>& aQuestion,
+               void (Entry::*aAgain)(const std::shared_ptr<Question>&),
+               std::function<void(const std::string*)> aThen) -> void;
   auto ReadRecord(const std::shared_ptr<Question>& aQuestion) -> void;
   auto ReadSubmission(const std::shared_ptr<Question>& aQuestion) -> void;
   auto RetryQuestion(const std::shared_ptr<Question>& aQuestion,
@@ -60,19 +69,20 @@
   auto WriteCancel(const std::shared_ptr<Question>& aQuestion) -> void;
   auto CountPending(const std::shared_ptr<HttpExchange>& aExchange,
                     const cells::Queue& aQueue) -> void;
-  auto ReadPending() -> void;
   auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void;
+  // The cells of jobs that this instance has met lately.
+  auto NoteCell(const cells::JobId& aJob, const std::string& aCell) -> void;
+  auto CellOf(const cells::JobId& aJob) const -> std::optional<std::string>;
 
   Loop& loop;
   cells::TablePort& tables;
   SiteWatch& site;
-  CellKeeper& keeper;
+  CellBoard& board;
+  FleetView& view;
   cells::DecisionLog& log;
   FleetMetrics& metrics;
-  // What the cell's owner last told, and when it was asked.
-  std::map<std::string, std::size_t> pending;
-  std::optional<Time> pendingAt;
-  std::vector<std::pair<std::shared_ptr<HttpExchange>, QueueId>> pendingAskers;
+  std::map<cells::JobId, std::string> cellsOfJobs;
+  std::deque<cells::JobId> notedJobs;
 };
 
 } // namespace gooseberry::fleet
--- a/fleet/src/fleetinstance.cpp
+++ b/fleet/src/fleetinstance.cpp
@@ -13,7 +13,6 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
-constexpr const char* kTheCell = "c0";
 constexpr const char* kMetricsPath = "/metrics";
 // The balancer needs two looks, a second apart, to stop sending new
 // connections.
@@ -51,18 +50,21 @@
     *this->wireWorkers, this->loop, this->metrics);
   this->site =
     std::make_unique<SiteWatch>(this->loop, *this->tables, this->log);
-  this->keeper = std::make_shared<CellKeeper>(this->settings,
-                                              kTheCell,
-                                              KeeperPorts{ this->loop,
-                                                           *this->tables,
-                                                           *this->workers,
-                                                           *this->site,
-                                                           this->log,
-                                                           this->metrics });
+  this->view = std::make_shared<FleetView>(
+    this->settings, this->loop, *this->tables, this->log);
+  this->board = std::make_shared<CellBoard>(this->settings,
+                                            KeeperPorts{ this->loop,
+                                                         *this->tables,
+                                                         *this->workers,
+                                                         *this->site,
+                                                         *this->view,
+                                                         this->log,
+                                                         this->metrics });
   this->entry = std::make_unique<Entry>(this->loop,
                                         *this->tables,
                                         *this->site,
-                                        *this->keeper,
+                                        *this->board,
+                                        *this->view,
                                         this->log,
                                         this->metrics);
   this->site->SetOnChange([this] {
@@ -76,7 +78,7 @@
         static_cast<std::size_t>(this->settings.maxDescriptors) / 2;
       this->callers->SetLimits(limits);
     }
-    this->keeper->OnSiteChanged();
+    this->board->OnSiteChanged();
   });
   const auto handle = [this](std::shared_ptr<HttpExchange> aExchange) {
     this->entry->Handle(std::move(aExchange));
@@ -105,7 +107,8 @@
   }
   this->WatchSignals();
   this->site->Start();
-  this->keeper->Start();
+  this->view->Start([this] { return this->board->OwnLoads(); },
+                    [this] { this->board->OnViewChanged(); });
   this->log.Write("started",
                   { { "version", GOOSEBERRY_VERSION },
                     { "domain", this->settings.domain.text },
@@ -181,15 +184,22 @@
 auto
 FleetInstance::TellMetrics() -> void
 {
-  this->keeper->TellMetrics();
-  const auto* const cell = this->keeper->OwnedCell();
+  this->board->TellMetrics();
+  auto jobs = std::size_t{ 0 };
+  auto workerCount = std::size_t{ 0 };
+  const auto owned = this->board->OwnedCells();
+  for (const auto* const cell : owned) {
+    jobs += cell->Jobs();
+    workerCount += cell->Workers().size();
+  }
   const auto config = this->site->Config();
   const auto set = [this](const char* aName, auto aValue) {
     this->metrics.Set(aName, static_cast<double>(aValue));
   };
-  set("owned_cells", cell == nullptr ? 0 : 1);
-  set("jobs", cell == nullptr ? 0 : cell->Jobs());
-  set("workers", cell == nullptr ? 0 : cell->Workers().size());
+  set("owned_cells", owned.size());
+  set("jobs", jobs);
+  set("workers", workerCount);
+  set("members", this->view->Members().Alive().size());
   set("config_version", config ? config->version : 0);
   set("caller_connections", this->callers->Connections());
   set("unanswered", this->callers->Unanswered());
@@ -207,7 +217,7 @@
   this->log.Write("stopping", {});
   this->stopAt = this->loop.Now();
   this->callers->Drain();
-  this->keeper->Release([this] { this->released = true; });
+  this->board->Release([this] { this->released = true; });
   this->EndWhenIdle();
 }
 
--- a/fleet/src/fleetinstance.h
+++ b/fleet/src/fleetinstance.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <string>
 
-#include "cellkeeper.h"
+#include "cellboard.h"
 #include "entry.h"
 #include "eventloop.h"
 #include "fleetlog.h"
@@ -53,7 +53,8 @@
   std::unique_ptr<cells::TablePort> tables;
   std::unique_ptr<cells::WorkerPort> workers;
   std::unique_ptr<SiteWatch> site;
-  std::shared_ptr<CellKeeper> keeper;
+  std::shared_ptr<FleetView> view;
+  std::shared_ptr<CellBoard> board;
   std::unique_ptr<Entry> entry;
   std::shared_ptr<HttpServer> callers;
   std::shared_ptr<HttpServer> ready;
--- a/fleet/src/fleetsettings.cpp
+++ b/fleet/src/fleetsettings.cpp
@@ -71,6 +71,11 @@
     map.Integer("max_descriptors", settings.maxDescriptors, 64, kMaxRate);
   settings.cloud = map.String("cloud", "");
   settings.advice = map.String("advice", "");
+  settings.cellWorkers = static_cast<std::size_t>(
+    map.Integer("cell_workers",
+                static_cast<std::int64_t>(settings.cellWorkers),
+                1,
+                kMaxRate));
   settings.logLinesPerSecond = map.Integer(
     "log_lines_per_second", settings.logLinesPerSecond, 1, kMaxRate);
   settings.logShareOfJobs =
--- a/fleet/src/fleetsettings.h
+++ b/fleet/src/fleetsettings.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "tunables_cells.h"
 #include "types.h"
 #include "yamlreader.h"
 
@@ -61,6 +62,9 @@
   std::string cloud;
   std::string advice;
   BoundSettings bounds;
+  // How many workers share an owner; more share room better, fewer lose less
+  // with an owner.
+  std::size_t cellWorkers = cells::kCellWorkers;
   // Most lines a second; lines of refusals, losses and the like go first.
   std::int64_t logLinesPerSecond = 2000;
   // Share of the jobs whose every decision is told, from 0 to 1; the same jobs
--- a/fleet/src/sitewatch.cpp
+++ b/fleet/src/sitewatch.cpp
@@ -48,16 +48,20 @@
   if (this->operators) {
     this->operators->Stop();
   }
-  this->FollowWorkers(false);
+  if (this->workerRows) {
+    this->workerRows->Stop();
+  }
 }
 
 auto
 SiteWatch::FollowWorkers(bool aFollow) -> void
 {
-  if (aFollow == (this->workerRows != nullptr)) {
+  this->workerReaders += aFollow ? 1 : -1;
+  const auto wanted = this->workerReaders > 0;
+  if (wanted == (this->workerRows != nullptr)) {
     return;
   }
-  if (!aFollow) {
+  if (!wanted) {
     this->workerRows->Stop();
     this->workerRows.reset();
     this->workersKnown = false;
--- a/fleet/src/sitewatch.h
+++ b/fleet/src/sitewatch.h
@@ -21,7 +21,8 @@
 
   auto Start() -> void;
   auto Stop() -> void;
-  // The table of workers is followed only while somebody needs it.
+  // The table of workers is followed while somebody needs it: each true wants
+  // a false later.
   auto FollowWorkers(bool aFollow) -> void;
   // Called on the loop after any change.
   auto SetOnChange(std::function<void()> aOnChange) -> void;
@@ -52,6 +53,7 @@
   std::set<DomainId> evacuated;
   cells::WorkerTable workers;
   bool workersKnown = false;
+  int workerReaders = 0;
 };
 
 } // namespace gooseberry::fleet
