Lasting tasks that waited go first; the silent owner takes no turn; relief from 0.9 of a target

Change: a lasting task goes before all others after 5 s; a place that found nothing for short tasks no longer counts against lasting ones, which may take shunned workers; tails count as over from 0.9 of their target. Candidates no longer wait for the turn of the owner that fell silent.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -192,6 +192,8 @@
     int priority = 0;
     Prospect prospect = Prospect::InTime;
     Time objective{};
+    // A lasting task has waited for so long that it goes before all others.
+    bool owed = false;
   };
 
   // What a filling image does to a serving one.
@@ -222,6 +224,8 @@
       ServiceId service;
       ImageId image = 0;
       bool fillsIdle = false;
+      // Shunned workers had no place either.
+      bool lasting = false;
       std::string neededLabel;
       Resources size;
       double leastPace = 1.0;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -123,13 +123,16 @@
       }
     }
   }
-  std::sort(
-    ready.begin(),
-    ready.end(),
-    [](const ReadyStep& aLeft, const ReadyStep& aRight) {
-      return std::tuple{ aLeft.priority, aLeft.prospect, aLeft.objective } <
-             std::tuple{ aRight.priority, aRight.prospect, aRight.objective };
-    });
+  std::sort(ready.begin(),
+            ready.end(),
+            [](const ReadyStep& aLeft, const ReadyStep& aRight) {
+              const auto rank = [](const ReadyStep& aStep) {
+                return std::tuple{
+                  !aStep.owed, aStep.priority, aStep.prospect, aStep.objective
+                };
+              };
+              return rank(aLeft) < rank(aRight);
+            });
   return ready;
 }
 
@@ -148,6 +151,14 @@
   if (ready.prospect == Prospect::InTime && aNow > ready.objective) {
     ready.prospect = Prospect::Late;
   }
+  if (aJob.Spec().steps[aStep].lasting) {
+    const auto& tasks = occurrence.steps[aStep].tasks;
+    ready.owed =
+      std::any_of(tasks.begin(), tasks.end(), [aNow](const Task& aTask) {
+        return aTask.runs.empty() && aTask.waitingSince &&
+               aNow > *aTask.waitingSince + kLastingOwed;
+      });
+  }
   return ready;
 }
 
@@ -226,6 +237,7 @@
                 [&](const PlacementRound::Failure& aFailure) {
                   return aFailure.service == service &&
                          aFailure.fillsIdle == step.fillsIdle &&
+                         (aFailure.lasting || !step.lasting) &&
                          (!step.fillsIdle || aFailure.image == aQuery.image) &&
                          aFailure.neededLabel == step.neededLabel &&
                          aFailure.leastPace <= aQuery.leastPace &&
@@ -243,6 +255,7 @@
     aRound.failures.push_back({ service,
                                 aQuery.image,
                                 step.fillsIdle,
+                                step.lasting,
                                 step.neededLabel,
                                 step.size,
                                 aQuery.leastPace });
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -86,6 +86,12 @@
 // Prospects of waiting jobs are judged this often.
 inline constexpr Millis kJudgeGap{ 100 };
 
+// A lasting task that waited so long goes before all others: it is owed a place
+// once room has been there for 3 s, from 6 s after its last run, and room that
+// ends free up is there for moments only. At 1.5 s short tasks lost 0.01 of
+// worth.
+inline constexpr Millis kLastingOwed{ 5000 };
+
 // Back-off of a task that failed, doubled with each failure.
 inline constexpr Millis kFailureBackoff{ 20 };
 inline constexpr Millis kFailureBackoffMax{ 2000 };
@@ -138,8 +144,8 @@
 inline constexpr Millis kPacePause{ 300 };
 // Parts of its target at which a tail counts as beyond it, and as back: reports
 // are rough by a tenth and more.
-inline constexpr double kTailOver = 0.95;
-inline constexpr double kTailBack = 0.8;
+inline constexpr double kTailOver = 0.9;
+inline constexpr double kTailBack = 0.75;
 // A tail may be beyond its target for 4 s; then everything beside it rests.
 inline constexpr Millis kReliefUrgent{ 1800 };
 inline constexpr Millis kReliefRest{ 700 };
--- a/cells/tests/health_test.cpp
+++ b/cells/tests/health_test.cpp
@@ -192,3 +192,28 @@
       return aStart.task.job == job;
     }));
 }
+
+// Pattern: short tasks keep the pool full, each place is taken again at once. A
+// lasting task that waits must get the next place that is large enough.
+Test(placement, a_lasting_task_that_waited_goes_before_short_ones)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1", { 1000, 64000, 0 });
+  const auto first = harness.Submit(Steps({ 1 }));
+  auto running = harness.StartAll();
+  cr_assert_eq(running.size(), 1);
+  cr_assert_eq(running[0].task.job, first);
+  auto spec = Steps({ 1 });
+  spec.steps[0].lasting = true;
+  const auto lasting = harness.Submit(spec);
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  // Beyond its objective.
+  harness.Advance(std::max(kLastingOwed, Millis{ 4000 }));
+  harness.Submit(Steps({ 3 }));
+  harness.Tick();
+  harness.AnswerRenewals();
+  const auto next = harness.StartAll();
+  cr_assert_eq(next.size(), 1);
+  cr_expect_eq(next[0].task.job, lasting);
+}
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -8,7 +8,7 @@
 constexpr Millis kWatchInterval{ 400 };
 constexpr Millis kOwnerSilence{ 1500 };
 // Instances step in one after the other, by their rank.
-constexpr Millis kRankDelay{ 300 };
+constexpr Millis kRankDelay{ 150 };
 // An owner with nothing to record shows this often that it is alive.
 constexpr Millis kBeatInterval{ 500 };
 // Lease that workers are given: longer ones outlive longer cuts and outages,
@@ -123,6 +123,12 @@
   }
   // A row with the own name is of an earlier life of this process.
   const auto ownEarlier = owner->owner.text == this->settings.instance;
+  // The silent owner does not take its turn.
+  const auto ahead =
+    this->ports.view.Members().RankOf(owner->owner.text, this->rows.cell);
+  if (ahead && *ahead < this->rank) {
+    --this->rank;
+  }
   if (ownEarlier || now >= this->seenAt + this->Patience(owner->released)) {
     this->earlier = owner;
     this->TakeOver(row.version, owner->fencingToken + 1);
