Jobs that need a rack go to the rack's cell; racks of several cells are refused

Change: the layout says where a needed rack is; a job that needs racks of several cells gets a 400 that names the field.

--- a/bench/src/jobsbench.cpp
+++ b/bench/src/jobsbench.cpp
@@ -232,6 +232,9 @@
   step.image = "i" + std::to_string(Draw(aWorld, 0, 3));
   if (Chance(aWorld, 0.2)) {
     step.maxPerWorker = static_cast<std::uint32_t>(Draw(aWorld, 1, 2));
+    // The smallest cell has four workers, and one or two of them may be gone.
+    constexpr std::uint32_t kMostSpread = 2;
+    step.tasks = std::min(step.tasks, kMostSpread * step.maxPerWorker);
   }
   if (Chance(aWorld, 0.1)) {
     step.neededLabel = "r-" + std::to_string(Draw(aWorld, 0, 2));
@@ -261,11 +264,18 @@
     plan.duration = Millis{ Draw(aWorld, 4000, 60000) };
   } else {
     const auto steps = Draw(aWorld, 1, 3);
+    auto rack = std::string{};
     for (auto number = std::int64_t{ 0 }; number < steps; ++number) {
       auto step = NewStep(aWorld);
       if (number > 0) {
         step.after.push_back(static_cast<std::uint32_t>(number - 1));
       }
+      // All steps that need a rack need the same one: entries refuse jobs that
+      // need racks of several cells.
+      if (!step.neededLabel.empty()) {
+        rack = rack.empty() ? step.neededLabel : rack;
+        step.neededLabel = rack;
+      }
       spec.steps.push_back(step);
     }
     plan.fails = Chance(aWorld, 0.03);
--- a/cells/src/layout.cpp
+++ b/cells/src/layout.cpp
@@ -78,7 +78,8 @@
 // Open work of a cell for each core that it has for this job; nothing if it has
 // none.
 auto
-Crowding(const CellLoad& aLoad, const JobRow& aJob) -> std::optional<double>
+Crowding(const Layout& aLayout, const CellLoad& aLoad, const JobRow& aJob)
+  -> std::optional<double>
 {
   const auto capacity = aLoad.capacity.find(aJob.policy.service.text);
   if (capacity == aLoad.capacity.end() || capacity->second <= 0) {
@@ -86,6 +87,7 @@
   }
   for (const auto& step : aJob.spec.steps) {
     if (!step.neededLabel.empty() &&
+        !aLayout.racks.contains(step.neededLabel) &&
         std::find(aLoad.labels.begin(), aLoad.labels.end(), step.neededLabel) ==
           aLoad.labels.end()) {
       return std::nullopt;
@@ -205,11 +207,29 @@
   return Decode<CellLoad>(aBytes, aReason);
 }
 
+auto
+NeededCells(const Layout& aLayout, const JobSpec& aSpec)
+  -> std::set<std::string>
+{
+  auto needed = std::set<std::string>{};
+  for (const auto& step : aSpec.steps) {
+    const auto rack = aLayout.racks.find(step.neededLabel);
+    if (rack != aLayout.racks.end()) {
+      needed.insert(rack->second);
+    }
+  }
+  return needed;
+}
+
 auto
 ChooseCell(const Layout& aLayout,
            const std::map<std::string, CellLoad>& aLoads,
            const JobRow& aJob) -> std::optional<std::string>
 {
+  const auto needed = NeededCells(aLayout, aJob.spec);
+  if (!needed.empty()) {
+    return needed.size() == 1 ? std::optional{ *needed.begin() } : std::nullopt;
+  }
   for (const auto& step : aJob.spec.steps) {
     const auto near = aLayout.racks.find(step.dataRack);
     if (!step.dataRack.empty() && near != aLayout.racks.end()) {
@@ -223,7 +243,7 @@
     if (load == aLoads.end()) {
       continue;
     }
-    if (const auto crowding = Crowding(load->second, aJob)) {
+    if (const auto crowding = Crowding(aLayout, load->second, aJob)) {
       fitting.emplace_back(*crowding, cell);
     }
   }
--- a/cells/src/layout.h
+++ b/cells/src/layout.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -71,8 +72,15 @@
 DecodeLoad(const std::string& aBytes, std::string& aReason)
   -> std::optional<CellLoad>;
 
-// The cell for a new job: near its data, else of two that its id draws the one
-// with less work for its room. aLoads: by cell, as far as they are known.
+// The cells whose racks a job names as needed: a worker's rack is one of its
+// labels. No cell can run a job that needs racks of several.
+auto
+NeededCells(const Layout& aLayout, const JobSpec& aSpec)
+  -> std::set<std::string>;
+
+// The cell for a new job: that of the racks it needs, else near its data, else
+// of two that its id draws the one with less work for its room. aLoads: by
+// cell, as far as they are known.
 auto
 ChooseCell(const Layout& aLayout,
            const std::map<std::string, CellLoad>& aLoads,
--- a/cells/tests/layout_test.cpp
+++ b/cells/tests/layout_test.cpp
@@ -137,6 +137,26 @@
   cr_expect_not(ChooseCell({}, {}, job).has_value());
 }
 
+// Pattern: a job needs a rack, which is a label of each worker there, while the
+// other cell has more room. It went to the roomy cell and waited for ever.
+Test(layout, jobs_go_where_the_rack_is_that_they_need)
+{
+  const auto layout =
+    Layout{ { "c0", "c1" }, { { "rack-0", "c0" }, { "rack-7", "c1" } } };
+  const auto loads = std::map<std::string, CellLoad>{ { "c0", Load(900, 0) },
+                                                      { "c1", Load(0, 9000) } };
+  for (auto number = 10; number < 30; ++number) {
+    auto job = NewJob("00000000000000" + std::to_string(number));
+    job.spec.steps.emplace_back();
+    job.spec.steps[1].neededLabel = "rack-7";
+    cr_expect_eq(*ChooseCell(layout, loads, job), "c1");
+    // Racks of two cells: no cell can run it.
+    job.spec.steps[0].neededLabel = "rack-0";
+    cr_expect_not(ChooseCell(layout, loads, job).has_value());
+    cr_expect_eq(NeededCells(layout, job.spec).size(), 2);
+  }
+}
+
 Test(members,
      one_that_falls_silent_is_gone_and_a_silent_store_is_not_held_against_any)
 {
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -174,6 +174,11 @@
 {
   auto reason = std::string{};
   auto spec = wire::ReadJob(aExchange->Request().body, reason);
+  const auto& layout = this->view.Layout();
+  if (spec && layout && cells::NeededCells(*layout, *spec).size() > 1) {
+    reason = "requires: these racks share no cell, so no one cell can run it";
+    spec.reset();
+  }
   if (!spec) {
     this->log.Write("job_refused",
                     { { "job", aJob.Text() }, { "reason", reason } });
@@ -195,7 +200,6 @@
   submission->row = {
     aJob, aQueue.id, aQueue.policy, std::move(*spec), this->loop.UnixMillis()
   };
-  const auto& layout = this->view.Layout();
   const auto cell =
     layout ? cells::ChooseCell(*layout, this->view.Loads(), submission->row)
            : std::nullopt;
