Gangs: tasks that start together, with one number and one checkpoint, and end together

A gang is placed whole or not at all, in one rack if it asks for that and one has the room; the end of one run stops the others, a failure counts once, a completion ends all tasks.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -28,6 +28,7 @@
       "stop_displaced",
       "stop_stuck",
       "stop_settled",
+      "stop_broken",
       "pace",
       "orphan",
       "completed",
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -85,6 +85,7 @@
   StopDisplaced,
   StopStuck,
   StopSettled,
+  StopBroken,
   Pace,
   Orphan, // a run that nobody knows of
   Completed,
@@ -307,6 +308,7 @@
   auto SlownessOf(Time aNow, const TaskPlace& aPlace, const Run& aRun) const
     -> std::optional<double>;
   auto MoveOff(Time aNow, WorkerSlot& aSlot) -> void;
+  auto NoteFailure(Time aNow, const TaskPlace& aPlace) -> void;
   auto OnUnlisted(Time aNow,
                   WorkerSlot& aSlot,
                   const std::set<RunRef>& aSeen,
@@ -351,6 +353,19 @@
   auto MayTake(Time aNow, const WorkerSlot& aSlot) const -> bool;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
+  // Tasks that work only together (cellgang.cpp).
+  auto PlanGang(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
+    -> void;
+  auto PlaceGang(Time aNow,
+                 const PlacementRound& aRound,
+                 const ReadyStep& aReady,
+                 const std::string& aRack) -> bool;
+  static auto CheckpointHolder(const TaskPlace& aPlace) -> Task&;
+  auto BreakGang(Time aNow, const TaskName& aName) -> void;
+  auto EndGang(Time aNow, const TaskPlace& aPlace) -> void;
+  static auto IsNewGangFailure(const TaskPlace& aPlace, std::uint32_t aRun)
+    -> bool;
+
   // Neighbours on one worker (cellrelief.cpp).
   auto NoteTail(Time aNow, const WorkerSlot& aSlot, Run& aRun, double aMeasured)
     -> void;
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -60,7 +60,7 @@
   call.task = aRef.task;
   call.run = aRef.run;
   call.payload = aPlace.job->Spec().payload;
-  call.checkpoint = aPlace.task->checkpoint;
+  call.checkpoint = CheckpointHolder(aPlace).checkpoint;
   call.leaseEndMs = this->LeaseEndFor(aNow, slot, kStartWindow);
   run->startLeaseEndMs = call.leaseEndMs;
   run->phase = RunPhase::Starting;
--- a/cells/src/cellhealth.cpp
+++ b/cells/src/cellhealth.cpp
@@ -146,7 +146,7 @@
   for (const auto& ref : aSlot.runs) {
     const auto [place, run] = this->FindActive(ref);
     if (run == nullptr || run->phase != RunPhase::Running ||
-        place.spec->lasting || run->pace < kWatchedPace ||
+        place.spec->lasting || place.spec->gang || run->pace < kWatchedPace ||
         place.task->moves >= kMostMoves) {
       continue;
     }
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -24,6 +24,8 @@
       return CellEvent::StopStuck;
     case StopReason::Settled:
       return CellEvent::StopSettled;
+    case StopReason::Broken:
+      return CellEvent::StopBroken;
     default:
       return CellEvent::StopCancelled;
   }
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -168,6 +168,10 @@
 {
   auto& job = *aReady.job;
   const auto& spec = job.Spec().steps[aReady.step];
+  if (spec.gang) {
+    this->PlanGang(aNow, aRound, aReady);
+    return;
+  }
   auto& tasks = job.occurrences.at(aReady.occurrence).steps[aReady.step].tasks;
   auto placed = std::map<const WorkerSlot*, std::uint32_t>{};
   if (spec.maxPerWorker > 0) {
@@ -413,7 +417,7 @@
   run.worker = &aSlot;
   run.bornUnixMs = aSlot.entry.bornUnixMs;
   run.since = aNow;
-  run.checkpoint = task.checkpoint;
+  run.checkpoint = CheckpointHolder(place).checkpoint;
   task.runs.push_back(run);
   aSlot.Attach({ aName, run.number }, *place.spec, place.image);
   if (place.spec->fillsIdle) {
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -321,6 +321,9 @@
 Cell::Displace(Time aNow, const Fill& aFill) -> bool
 {
   const auto place = this->Find(aFill.ref.task);
+  if (place.spec->gang) {
+    return false;
+  }
   auto round = this->NewRound(aNow);
   const auto query =
     PlacementQuery{ place.job, place.spec, place.image, nullptr, 1.0 };
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -332,7 +332,7 @@
   run->measured = aReport.measured;
   if (aReport.checkpoint != run->checkpoint && !aReport.checkpoint.empty()) {
     run->checkpoint = aReport.checkpoint;
-    place.task->checkpoint = aReport.checkpoint;
+    CheckpointHolder(place).checkpoint = aReport.checkpoint;
   }
 }
 
@@ -367,7 +367,7 @@
                 : "" } });
   }
   if (!aEnd.checkpoint.empty()) {
-    task.checkpoint = aEnd.checkpoint;
+    CheckpointHolder(place).checkpoint = aEnd.checkpoint;
   }
   const auto lasting = place.spec->lasting;
   if (known) {
@@ -381,7 +381,12 @@
   switch (aEnd.how) {
     case RunEnd::Done:
       this->Count(CellEvent::Done);
-      if (!lasting && task.phase == TaskPhase::Open && !IsFinal(job.state)) {
+      if (lasting || task.phase != TaskPhase::Open || IsFinal(job.state)) {
+        return;
+      }
+      if (place.spec->gang) {
+        this->EndGang(aNow, place);
+      } else {
         task.phase = TaskPhase::Done;
         this->StopRuns(aNow, ref.task, task, StopReason::Beaten);
         this->EndTask(aNow, place);
@@ -389,21 +394,31 @@
       return;
     case RunEnd::Failed:
       this->Count(CellEvent::Failure);
-      if (lasting || task.phase != TaskPhase::Open || IsFinal(job.state)) {
-        return;
-      }
-      ++task.failures;
-      task.notBefore = aNow + BackoffAfter(task.failures);
-      if (task.failures >= job.row.policy.maxAttempts) {
-        task.phase = TaskPhase::Failed;
-        this->EndJob(aNow, job, JobState::Failed, StopReason::JobFailed);
+      if (!lasting && task.phase == TaskPhase::Open && !IsFinal(job.state) &&
+          IsNewGangFailure(place, ref.run)) {
+        this->NoteFailure(aNow, place);
       }
-      return;
+      break;
     case RunEnd::Lapsed:
       this->Count(CellEvent::Lapse);
-      return;
+      break;
     default:
-      return;
+      break;
+  }
+  this->BreakGang(aNow, ref.task);
+}
+
+// Failures of a gang are counted with the first of its tasks.
+auto
+Cell::NoteFailure(Time aNow, const TaskPlace& aPlace) -> void
+{
+  auto& job = *aPlace.job;
+  auto& holder = CheckpointHolder(aPlace);
+  ++holder.failures;
+  holder.notBefore = aNow + BackoffAfter(holder.failures);
+  if (holder.failures >= job.row.policy.maxAttempts) {
+    holder.phase = TaskPhase::Failed;
+    this->EndJob(aNow, job, JobState::Failed, StopReason::JobFailed);
   }
 }
 
@@ -506,6 +521,7 @@
   place.task->notBefore = std::max(place.task->notBefore, aNow);
   this->Touch(*place.job, false);
   this->planNeeded = true;
+  this->BreakGang(aNow, aRef.task);
 }
 
 auto
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -113,8 +113,8 @@
 ToText(StopReason aReason) -> const char*
 {
   constexpr std::array<const char*, static_cast<int>(StopReason::StopReason_NB)>
-    kNames{ "none",    "cancelled", "job_failed", "beaten",  "displaced",
-            "drained", "evacuated", "stuck",      "unknown", "settled" };
+    kNames{ "none",  "cancelled", "job_failed", "beaten", "displaced",
+            "stuck", "unknown",   "settled",    "broken" };
   return kNames.at(static_cast<std::size_t>(aReason));
 }
 
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -60,11 +60,10 @@
   JobFailed, // another task of the job failed for good
   Beaten,    // another run of the task was done first
   Displaced, // more urgent work needs the room
-  Drained,   // its worker leaves
-  Evacuated, // its failure domain is out of service
   Stuck,     // makes no progress
   Unknown,   // nobody knows of it
   Settled,   // its start got no answer
+  Broken,    // another run of its gang is over
   StopReason_NB
 };
 
@@ -155,6 +154,8 @@
   std::uint32_t done = 0;
   // The longest run of a task that is done.
   Millis longest{ 0 };
+  // Gangs: the last run of which a failure was counted.
+  std::uint32_t failedRun = 0;
 
   auto AllDone() const -> bool { return this->done == this->tasks.size(); }
 };
--- /dev/null
+++ b/cells/tests/gang_test.cpp
@@ -0,0 +1,172 @@
+// Tasks that work only together.
+
+#include <algorithm>
+
+#include <criterion/criterion.h>
+
+#include "cellharness.h"
+#include "tunables_cells.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+namespace {
+
+auto
+Gang(std::uint32_t aTasks, std::int64_t aCpu = 1000) -> JobSpec
+{
+  auto spec = Steps({ aTasks });
+  spec.steps[0].gang = true;
+  spec.steps[0].size.cpuMillis = aCpu;
+  return spec;
+}
+
+// Every worker that asks reports these runs as running and those ends.
+auto
+ReportAll(CellHarness& aHarness,
+          const std::vector<WorkerCall>& aRunning,
+          const std::map<std::string, std::vector<EndReport>>& aEnds) -> void
+{
+  aHarness.Advance(kRenewGap);
+  aHarness.Tick();
+  for (const auto& call : aHarness.Calls(CallKind::Renew)) {
+    auto running = std::vector<RunReport>{};
+    for (const auto& start : aRunning) {
+      if (start.worker == call.worker) {
+        running.push_back(RunningOf(start));
+        running.back().checkpoint = "half";
+      }
+    }
+    const auto ends = aEnds.find(call.worker.text);
+    aHarness.Report(call,
+                    running,
+                    ends == aEnds.end() ? std::vector<EndReport>{}
+                                        : ends->second);
+  }
+}
+
+} // namespace
+
+// Pattern: a gang wider than the free room. Members that wait for each other
+// would hold room and end for nothing.
+Test(gang, starts_whole_or_not_at_all)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1", { 2000, 64000, 0 });
+  harness.Submit(Gang(3));
+  cr_expect_eq(harness.StartAll().size(), 0);
+  cr_expect_eq(harness.cell.Workers().at({ "w1" }).reserved.cpuMillis, 0);
+  harness.AddWorker("w2", { 2000, 64000, 0 });
+  harness.Advance(kPlanAgain * 2);
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 3);
+  for (const auto& start : starts) {
+    cr_expect_eq(start.run, starts[0].run);
+  }
+}
+
+Test(gang, the_end_of_one_is_the_end_of_all)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.AddWorker("w2");
+  auto spec = Gang(2);
+  spec.steps[0].maxPerWorker = 1;
+  const auto job = harness.Submit(spec);
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 2);
+  ReportAll(
+    harness,
+    { starts[1] },
+    { { starts[0].worker.text, { EndOf(starts[0], 1, RunEnd::Done) } } });
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Completed);
+}
+
+Test(gang, a_member_that_is_refused_stops_the_others)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.AddWorker("w2");
+  auto spec = Gang(2);
+  spec.steps[0].maxPerWorker = 1;
+  harness.Submit(spec);
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.Record();
+  const auto starts = harness.Calls(CallKind::Start);
+  cr_assert_eq(starts.size(), 2);
+  harness.Answer(starts[0], CallEnd::Done);
+  harness.Answer(starts[1], CallEnd::NoRoom);
+  harness.Tick();
+  const auto stops = harness.Calls(CallKind::Stop);
+  cr_assert_eq(stops.size(), 1);
+  cr_expect_eq(stops[0].task, starts[0].task);
+  // Nothing starts before the stopped member is gone, then all do, under one
+  // higher number.
+  harness.Advance(kAvoidRefusing);
+  harness.Tick();
+  harness.Record();
+  cr_expect_eq(harness.Calls(CallKind::Start).size(), 0);
+  harness.Answer(stops[0], CallEnd::Done);
+  ReportAll(
+    harness,
+    {},
+    { { starts[0].worker.text, { EndOf(starts[0], 1, RunEnd::Stopped) } } });
+  harness.Advance(kAvoidRefusing);
+  const auto again = harness.StartAll();
+  cr_assert_eq(again.size(), 2);
+  cr_expect_eq(again[0].run, again[1].run);
+  cr_expect_gt(again[0].run, starts[0].run);
+}
+
+// A failure of the gang counts once, and all resume from the same checkpoint.
+Test(gang, fails_as_one_and_resumes_from_one_checkpoint)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  auto spec = Gang(2);
+  const auto job = harness.Submit(spec);
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 2);
+  ReportAll(harness, starts, {});
+  ReportAll(harness,
+            {},
+            { { "w1",
+                { EndOf(starts[0], 1, RunEnd::Failed),
+                  EndOf(starts[1], 2, RunEnd::Broken) } } });
+  harness.Advance(kFailureBackoffMax);
+  const auto again = harness.StartAll();
+  cr_assert_eq(again.size(), 2);
+  cr_expect_eq(again[0].checkpoint, "half");
+  cr_expect_eq(again[1].checkpoint, "half");
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Running);
+  ReportAll(harness,
+            {},
+            { { "w1",
+                { EndOf(again[0], 3, RunEnd::Broken),
+                  EndOf(again[1], 4, RunEnd::Failed) } } });
+  cr_expect_eq(harness.cell.FindJob(job)->state, JobState::Failed);
+}
+
+Test(gang, stays_in_one_rack_if_it_can)
+{
+  auto harness = CellHarness{};
+  for (const auto* const name : { "w1", "w2", "w3", "w4" }) {
+    harness.AddWorker(name, { 2000, 64000, 0 });
+  }
+  harness.table.at({ "w1" }).labels = { "a", "rack-2" };
+  harness.table.at({ "w3" }).labels = { "a", "rack-2" };
+  harness.cell.OnWorkers(harness.now, harness.table);
+  auto spec = Gang(4);
+  spec.steps[0].rackLocal = true;
+  harness.Submit(spec);
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 4);
+  const auto rack = [&](const WorkerCall& aStart) {
+    return harness.table.at(aStart.worker).Rack();
+  };
+  for (const auto& start : starts) {
+    cr_expect_eq(rack(start), rack(starts[0]));
+  }
+}
