--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -423,11 +423,9 @@
   // Jobs that are not recorded.
   std::set<JobId> dirty;
   std::optional<Time> dirtySince;
-  bool hasty = false;
   Time nextBatch{};
   std::uint64_t lastBatch = 0;
   std::map<std::uint64_t, BatchNotes> batches;
-  bool batchInFlight = false;
   // The run or worker that an order under way is about.
   std::unordered_map<std::uint64_t, std::pair<WorkerId, RunRef>> orders;
   std::unordered_map<std::uint64_t, CallKind> orderKinds;
@@ -435,16 +433,10 @@
   std::set<RunRef> toStop;
   std::vector<WorkerCall> calls;
   std::uint64_t lastCall = 0;
-  bool planNeeded = true;
   Time plannedAt{};
   Time judgedAt{};
-  // In the last round some task that fills idle processors, and some other one,
-  // found no place.
-  bool fillsWait = false;
-  bool othersWait = false;
   // Something waits for time to pass before it can be placed.
   Time planAgain{};
-  bool fenced = false;
   Time loadToldAt{};
   std::multimap<Time, JobId> endedJobs;
   CellCounts counts{};
@@ -453,6 +445,16 @@
   Disturbance disturbance;
   // The lowest tail of each serving image, in milliseconds.
   std::map<ImageId, double> tailFloors;
+  // What is not recorded has somebody who waits for it.
+  bool hasty = false;
+  bool batchInFlight = false;
+  bool planNeeded = true;
+  // In the last round some task that fills idle processors, and some other one,
+  // found no place.
+  bool fillsWait = false;
+  bool othersWait = false;
+  // A worker knows a newer owner.
+  bool fenced = false;
 };
 
 } // namespace gooseberry::cells
