A pace ends with the lasting tasks that it was for; runs without a start tell no time

Cause: paces were judged only where lasting tasks run; when these ended, a filling task beside them kept its pace, also one of 0.

--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -267,7 +267,7 @@
   auto fills = this->FillsOn(aSlot);
   aSlot.slack = this->SlackOn(aNow, aSlot);
   auto& slack = aSlot.slack;
-  if (fills.empty() || slack.empty()) {
+  if (fills.empty()) {
     return;
   }
   for (auto& fill : fills) {
@@ -283,7 +283,7 @@
     });
   constexpr double kWhole = 100.0;
   for (const auto& fill : fills) {
-    auto pace = aNow < aSlot.restUntil ? 0.0 : 1.0;
+    auto pace = aNow < aSlot.restUntil && !slack.empty() ? 0.0 : 1.0;
     for (const auto& [image, left] : slack) {
       const auto pressure =
         this->disturbance.Pressure(aNow, image, fill.image) * fill.share;
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -363,8 +363,9 @@
         { "how", ToText(aEnd.how) },
         { "stopping", known ? ToText(run->stopping) : "given_up" },
         { "ran_ms",
-          known ? std::to_string(ToMillis(aNow - run->startedAt).count())
-                : "" } });
+          known && run->startedAt != Time{}
+            ? std::to_string(ToMillis(aNow - run->startedAt).count())
+            : "" } });
   }
   if (!aEnd.checkpoint.empty()) {
     CheckpointHolder(place).checkpoint = aEnd.checkpoint;
--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -282,3 +282,48 @@
   }
   cr_expect_eq(orders, 2);
 }
+
+// Pattern: a filling task rests when the lasting ones beside it end. Nothing
+// was left to judge its pace by, and it rested for ever.
+Test(relief, a_pace_ends_with_the_tasks_that_it_was_for)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  const auto lasting = harness.Submit(LastingJob("a", 2));
+  const auto serving = harness.StartAll();
+  harness.Submit(FillingJob("f", 1));
+  const auto filling = harness.StartAll();
+  cr_assert_eq(filling.size(), 1);
+  auto cancelled = false;
+  auto last = 100;
+  for (auto report = 0; report < 16; ++report) {
+    harness.Advance(Millis{ 500 });
+    harness.Tick();
+    for (const auto& call : harness.Calls(CallKind::Renew)) {
+      auto running = std::vector<RunReport>{};
+      for (const auto& start : serving) {
+        auto entry = RunningOf(start);
+        entry.percent = 100.0;
+        entry.measured = 600.0;
+        if (!cancelled) {
+          running.push_back(entry);
+        }
+      }
+      running.push_back(RunningOf(filling[0]));
+      harness.Report(call, running, {});
+    }
+    for (const auto& call : harness.Calls(CallKind::Stop)) {
+      harness.Answer(call, CallEnd::Done);
+    }
+    for (const auto& call : harness.Calls(CallKind::Pace)) {
+      last = call.percent;
+      harness.Answer(call, CallEnd::Done);
+    }
+    if (last == 0 && !cancelled) {
+      cancelled = true;
+      harness.cell.OnCancel(harness.now, lasting);
+    }
+  }
+  cr_expect(cancelled);
+  cr_expect_eq(last, 100);
+}
