--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -1,6 +1,7 @@
 // What is learnt about neighbours, from tails as the model makes them.
 
 #include <cmath>
+#include <cstdlib>
 
 #include <criterion/criterion.h>
 
@@ -327,3 +328,52 @@
   cr_expect(cancelled);
   cr_expect_eq(last, 100);
 }
+
+// Pattern: the owner changes while a filling task rests beside a suffering one.
+// The new owner does not know its pace; it took the run for one that hangs.
+Test(relief, a_new_owner_orders_paces_anew)
+{
+  // KNOWN-RED.txt, entry 1.
+  if (std::getenv("GOOSEBERRY_KNOWN_RED") == nullptr) {
+    cr_skip("known to fail");
+  }
+  auto first = CellHarness{};
+  first.AddWorker("w1");
+  const auto job = first.Submit(FillingJob("f", 1));
+  const auto starts = first.StartAll();
+  cr_assert_eq(starts.size(), 1);
+  auto reason = std::string{};
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(
+    first.cell.FindJob(job)->row,
+    DecodeRecord(EncodeRecord(RecordOf(*first.cell.FindJob(job))), reason));
+  auto second = CellHarness{ {}, takeover };
+  second.table = first.table;
+  auto other = first.table.begin()->second;
+  other.id = { "w2" };
+  other.machine = { "machine-w2" };
+  second.table[other.id] = other;
+  second.cell.OnWorkers(second.now, second.table);
+  auto paces = std::vector<int>{};
+  // The order gets no answer at first: nobody knows the pace all the while.
+  for (auto report = 0; report < 8; ++report) {
+    second.Tick();
+    for (const auto& call : second.Calls(CallKind::Renew)) {
+      auto entry = RunningOf(starts[0]);
+      entry.percent = 40.0;
+      const auto there = call.worker == starts[0].worker;
+      second.Report(
+        call, there ? std::vector{ entry } : std::vector<RunReport>{}, {});
+    }
+    for (const auto& call : second.Calls(CallKind::Pace)) {
+      paces.push_back(call.percent);
+      second.Answer(call, CallEnd::Unanswered);
+    }
+    second.Advance(Millis{ 500 });
+  }
+  cr_expect_geq(paces.size(), 2);
+  for (const auto pace : paces) {
+    cr_expect_eq(pace, 100);
+  }
+  cr_expect_eq(second.Calls(CallKind::Stop).size(), 0);
+}
