Fleet: one counted answer for all store calls, one reading of job and cancellation rows

The same lambda stood three times in the metered tables; the check of a row's cell and its log line stood in the takeover and in the feed. An unused accessor goes.

--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -319,23 +319,16 @@
     }
   }
   for (const auto& row : loaded->submissions) {
-    auto job = cells::DecodeJobRow(row.value, reason);
-    if (!job) {
-      this->ports.log.Write("job_unreadable",
-                            { { "job", row.key.key }, { "reason", reason } });
-      continue;
-    }
-    if (job->cell != this->rows.cell) {
-      continue;
+    if (auto job = this->JobOf(row)) {
+      const auto record = records.find(row.key.key);
+      takeover.jobs.emplace_back(std::move(*job),
+                                 record == records.end()
+                                   ? std::nullopt
+                                   : std::optional{ record->second });
     }
-    const auto record = records.find(row.key.key);
-    takeover.jobs.emplace_back(
-      std::move(*job),
-      record == records.end() ? std::nullopt : std::optional{ record->second });
   }
   for (const auto& row : loaded->cancellations) {
-    const auto id = cells::JobId::Parse(row.key.key);
-    if (id && row.value == this->rows.cell) {
+    if (const auto id = this->CancelledBy(row)) {
       takeover.cancelled.push_back(*id);
     }
   }
@@ -425,12 +418,6 @@
   this->toldCounts = now;
 }
 
-auto
-CellKeeper::Rows() const -> const cells::CellRows&
-{
-  return this->rows;
-}
-
 auto
 CellKeeper::OnAccepted(const cells::JobRow& aRow) -> void
 {
@@ -450,6 +437,29 @@
   }
 }
 
+auto
+CellKeeper::JobOf(const cells::StoredRow& aRow) const
+  -> std::optional<cells::JobRow>
+{
+  auto reason = std::string{};
+  auto job = cells::DecodeJobRow(aRow.value, reason);
+  if (!job) {
+    this->ports.log.Write("job_unreadable",
+                          { { "job", aRow.key.key }, { "reason", reason } });
+  } else if (job->cell != this->rows.cell) {
+    job.reset();
+  }
+  return job;
+}
+
+auto
+CellKeeper::CancelledBy(const cells::StoredRow& aRow) const
+  -> std::optional<cells::JobId>
+{
+  return aRow.value == this->rows.cell ? cells::JobId::Parse(aRow.key.key)
+                                       : std::nullopt;
+}
+
 auto
 CellKeeper::OnJobRows(const std::vector<cells::StoredRow>& aRows) -> void
 {
@@ -457,14 +467,8 @@
     if (row.version == 0) {
       continue;
     }
-    auto reason = std::string{};
-    if (const auto job = cells::DecodeJobRow(row.value, reason)) {
-      if (job->cell == this->rows.cell) {
-        this->OnAccepted(*job);
-      }
-    } else {
-      this->ports.log.Write("job_unreadable",
-                            { { "job", row.key.key }, { "reason", reason } });
+    if (const auto job = this->JobOf(row)) {
+      this->OnAccepted(*job);
     }
   }
 }
@@ -473,8 +477,10 @@
 CellKeeper::OnCancelRows(const std::vector<cells::StoredRow>& aRows) -> void
 {
   for (const auto& row : aRows) {
-    const auto id = cells::JobId::Parse(row.key.key);
-    if (row.version != 0 && id && row.value == this->rows.cell) {
+    if (row.version == 0) {
+      continue;
+    }
+    if (const auto id = this->CancelledBy(row)) {
       this->OnCancelled(*id);
     }
   }
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -50,7 +50,6 @@
   auto OwnedCell() const -> const cells::Cell*;
   // Adds to the metrics what the owned cell did since the last call.
   auto TellMetrics() -> void;
-  auto Rows() const -> const cells::CellRows&;
   // This instance accepted the job or its cancellation itself.
   auto OnAccepted(const cells::JobRow& aRow) -> void;
   auto OnCancelled(const cells::JobId& aJob) -> void;
@@ -84,6 +83,11 @@
   auto NoteRecording(const cells::CommitOutcome& aOutcome) -> void;
   auto ReadOwner() -> void;
   auto Apply(const cells::RecorderNews& aNews) -> void;
+  // What a row says if it is about this cell.
+  auto JobOf(const cells::StoredRow& aRow) const
+    -> std::optional<cells::JobRow>;
+  auto CancelledBy(const cells::StoredRow& aRow) const
+    -> std::optional<cells::JobId>;
   auto OnJobRows(const std::vector<cells::StoredRow>& aRows) -> void;
   auto OnCancelRows(const std::vector<cells::StoredRow>& aRows) -> void;
   auto Lose(const char* aWhy) -> void;
--- a/fleet/src/fleetmetrics.cpp
+++ b/fleet/src/fleetmetrics.cpp
@@ -155,20 +155,27 @@
 {
 }
 
+// Hands an answer on once it is counted.
+template<class Outcome>
+auto
+MeteredTables::Counted(const char* aKind, std::function<void(Outcome)> aDone)
+  -> std::function<void(Outcome)>
+{
+  return [this, aKind, asked = this->clock.Now(), done = std::move(aDone)](
+           Outcome aOutcome) {
+    this->metrics.CountStoreCall(
+      aKind, aOutcome.end, this->clock.Now() - asked);
+    done(std::move(aOutcome));
+  };
+}
+
 auto
 MeteredTables::Commit(const cells::RowsCommit& aCommit,
                       Millis aTimeout,
                       std::function<void(cells::CommitOutcome)> aDone) -> void
 {
-  this->tables.Commit(aCommit,
-                      aTimeout,
-                      [this,
-                       asked = this->clock.Now(),
-                       done = std::move(aDone)](cells::CommitOutcome aOutcome) {
-                        this->metrics.CountStoreCall(
-                          "commit", aOutcome.end, this->clock.Now() - asked);
-                        done(std::move(aOutcome));
-                      });
+  this->tables.Commit(
+    aCommit, aTimeout, this->Counted("commit", std::move(aDone)));
 }
 
 auto
@@ -176,14 +183,7 @@
                     Millis aTimeout,
                     std::function<void(cells::RowsOutcome)> aDone) -> void
 {
-  this->tables.Read(aRange,
-                    aTimeout,
-                    [this, asked = this->clock.Now(), done = std::move(aDone)](
-                      cells::RowsOutcome aOutcome) {
-                      this->metrics.CountStoreCall(
-                        "read", aOutcome.end, this->clock.Now() - asked);
-                      done(std::move(aOutcome));
-                    });
+  this->tables.Read(aRange, aTimeout, this->Counted("read", std::move(aDone)));
 }
 
 auto
@@ -192,15 +192,8 @@
                     Millis aPatience,
                     std::function<void(cells::FeedOutcome)> aDone) -> void
 {
-  this->tables.Feed(aTable,
-                    aAfter,
-                    aPatience,
-                    [this, asked = this->clock.Now(), done = std::move(aDone)](
-                      cells::FeedOutcome aOutcome) {
-                      this->metrics.CountStoreCall(
-                        "feed", aOutcome.end, this->clock.Now() - asked);
-                      done(std::move(aOutcome));
-                    });
+  this->tables.Feed(
+    aTable, aAfter, aPatience, this->Counted("feed", std::move(aDone)));
 }
 
 MeteredWorkers::MeteredWorkers(cells::WorkerPort& aWorkers,
--- a/fleet/src/fleetmetrics.h
+++ b/fleet/src/fleetmetrics.h
@@ -77,6 +77,10 @@
             std::function<void(cells::FeedOutcome)> aDone) -> void override;
 
 private:
+  template<class Outcome>
+  auto Counted(const char* aKind, std::function<void(Outcome)> aDone)
+    -> std::function<void(Outcome)>;
+
   cells::TablePort& tables;
   const Clock& clock;
   FleetMetrics& metrics;
