Gangs: room is held while places are looked for, and planned only when all have one

Cause: each try without room, ten a second, planned members and took them back: log lines of runs that never were, a record to write and a run number for each. Which gangs start, and where, stays as it is. State of workers that nobody read goes.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -351,6 +351,11 @@
              const PlacementQuery& aQuery,
              double aPace) const -> double;
   auto MayTake(Time aNow, const WorkerSlot& aSlot) const -> bool;
+  auto Reserve(Time aNow,
+               const RunRef& aRef,
+               WorkerSlot& aSlot,
+               const StepSpec& aStep,
+               ImageId aImage) const -> void;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
   // Tasks that work only together (cellgang.cpp).
--- a/cells/src/cellgang.cpp
+++ b/cells/src/cellgang.cpp
@@ -82,6 +82,8 @@
   for (const auto& task : tasks) {
     number = std::max(number, task.lastRun);
   }
+  // Held until all have a place: what is not placed leaves no trace.
+  auto places = std::vector<std::pair<RunRef, WorkerSlot*>>{};
   auto placed = std::map<const WorkerSlot*, std::uint32_t>{};
   auto query =
     PlacementQuery{ &job, &spec, job.images[aReady.step], &placed, kPoorPace };
@@ -90,18 +92,19 @@
       TaskName{ job.Id(), aReady.occurrence, aReady.step, index };
     auto* const slot = this->PickWorker(round, query);
     if (slot == nullptr) {
-      for (auto back = std::uint32_t{ 0 }; back < index; ++back) {
-        const auto ref =
-          RunRef{ { job.Id(), aReady.occurrence, aReady.step, back },
-                  number + 1 };
-        this->RemoveRun(aNow, this->Find(ref.task), ref);
+      for (const auto& [ref, held] : places) {
+        held->Detach(ref, spec, query.image);
       }
       return false;
     }
-    tasks[index].lastRun = number;
-    this->PlanRun(aNow, name, *slot);
+    places.emplace_back(RunRef{ name, number + 1 }, slot);
+    this->Reserve(aNow, places.back().first, *slot, spec, query.image);
     ++placed[slot];
   }
+  for (const auto& [ref, slot] : places) {
+    tasks[ref.task.index].lastRun = number;
+    this->PlanRun(aNow, ref.task, *slot);
+  }
   return true;
 }
 
--- a/cells/src/cellhealth.cpp
+++ b/cells/src/cellhealth.cpp
@@ -100,7 +100,6 @@
 auto
 Cell::WatchProgress(Time aNow, WorkerSlot& aSlot) -> void
 {
-  auto worst = 0.0;
   auto best = kMostSlowness;
   auto seen = 0;
   auto stuck = 0;
@@ -115,7 +114,6 @@
       continue;
     }
     if (const auto slowness = this->SlownessOf(aNow, place, *run)) {
-      worst = std::max(worst, *slowness);
       best = std::min(best, *slowness);
       ++seen;
     }
@@ -123,7 +121,6 @@
   if (seen > 0) {
     // A task may be long by itself: the quickest one speaks for the worker.
     aSlot.slowness = best;
-    aSlot.slowSeenAt = aNow;
   }
   const auto slow = seen > 0 && best > kSlowWorker;
   if (stuck == 0 && !slow) {
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -407,6 +407,19 @@
   return score;
 }
 
+// Holds the room of a run there, once.
+auto
+Cell::Reserve(Time aNow,
+              const RunRef& aRef,
+              WorkerSlot& aSlot,
+              const StepSpec& aStep,
+              ImageId aImage) const -> void
+{
+  if (aSlot.Attach(aRef, aStep, aImage) && aStep.fillsIdle) {
+    this->TakeSlack(aNow, aSlot, aStep, aImage);
+  }
+}
+
 auto
 Cell::PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void
 {
@@ -419,10 +432,7 @@
   run.since = aNow;
   run.checkpoint = CheckpointHolder(place).checkpoint;
   task.runs.push_back(run);
-  aSlot.Attach({ aName, run.number }, *place.spec, place.image);
-  if (place.spec->fillsIdle) {
-    this->TakeSlack(aNow, aSlot, *place.spec, place.image);
-  }
+  this->Reserve(aNow, { aName, run.number }, aSlot, *place.spec, place.image);
   this->Touch(*place.job, true);
   if (this->log.Follows(aName.job)) {
     this->log.Write("run_planned",
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -47,10 +47,10 @@
 
 auto
 WorkerSlot::Attach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
-  -> void
+  -> bool
 {
   if (!this->runs.insert(aRun).second) {
-    return;
+    return false;
   }
   auto size = aStep.size;
   if (aStep.lasting) {
@@ -63,6 +63,7 @@
     size.cpuMillis = 0;
   }
   this->reserved += size;
+  return true;
 }
 
 auto
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -92,9 +92,8 @@
   int failures = 0;
   std::set<JobId> failedJobs;
   int suspicions = 0;
-  // How many times as long as elsewhere work takes there, as far as is known.
+  // How many times as long as elsewhere work was last seen to take there.
   double slowness = 1.0;
-  Time slowSeenAt{};
 
   // Lasting tasks there by image, and tasks that fill idle processors.
   std::map<ImageId, int> serving;
@@ -125,8 +124,9 @@
   // Own time after which everything that ran there has ended by its lease,
   // whatever it answers.
   auto LapsedBy() const -> Time;
+  // False if its room is held already.
   auto Attach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
-    -> void;
+    -> bool;
   auto Detach(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
     -> void;
   auto NoteEnd(std::uint64_t aEnd) -> void;
--- a/cells/tests/gang_test.cpp
+++ b/cells/tests/gang_test.cpp
@@ -66,6 +66,26 @@
   }
 }
 
+// Pattern: a gang that finds no room is tried each 100 ms for as long as it
+// waits. Each try recorded its members, told of them and used up a number.
+Test(gang, a_try_without_room_leaves_nothing_to_record)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1", { 2000, 64000, 0 });
+  const auto job = harness.Submit(Gang(3));
+  harness.Record();
+  for (auto tries = 0; tries < 5; ++tries) {
+    harness.Advance(kPlanAgain * 2);
+    harness.Tick();
+    harness.Advance(kLazyCommit);
+    cr_expect_not(harness.cell.NextBatch(harness.now).has_value());
+  }
+  const auto& step = harness.cell.FindJob(job)->occurrences.at(0).steps[0];
+  for (const auto& task : step.tasks) {
+    cr_expect_eq(task.lastRun, 0);
+  }
+}
+
 Test(gang, the_end_of_one_is_the_end_of_all)
 {
   auto harness = CellHarness{};
