One decoder of stored JSON, one longest chain of steps

Three copies of the decoder in cells/, the chain in ObjectiveOf and in CandidateOf. Unused functions of members and prospects go.

--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -226,24 +226,39 @@
   return occurrence;
 }
 
+namespace {
+
+// The longest chain of steps that wait for each other, if each takes this long.
 auto
-ObjectiveOf(const Job& aJob, const Occurrence& aOccurrence) -> Time
+LongestChain(const JobSpec& aSpec, const std::vector<Millis>& aTakes) -> Millis
 {
-  const auto& steps = aJob.Spec().steps;
-  auto ends = std::vector<Millis>(steps.size());
+  auto ends = std::vector<Millis>(aSpec.steps.size());
   auto chain = Millis{ 0 };
-  for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
-    const auto& progress = aOccurrence.steps[step];
-    auto takes = progress.longest;
-    if (!progress.AllDone()) {
-      takes = std::max(takes, steps[step].estimate);
-    }
-    for (const auto earlier : steps[step].after) {
+  for (auto step = std::size_t{ 0 }; step < ends.size(); ++step) {
+    // Steps name earlier ones only.
+    for (const auto earlier : aSpec.steps[step].after) {
       ends[step] = std::max(ends[step], ends[earlier]);
     }
-    ends[step] += takes;
+    ends[step] += aTakes[step];
     chain = std::max(chain, ends[step]);
   }
+  return chain;
+}
+
+} // namespace
+
+auto
+ObjectiveOf(const Job& aJob, const Occurrence& aOccurrence) -> Time
+{
+  const auto& steps = aJob.Spec().steps;
+  auto takes = std::vector<Millis>(steps.size());
+  for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
+    const auto& progress = aOccurrence.steps[step];
+    takes[step] = progress.AllDone()
+                    ? progress.longest
+                    : std::max(progress.longest, steps[step].estimate);
+  }
+  const auto chain = LongestChain(aJob.Spec(), takes);
   return aOccurrence.due + aJob.row.policy.target +
          std::chrono::duration_cast<Millis>(
            std::chrono::duration<double, std::milli>(chain) *
@@ -261,7 +276,7 @@
   candidate.lateObjective =
     aOccurrence.due + (candidate.objective - aOccurrence.due) * kLateFactor;
   const auto& steps = aJob.Spec().steps;
-  auto ends = std::vector<Millis>(steps.size());
+  auto left = std::vector<Millis>(steps.size());
   for (auto step = std::size_t{ 0 }; step < steps.size(); ++step) {
     const auto& progress = aOccurrence.steps[step];
     const auto takes = std::max(progress.longest, steps[step].estimate);
@@ -274,21 +289,18 @@
       if (task.phase != TaskPhase::Open) {
         continue;
       }
-      auto left = 1.0;
+      auto part = 1.0;
       for (const auto& run : task.runs) {
-        left = std::min(left, 1.0 - run.percent / kWhole);
+        part = std::min(part, 1.0 - run.percent / kWhole);
       }
-      candidate.workLeft += taskWork * left;
-      longestLeft = std::max(longestLeft, left);
-    }
-    for (const auto earlier : steps[step].after) {
-      ends[step] = std::max(ends[step], ends[earlier]);
+      candidate.workLeft += taskWork * part;
+      longestLeft = std::max(longestLeft, part);
     }
-    ends[step] += std::chrono::duration_cast<Millis>(
+    left[step] = std::chrono::duration_cast<Millis>(
       std::chrono::duration<double, std::milli>(
         static_cast<double>(takes.count()) * longestLeft));
-    candidate.chainLeft = std::max(candidate.chainLeft, ends[step]);
   }
+  candidate.chainLeft = LongestChain(aJob.Spec(), left);
   return candidate;
 }
 
--- a/cells/src/layout.cpp
+++ b/cells/src/layout.cpp
@@ -1,8 +1,8 @@
 #include "layout.h"
 
 #include <algorithm>
-#include <set>
 
+#include "jsontext.h"
 #include "tunables_cells.h"
 
 namespace gooseberry::cells {
@@ -165,22 +165,6 @@
                                                 room,
                                                 backlog)
 
-namespace {
-
-template<class Value>
-auto
-Decode(const std::string& aBytes, std::string& aReason) -> std::optional<Value>
-{
-  try {
-    return nlohmann::json::parse(aBytes).get<Value>();
-  } catch (const nlohmann::json::exception& fault) {
-    aReason = fault.what();
-    return std::nullopt;
-  }
-}
-
-} // namespace
-
 auto
 EncodeLayout(const Layout& aLayout) -> std::string
 {
@@ -191,7 +175,7 @@
 DecodeLayout(const std::string& aBytes, std::string& aReason)
   -> std::optional<Layout>
 {
-  return Decode<Layout>(aBytes, aReason);
+  return DecodeJson<Layout>(aBytes, aReason);
 }
 
 auto
@@ -204,7 +188,7 @@
 DecodeLoad(const std::string& aBytes, std::string& aReason)
   -> std::optional<CellLoad>
 {
-  return Decode<CellLoad>(aBytes, aReason);
+  return DecodeJson<CellLoad>(aBytes, aReason);
 }
 
 auto
--- a/cells/src/members.cpp
+++ b/cells/src/members.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "jsontext.h"
 #include "tunables_cells.h"
 
 namespace gooseberry::cells {
@@ -40,12 +41,7 @@
 DecodeMember(const std::string& aBytes, std::string& aReason)
   -> std::optional<MemberRow>
 {
-  try {
-    return nlohmann::json::parse(aBytes).get<MemberRow>();
-  } catch (const nlohmann::json::exception& fault) {
-    aReason = fault.what();
-    return std::nullopt;
-  }
+  return DecodeJson<MemberRow>(aBytes, aReason);
 }
 
 auto
@@ -115,10 +111,4 @@
                                                     : std::optional{ rank };
 }
 
-auto
-Members::Known() const -> bool
-{
-  return this->readAt != Time{};
-}
-
 } // namespace gooseberry::cells
--- a/cells/src/members.h
+++ b/cells/src/members.h
@@ -48,7 +48,6 @@
   // should not own it. Shares of processors count; the smallest own nothing.
   auto RankOf(const std::string& aInstance, const std::string& aCell) const
     -> std::optional<std::size_t>;
-  auto Known() const -> bool;
 
 private:
   struct Seen
--- a/cells/src/ownerrow.cpp
+++ b/cells/src/ownerrow.cpp
@@ -1,6 +1,6 @@
 #include "ownerrow.h"
 
-#include <nlohmann/json.hpp>
+#include "jsontext.h"
 
 namespace gooseberry::cells {
 
@@ -24,12 +24,7 @@
 DecodeOwner(const std::string& aBytes, std::string& aReason)
   -> std::optional<OwnerRow>
 {
-  try {
-    return nlohmann::json::parse(aBytes).get<OwnerRow>();
-  } catch (const nlohmann::json::exception& fault) {
-    aReason = fault.what();
-    return std::nullopt;
-  }
+  return DecodeJson<OwnerRow>(aBytes, aReason);
 }
 
 } // namespace gooseberry::cells
--- a/cells/src/prospects.cpp
+++ b/cells/src/prospects.cpp
@@ -1,7 +1,6 @@
 #include "prospects.h"
 
 #include <algorithm>
-#include <array>
 #include <numeric>
 #include <set>
 
@@ -29,14 +28,6 @@
 
 } // namespace
 
-auto
-ToText(Prospect aProspect) -> const char*
-{
-  constexpr std::array<const char*, static_cast<int>(Prospect::Prospect_NB)>
-    kNames{ "in_time", "late", "hopeless" };
-  return kNames.at(static_cast<std::size_t>(aProspect));
-}
-
 // Moore and Hodgson's rule, weighed: jobs are added by their objectives; when
 // one can't be met, the costliest of those added is left out.
 auto
--- a/cells/src/prospects.h
+++ b/cells/src/prospects.h
@@ -19,9 +19,6 @@
   Prospect_NB
 };
 
-auto
-ToText(Prospect aProspect) -> const char*;
-
 // A job as far as the selection looks at it.
 struct Candidate
 {
