--- a/cells/tests/disturbance_test.cpp
+++ b/cells/tests/disturbance_test.cpp
@@ -104,6 +104,29 @@
   return spec;
 }
 
+// Every worker that asks reports this tail for each lasting task, and that the
+// filling one runs.
+auto
+ReportTails(CellHarness& aHarness,
+            const std::vector<WorkerCall>& aServing,
+            double aTail,
+            const WorkerCall& aFilling) -> void
+{
+  aHarness.Tick();
+  for (const auto& call : aHarness.Calls(CallKind::Renew)) {
+    auto running = std::vector<RunReport>{};
+    for (const auto& start : aServing) {
+      auto entry = RunningOf(start);
+      entry.percent = 100.0;
+      entry.measured = aTail;
+      running.push_back(entry);
+    }
+    running.push_back(RunningOf(aFilling));
+    running.back().measured = 2000.0;
+    aHarness.Report(call, running, {});
+  }
+}
+
 } // namespace
 
 // Pattern: many lasting tasks of two images. Equal ones share workers, so that
@@ -150,19 +173,7 @@
   auto eased = false;
   for (auto report = 0; report < 8 && !eased; ++report) {
     harness.Advance(Millis{ 700 });
-    harness.Tick();
-    for (const auto& call : harness.Calls(CallKind::Renew)) {
-      auto running = std::vector<RunReport>{};
-      for (const auto& start : serving) {
-        auto entry = RunningOf(start);
-        entry.percent = 100.0;
-        entry.measured = 400.0;
-        running.push_back(entry);
-      }
-      running.push_back(RunningOf(filling[0]));
-      running.back().measured = 2000.0;
-      harness.Report(call, running, {});
-    }
+    ReportTails(harness, serving, 400.0, filling[0]);
     for (const auto& call : harness.Calls(CallKind::Pace)) {
       eased = eased || (call.task == filling[0].task && call.percent <= 50);
     }
@@ -228,19 +239,7 @@
   auto rested = false;
   for (auto report = 0; report < 20 && !rested; ++report) {
     harness.Advance(Millis{ 250 });
-    harness.Tick();
-    for (const auto& call : harness.Calls(CallKind::Renew)) {
-      auto running = std::vector<RunReport>{};
-      for (const auto& start : serving) {
-        auto entry = RunningOf(start);
-        entry.percent = 100.0;
-        entry.measured = report % 3 == 2 ? 148.0 : 158.0;
-        running.push_back(entry);
-      }
-      running.push_back(RunningOf(filling[0]));
-      running.back().measured = 2000.0;
-      harness.Report(call, running, {});
-    }
+    ReportTails(harness, serving, report % 3 == 2 ? 148.0 : 158.0, filling[0]);
     for (const auto& call : harness.Calls(CallKind::Pace)) {
       rested = rested || call.percent == 0;
     }
@@ -261,19 +260,7 @@
   auto orders = 0;
   for (auto report = 0; report < 12 && orders < 2; ++report) {
     harness.Advance(Millis{ 400 });
-    harness.Tick();
-    for (const auto& call : harness.Calls(CallKind::Renew)) {
-      auto running = std::vector<RunReport>{};
-      for (const auto& start : serving) {
-        auto entry = RunningOf(start);
-        entry.percent = 100.0;
-        entry.measured = 600.0;
-        running.push_back(entry);
-      }
-      running.push_back(RunningOf(filling[0]));
-      running.back().measured = 2000.0;
-      harness.Report(call, running, {});
-    }
+    ReportTails(harness, serving, 600.0, filling[0]);
     for (const auto& call : harness.Calls(CallKind::Pace)) {
       if (call.percent == 0) {
         ++orders;
@@ -299,20 +286,10 @@
   auto last = 100;
   for (auto report = 0; report < 16; ++report) {
     harness.Advance(Millis{ 500 });
-    harness.Tick();
-    for (const auto& call : harness.Calls(CallKind::Renew)) {
-      auto running = std::vector<RunReport>{};
-      for (const auto& start : serving) {
-        auto entry = RunningOf(start);
-        entry.percent = 100.0;
-        entry.measured = 600.0;
-        if (!cancelled) {
-          running.push_back(entry);
-        }
-      }
-      running.push_back(RunningOf(filling[0]));
-      harness.Report(call, running, {});
-    }
+    ReportTails(harness,
+                cancelled ? std::vector<WorkerCall>{} : serving,
+                600.0,
+                filling[0]);
     for (const auto& call : harness.Calls(CallKind::Stop)) {
       harness.Answer(call, CallEnd::Done);
     }
--- a/cells/tests/health_test.cpp
+++ b/cells/tests/health_test.cpp
@@ -44,22 +44,30 @@
   return spec;
 }
 
+// Runs of several jobs fail in a row, as many as bring a worker under
+// suspicion.
+auto
+FailStreak(CellHarness& aHarness) -> void
+{
+  auto number = std::uint64_t{ 0 };
+  for (auto failure = 0; failure < kFailureStreak; ++failure) {
+    aHarness.Submit(Steps({ 1 }));
+    const auto starts = aHarness.StartAll();
+    cr_assert_geq(starts.size(), 1);
+    aHarness.Tick();
+    aHarness.Report(aHarness.Calls(CallKind::Renew).at(0),
+                    {},
+                    { EndOf(starts[0], ++number, RunEnd::Failed) });
+  }
+}
+
 } // namespace
 
 Test(health, a_worker_that_fails_all_it_starts_rests_before_it_gets_more)
 {
   auto harness = CellHarness{};
   harness.AddWorker("w1");
-  auto number = std::uint64_t{ 0 };
-  for (auto failure = 0; failure < kFailureStreak; ++failure) {
-    harness.Submit(Steps({ 1 }));
-    const auto starts = harness.StartAll();
-    cr_assert_geq(starts.size(), 1);
-    harness.Tick();
-    harness.Report(harness.Calls(CallKind::Renew).at(0),
-                   {},
-                   { EndOf(starts[0], ++number, RunEnd::Failed) });
-  }
+  FailStreak(harness);
   const auto& slot = harness.cell.Workers().at({ "w1" });
   cr_expect_eq(slot.suspicions, 1);
   cr_expect_eq(slot.shunnedUntil, harness.now + kSuspectRest);
@@ -172,16 +180,7 @@
 {
   auto harness = CellHarness{};
   harness.AddWorker("w1");
-  auto number = std::uint64_t{ 0 };
-  for (auto failure = 0; failure < kFailureStreak; ++failure) {
-    harness.Submit(Steps({ 1 }));
-    const auto starts = harness.StartAll();
-    cr_assert_geq(starts.size(), 1);
-    harness.Tick();
-    harness.Report(harness.Calls(CallKind::Renew).at(0),
-                   {},
-                   { EndOf(starts[0], ++number, RunEnd::Failed) });
-  }
+  FailStreak(harness);
   cr_assert_gt(harness.cell.Workers().at({ "w1" }).shunnedUntil, harness.now);
   auto spec = Steps({ 1 });
   spec.steps[0].lasting = true;
