--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -57,7 +57,7 @@
 private:
   struct Load;
 
-  // Watching.
+  // Watching and taking over (celltakeover.cpp).
   auto Watch() -> void;
   auto OnOwnerRow(const cells::RowsOutcome& aOutcome) -> void;
   // How long the owner's row must be as it is before this instance steps in.
--- /dev/null
+++ b/fleet/src/celltakeover.cpp
@@ -0,0 +1,304 @@
+// Watching a cell's owner and taking the cell over when the owner is gone.
+
+#include "cellkeeper.h"
+#include "tunables_fleet.h"
+
+namespace gooseberry::fleet {
+
+// Rows read after a takeover.
+struct CellKeeper::Load
+{
+  std::vector<cells::StoredRow> records;
+  std::vector<cells::StoredRow> submissions;
+  std::vector<cells::StoredRow> cancellations;
+  int missing = 0;
+  std::uint64_t version = 0;
+  std::vector<TimerHandle> retries;
+};
+
+auto
+CellKeeper::Watch() -> void
+{
+  if (this->releasing || this->recorder || this->taking) {
+    return;
+  }
+  const auto mine =
+    this->ports.view.Members().RankOf(this->settings.instance, this->rows.cell);
+  if (!mine) {
+    // Others look after it.
+    this->seenAt = this->ports.loop.Now();
+    this->Later(this->watchTimer, kWatchInterval, &CellKeeper::Watch);
+    return;
+  }
+  this->rank = *mine;
+  const auto owner = this->rows.Owner();
+  this->ports.tables.Read(
+    { owner.table, owner.part, "", "" },
+    kStoreTimeout,
+    [weak = this->weak_from_this(),
+     asked = this->ports.loop.Now()](const cells::RowsOutcome& aOutcome) {
+      if (const auto self = weak.lock()) {
+        self->NoteStoreClock(aOutcome.storeMs, asked);
+        self->OnOwnerRow(aOutcome);
+      }
+    });
+}
+
+auto
+CellKeeper::OnOwnerRow(const cells::RowsOutcome& aOutcome) -> void
+{
+  const auto now = this->ports.loop.Now();
+  this->Later(this->watchTimer, kWatchInterval, &CellKeeper::Watch);
+  if (aOutcome.end != cells::TableEnd::Done || !this->ports.site.Config()) {
+    return;
+  }
+  if (aOutcome.rows.empty()) {
+    if (this->seenAt == Time{}) {
+      this->seenAt = now;
+    }
+    if (now >= this->seenAt + this->Patience(true)) {
+      this->earlier.reset();
+      this->TakeOver(0, 1);
+    }
+    return;
+  }
+  const auto& row = aOutcome.rows.front();
+  auto reason = std::string{};
+  const auto owner = cells::DecodeOwner(row.value, reason);
+  if (!owner) {
+    this->ports.log.Write("owner_unreadable", { { "reason", reason } });
+    return;
+  }
+  if (row.version != this->seenVersion) {
+    this->seenVersion = row.version;
+    this->seenAt = now;
+  }
+  // A row with the own name is of an earlier life of this process.
+  const auto ownEarlier = owner->owner.text == this->settings.instance;
+  // The silent owner does not take its turn.
+  const auto ahead =
+    this->ports.view.Members().RankOf(owner->owner.text, this->rows.cell);
+  if (ahead && *ahead < this->rank) {
+    --this->rank;
+  }
+  if (ownEarlier || now >= this->seenAt + this->Patience(owner->released)) {
+    this->earlier = owner;
+    this->TakeOver(row.version, owner->fencingToken + 1);
+  }
+}
+
+auto
+CellKeeper::Patience(bool aReleased) const -> Millis
+{
+  const auto turn = kRankDelay * static_cast<Millis::rep>(this->rank);
+  return aReleased ? turn : kOwnerSilence + turn;
+}
+
+auto
+CellKeeper::TakeOver(std::uint64_t aVersion, std::uint64_t aToken) -> void
+{
+  if (this->releasing) {
+    return;
+  }
+  this->taking = true;
+  auto owner = cells::OwnerRow{ { this->settings.instance },
+                                this->settings.address,
+                                aToken };
+  owner.leaseMs = this->LeaseGiven().count();
+  if (this->earlier) {
+    // Not known better before the records are read.
+    owner.silent = this->earlier->silent;
+  }
+  auto commit = cells::RowsCommit{};
+  commit.conditions.push_back({ this->rows.Owner(), aVersion });
+  commit.puts.push_back({ this->rows.Owner(), cells::EncodeOwner(owner) });
+  this->ports.log.Write("cell_taking",
+                        { { "cell", this->rows.cell },
+                          { "token", std::to_string(aToken) },
+                          { "row", std::to_string(aVersion) } });
+  this->ports.tables.Commit(
+    commit,
+    kStoreTimeout,
+    [weak = this->weak_from_this(),
+     owner](const cells::CommitOutcome& aOutcome) {
+      const auto self = weak.lock();
+      if (!self) {
+        return;
+      }
+      self->taking = false;
+      if (aOutcome.end != cells::TableEnd::Done) {
+        // If it was done after all, nobody acts under it: it falls silent.
+        self->Later(self->watchTimer, kWatchInterval, &CellKeeper::Watch);
+        return;
+      }
+      self->recorder.emplace(self->rows, owner, aOutcome.version);
+      ++self->term;
+      self->lastWrite = self->ports.loop.Now();
+      self->LoadRecords();
+    });
+}
+
+// The latest own times at which leases are over that the row tells.
+auto
+CellKeeper::LapsesOf(const cells::OwnerRow& aOwner) const
+  -> std::map<WorkerId, Time>
+{
+  auto lapses = std::map<WorkerId, Time>{};
+  if (!this->storeClock) {
+    return lapses;
+  }
+  for (const auto& [worker, storeMs] : aOwner.silent) {
+    lapses.emplace(WorkerId{ worker },
+                   this->storeClock->answered +
+                     Millis{ storeMs - this->storeClock->storeMs });
+  }
+  return lapses;
+}
+
+auto
+CellKeeper::LoadRecords() -> void
+{
+  this->ports.site.FollowWorkers(true);
+  this->load = std::make_shared<Load>();
+  const auto parts = cells::CellRows::CallerParts();
+  this->load->missing = 1 + 2 * static_cast<int>(parts.size());
+  this->ReadInto(this->rows.RecordRange(), &Load::records);
+  for (const auto& part : parts) {
+    this->ReadInto({ cells::CellRows::kSubmissionTable, part, "", "" },
+                   &Load::submissions);
+    this->ReadInto({ cells::CellRows::kCancellationTable, part, "", "" },
+                   &Load::cancellations);
+  }
+}
+
+auto
+CellKeeper::ReadInto(const cells::RowsRange& aRange,
+                     std::vector<cells::StoredRow> Load::*aWhere) -> void
+{
+  this->ports.tables.Read(aRange,
+                          kStoreTimeout,
+                          [weak = this->weak_from_this(),
+                           held = std::weak_ptr<Load>(this->load),
+                           aRange,
+                           aWhere](const cells::RowsOutcome& aOutcome) {
+                            const auto self = weak.lock();
+                            const auto loading = held.lock();
+                            if (self && loading && self->load == loading) {
+                              self->OnRead(*loading, aRange, aWhere, aOutcome);
+                            }
+                          });
+}
+
+auto
+CellKeeper::OnRead(Load& aLoad,
+                   const cells::RowsRange& aRange,
+                   std::vector<cells::StoredRow> Load::*aWhere,
+                   const cells::RowsOutcome& aOutcome) -> void
+{
+  if (aOutcome.end != cells::TableEnd::Done) {
+    aLoad.retries.push_back(this->ports.loop.After(
+      kReadRetry,
+      [weak = this->weak_from_this(),
+       held = std::weak_ptr<Load>(this->load),
+       aRange,
+       aWhere] {
+        const auto self = weak.lock();
+        if (self && self->load && self->load == held.lock()) {
+          self->ReadInto(aRange, aWhere);
+        }
+      }));
+    return;
+  }
+  auto& rows = aLoad.*aWhere;
+  rows.insert(rows.end(), aOutcome.rows.begin(), aOutcome.rows.end());
+  aLoad.version = aLoad.version == 0
+                    ? aOutcome.version
+                    : std::min(aLoad.version, aOutcome.version);
+  if (--aLoad.missing == 0) {
+    this->OnLoaded();
+  }
+}
+
+auto
+CellKeeper::OnLoaded() -> void
+{
+  const auto loaded = std::exchange(this->load, nullptr);
+  auto takeover = cells::CellTakeover{};
+  takeover.fencingToken = this->recorder->Owner().fencingToken;
+  takeover.now = this->ports.loop.Now();
+  takeover.nowUnixMs = this->ports.loop.UnixMillis();
+  if (this->earlier) {
+    takeover.earlierLease = Millis{ this->earlier->leaseMs };
+    takeover.lapses = this->LapsesOf(*this->earlier);
+  }
+  auto reason = std::string{};
+  auto records = std::map<std::string, cells::JobRecord>{};
+  for (const auto& row : loaded->records) {
+    if (auto record = cells::DecodeRecord(row.value, reason)) {
+      records.emplace(row.key.key, std::move(*record));
+    } else {
+      this->ports.log.Write("record_unreadable",
+                            { { "job", row.key.key }, { "reason", reason } });
+    }
+  }
+  for (const auto& row : loaded->submissions) {
+    if (auto job = this->JobOf(row)) {
+      const auto record = records.find(row.key.key);
+      takeover.jobs.emplace_back(std::move(*job),
+                                 record == records.end()
+                                   ? std::nullopt
+                                   : std::optional{ record->second });
+    }
+  }
+  for (const auto& row : loaded->cancellations) {
+    if (const auto id = this->CancelledBy(row)) {
+      takeover.cancelled.push_back(*id);
+    }
+  }
+  this->ports.log.Write("cell_taken",
+                        { { "cell", this->rows.cell },
+                          { "token", std::to_string(takeover.fencingToken) },
+                          { "jobs", std::to_string(takeover.jobs.size()) },
+                          { "records", std::to_string(records.size()) } });
+  this->toldCounts = {};
+  this->ports.metrics.CountOwnership("taken");
+  auto options = cells::CellOptions{};
+  options.leaseMax = this->settings.bounds.leaseMax;
+  options.lease = this->LeaseGiven();
+  options.stopBound = this->settings.bounds.stop;
+  options.keepEnded = this->settings.bounds.keepEnded;
+  options.remoteFactor = this->settings.bounds.remoteFactor;
+  this->cell = std::make_unique<cells::Cell>(
+    options, std::move(takeover), this->ports.log);
+  const auto follow = [this](const char* aTable, auto aHandler) {
+    return std::make_shared<TableFollower>(
+      this->ports.loop,
+      this->ports.tables,
+      FollowerOptions{
+        aTable, cells::CellRows::CallerParts(), kJobPatience, Millis{ 0 } },
+      this->ports.log,
+      [weak = this->weak_from_this(),
+       aHandler](const std::vector<cells::StoredRow>& aRows, bool /*aWhole*/) {
+        const auto self = weak.lock();
+        if (self && self->cell) {
+          (*self.*aHandler)(aRows);
+        }
+      });
+  };
+  this->jobRows =
+    follow(cells::CellRows::kSubmissionTable, &CellKeeper::OnJobRows);
+  this->cancelRows =
+    follow(cells::CellRows::kCancellationTable, &CellKeeper::OnCancelRows);
+  this->jobRows->StartAfter(loaded->version);
+  this->cancelRows->StartAfter(loaded->version);
+  this->OnSiteChanged();
+  this->StepEvery();
+}
+
+auto
+CellKeeper::LeaseGiven() const -> Millis
+{
+  return std::min(kLeaseGiven, this->settings.bounds.leaseMax - kLeaseReserve);
+}
+
+} // namespace gooseberry::fleet
