Queues whose workers an adviser chooses

Cause: a queue with advice was placed on any worker of its service; such a platform refuses each start. Owners now ask the adviser about the workers on which tasks would start, keep the tickets by step and by life of a worker, and place only where a valid one is held.

Ruled out: asking about 30 workers each time: an adviser needs time for each, and where one of ten is allowed 30 are too few.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -21,6 +21,8 @@
 // A caller without an answer tries again after this.
 constexpr Millis kAgain{ 600 };
 constexpr std::size_t kPage = 500;
+// Tickets of the adviser are valid for so long.
+constexpr Millis kTicketTime{ 3000 };
 constexpr const char* kHost = "jobs.example";
 constexpr const char* kPrefix = "/q/";
 constexpr const char* kService = "pool";
@@ -67,6 +69,7 @@
   std::unique_ptr<VirtualLoop> loop;
   std::unique_ptr<InstanceTables> tables;
   std::unique_ptr<InstanceWorkers> workers;
+  std::unique_ptr<InstanceAdvice> advice;
   fleet::FleetMetrics metrics;
   std::unique_ptr<fleet::SiteWatch> site;
   std::shared_ptr<fleet::FleetView> view;
@@ -283,6 +286,14 @@
         return;
       }
       const auto now = this->world.queue.Now();
+      if (aCall.kind == cells::CallKind::Start &&
+          !this->world.TakesTicket(*box, aCall)) {
+        auto refused = cells::WorkerAnswer{ aCall.number };
+        refused.end = cells::CallEnd::NoTicket;
+        refused.clockMs = MillisOf(now);
+        reply(refused);
+        return;
+      }
       const auto answer =
         box->worker->Handle(now, aCall, aCall.patience.count() > 0);
       if (late) {
@@ -312,6 +323,52 @@
   VirtualLoop& loop;
 };
 
+// The adviser as one instance reaches it: it decides one question after the
+// other for each instance.
+class FleetWorld::InstanceAdvice : public cells::AdvicePort
+{
+public:
+  InstanceAdvice(FleetWorld& aWorld, Instance& aInstance)
+    : world(aWorld)
+    , loop(*aInstance.loop)
+  {
+  }
+
+  auto Ask(const cells::AdviceQuestion& aQuestion,
+           std::function<void(cells::AdviceAnswer)> aDone) -> void override
+  {
+    constexpr Millis kDecides{ 30 };
+    constexpr Millis kEach{ 2 };
+    const auto now = this->world.queue.Now();
+    this->busyUntil =
+      std::max(this->busyUntil, now) + kDecides +
+      kEach * static_cast<Millis::rep>(aQuestion.workers.size());
+    auto answer = cells::AdviceAnswer{ aQuestion.number };
+    const auto served =
+      this->world.adviserServes && this->busyUntil < now + aQuestion.timeout;
+    if (served) {
+      answer.end = cells::AdviceEnd::Answered;
+      answer.validFor = kTicketTime;
+      for (const auto& worker : aQuestion.workers) {
+        if (this->world.MayRun(aQuestion.step, worker)) {
+          answer.allowed.emplace_back(
+            worker, this->world.NewTicket(aQuestion.step, worker));
+        }
+      }
+    }
+    this->world.queue.After(served ? this->busyUntil - now : aQuestion.timeout,
+                            [this, answer, done = std::move(aDone)] {
+                              this->loop.Post([answer, done] { done(answer); });
+                            });
+  }
+
+private:
+  FleetWorld& world;
+  // Of the process that uses this; it outlives the process.
+  VirtualLoop& loop;
+  Time busyUntil{};
+};
+
 class FleetWorld::FakeExchange : public HttpExchange
 {
 public:
@@ -423,6 +480,7 @@
   instance.loop = std::make_unique<VirtualLoop>(this->queue);
   instance.tables = std::make_unique<InstanceTables>(*this, instance);
   instance.workers = std::make_unique<InstanceWorkers>(*this, instance);
+  instance.advice = std::make_unique<InstanceAdvice>(*this, instance);
   instance.site = std::make_unique<fleet::SiteWatch>(
     *instance.loop, *instance.tables, *instance.log);
   instance.view = std::make_shared<fleet::FleetView>(
@@ -432,6 +490,7 @@
                                        fleet::KeeperPorts{ *instance.loop,
                                                            *instance.tables,
                                                            *instance.workers,
+                                                           *instance.advice,
                                                            *instance.site,
                                                            *instance.view,
                                                            *instance.log,
@@ -468,6 +527,7 @@
   bury(instance.board);
   bury(instance.view);
   bury(instance.site);
+  bury(instance.advice);
   bury(instance.workers);
   bury(instance.tables);
   bury(instance.loop);
@@ -726,6 +786,64 @@
   }
 }
 
+auto
+FleetWorld::SetAdvised(bool aAdvised) -> void
+{
+  this->config.queues[0].policy.advised = aAdvised;
+  ++this->config.version;
+  this->SetConfig(this->config);
+}
+
+auto
+FleetWorld::SetAdviser(bool aServes) -> void
+{
+  this->adviserServes = aServes;
+}
+
+// Two workers of five may run a step.
+auto
+FleetWorld::MayRun(const cells::StepName& aStep, const WorkerId& aWorker)
+  -> bool
+{
+  constexpr std::uint64_t kParts = 5;
+  constexpr std::uint64_t kAllowed = 2;
+  return StableHash(ToText(aStep) + "@" + aWorker.text) % kParts < kAllowed;
+}
+
+auto
+FleetWorld::NewTicket(const cells::StepName& aStep, const WorkerId& aWorker)
+  -> std::string
+{
+  auto text = "t" + std::to_string(++this->lastTicket);
+  this->tickets.emplace(
+    text, Ticket{ aStep, aWorker, this->queue.Now() + kTicketTime });
+  return text;
+}
+
+auto
+FleetWorld::TakesTicket(const WorkerBox& aBox, const cells::WorkerCall& aCall)
+  -> bool
+{
+  if (!this->config.queues[0].policy.advised) {
+    return true;
+  }
+  const auto ticket = this->tickets.find(aCall.ticket);
+  const auto step =
+    cells::StepName{ aCall.task.job, aCall.task.occurrence, aCall.task.step };
+  const auto valid = ticket != this->tickets.end() &&
+                     ticket->second.step == step &&
+                     ticket->second.worker == aBox.entry.id &&
+                     this->queue.Now() <= ticket->second.until;
+  this->refusedTickets += valid ? 0 : 1;
+  return valid;
+}
+
+auto
+FleetWorld::RefusedTickets() const -> std::size_t
+{
+  return this->refusedTickets;
+}
+
 auto
 FleetWorld::Evacuate(const DomainId& aDomain, bool aOut) -> void
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -95,6 +95,13 @@
   // Operators.
   auto Evacuate(const DomainId& aDomain, bool aOut) -> void;
   auto SetConfig(const cells::SiteConfig& aConfig) -> void;
+  // Whether only workers that the adviser names may run the queue's steps.
+  auto SetAdvised(bool aAdvised) -> void;
+
+  // The adviser.
+  auto SetAdviser(bool aServes) -> void;
+  // Starts that a worker refused for want of a valid ticket.
+  auto RefusedTickets() const -> std::size_t;
 
   // Instances.
   auto Instances() const -> int;
@@ -146,8 +153,22 @@
 
   class InstanceTables;
   class InstanceWorkers;
+  class InstanceAdvice;
   class FakeExchange;
 
+  struct Ticket
+  {
+    cells::StepName step;
+    WorkerId worker;
+    Time until{};
+  };
+
+  static auto MayRun(const cells::StepName& aStep, const WorkerId& aWorker)
+    -> bool;
+  auto NewTicket(const cells::StepName& aStep, const WorkerId& aWorker)
+    -> std::string;
+  auto TakesTicket(const WorkerBox& aBox, const cells::WorkerCall& aCall)
+    -> bool;
   auto PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
     -> fakes::WorkPlan;
   auto NewWorker(int aWorker) -> void;
@@ -173,6 +194,10 @@
   std::vector<std::unique_ptr<WorkerBox>> workers;
   std::map<cells::JobId, std::pair<cells::JobSpec, fakes::WorkPlan>> jobs;
   std::uint64_t nextJob = 0;
+  std::map<std::string, Ticket> tickets;
+  std::uint64_t lastTicket = 0;
+  std::size_t refusedTickets = 0;
+  bool adviserServes = true;
   double lateOrders = 0.0;
   Millis lateBy{ 0 };
 };
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "adviser.h"
 #include "decisionlog.h"
 #include "disturbance.h"
 #include "job.h"
@@ -153,6 +154,7 @@
   auto OnJob(Time aNow, std::int64_t aNowUnixMs, const JobRow& aRow) -> void;
   auto OnCancel(Time aNow, const JobId& aJob) -> void;
   auto OnAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void;
+  auto OnAdvice(Time aNow, const AdviceAnswer& aAnswer) -> void;
   // Decides everything that depends on time, and plans starts.
   auto OnTick(Time aNow, std::int64_t aNowUnixMs) -> void;
   // What operators and workers said was all known at that time.
@@ -182,6 +184,8 @@
 
   // Calls that are due.
   auto TakeCalls(Time aNow) -> std::vector<WorkerCall>;
+  // Questions to the adviser that are due.
+  auto TakeQuestions() -> std::vector<AdviceQuestion>;
 
   // Views.
   auto FindJob(const JobId& aJob) const -> const Job*;
@@ -236,6 +240,7 @@
   {
     const Job* job = nullptr;
     const StepSpec* step = nullptr;
+    StepName name;
     ImageId image = 0;
     // Runs of the step by worker, where their number is bounded.
     const std::map<const WorkerSlot*, std::uint32_t>* placed = nullptr;
@@ -390,6 +395,17 @@
                ImageId aImage) const -> void;
   auto PlanRun(Time aNow, const TaskName& aName, WorkerSlot& aSlot) -> void;
 
+  // Steps whose workers an adviser chooses (celladvice.cpp).
+  auto IsAllowed(Time aNow,
+                 const WorkerSlot& aSlot,
+                 const PlacementQuery& aQuery) const -> bool;
+  auto AskAdvice(const PlacementRound& aRound,
+                 PlacementQuery aQuery,
+                 std::size_t aTasks) -> void;
+  auto TicketOf(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot) const
+    -> std::string;
+  auto OnTicketRefused(const TaskName& aTask, const WorkerSlot& aSlot) -> void;
+
   // Tasks that work only together (cellgang.cpp).
   auto PlanGang(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
     -> void;
@@ -469,6 +485,8 @@
   // Runs whose stop order is due.
   std::set<RunRef> toStop;
   std::vector<WorkerCall> calls;
+  Adviser adviser;
+  std::vector<AdviceQuestion> questions;
   std::uint64_t lastCall = 0;
   Time plannedAt{};
   Time judgedAt{};
--- /dev/null
+++ b/cells/src/celladvice.cpp
@@ -0,0 +1,112 @@
+// Steps whose workers are chosen by an adviser: tasks start only where it gave
+// a ticket, and it is asked about the workers on which they would start.
+
+#include <algorithm>
+
+#include "cell.h"
+#include "tunables_cells.h"
+
+namespace gooseberry::cells {
+
+namespace {
+
+auto
+LifeOf(const WorkerSlot& aSlot) -> WorkerLife
+{
+  return { aSlot.entry.id, aSlot.entry.bornUnixMs };
+}
+
+auto
+StepOf(const TaskName& aTask) -> StepName
+{
+  return { aTask.job, aTask.occurrence, aTask.step };
+}
+
+} // namespace
+
+auto
+Cell::IsAllowed(Time aNow,
+                const WorkerSlot& aSlot,
+                const PlacementQuery& aQuery) const -> bool
+{
+  return !aQuery.job->row.policy.advised ||
+         this->adviser.TicketFor(aNow, aQuery.name, LifeOf(aSlot)) != nullptr;
+}
+
+// Asks about the workers that would suit best of those that nothing is known
+// of, or whose tickets are over.
+auto
+Cell::AskAdvice(const PlacementRound& aRound,
+                PlacementQuery aQuery,
+                std::size_t aTasks) -> void
+{
+  if (!this->adviser.CanAsk(aRound.now, aQuery.name, this->planAgain)) {
+    return;
+  }
+  auto candidates = std::vector<std::pair<double, const WorkerSlot*>>{};
+  for (const auto* const slot : aRound.open) {
+    if (slot->entry.service == aQuery.job->row.policy.service &&
+        this->adviser.MayAsk(aRound.now, aQuery.name, LifeOf(*slot)) &&
+        this->Fits(*slot, aQuery)) {
+      candidates.emplace_back(this->Score(*slot, aQuery, 1.0), slot);
+    }
+  }
+  if (candidates.empty()) {
+    this->planAgain = std::min(this->planAgain, aRound.now + kAdviceRetry);
+    return;
+  }
+  const auto named =
+    std::min(candidates.size(), this->adviser.WorkersFor(aTasks));
+  std::partial_sort(candidates.begin(),
+                    candidates.begin() + static_cast<std::ptrdiff_t>(named),
+                    candidates.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.first > aRight.first;
+                    });
+  auto lives = std::vector<WorkerLife>{};
+  for (auto index = std::size_t{ 0 }; index < named; ++index) {
+    lives.push_back(LifeOf(*candidates[index].second));
+  }
+  this->questions.push_back(this->adviser.Ask(aRound.now, aQuery.name, lives));
+}
+
+auto
+Cell::TakeQuestions() -> std::vector<AdviceQuestion>
+{
+  return std::exchange(this->questions, {});
+}
+
+auto
+Cell::OnAdvice(Time aNow, const AdviceAnswer& aAnswer) -> void
+{
+  const auto step = this->adviser.OnAnswer(aNow, aAnswer);
+  if (!step) {
+    return;
+  }
+  this->planNeeded = true;
+  if (aAnswer.end != AdviceEnd::Answered || this->log.Follows(step->job)) {
+    this->log.Write("advised",
+                    { { "step", ToText(*step) },
+                      { "end", ToText(aAnswer.end) },
+                      { "allowed", std::to_string(aAnswer.allowed.size()) },
+                      { "valid_ms", std::to_string(aAnswer.validFor.count()) },
+                      { "reason", aAnswer.reason } });
+  }
+}
+
+auto
+Cell::TicketOf(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot) const
+  -> std::string
+{
+  const auto* const ticket =
+    this->adviser.TicketFor(aNow, StepOf(aTask), LifeOf(aSlot));
+  return ticket == nullptr ? std::string{} : *ticket;
+}
+
+auto
+Cell::OnTicketRefused(const TaskName& aTask, const WorkerSlot& aSlot) -> void
+{
+  this->adviser.OnRefused(StepOf(aTask), LifeOf(aSlot));
+}
+
+} // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -61,6 +61,9 @@
   call.run = aRef.run;
   call.payload = aPlace.job->Spec().payload;
   call.checkpoint = CheckpointHolder(aPlace).checkpoint;
+  if (aPlace.job->row.policy.advised) {
+    call.ticket = this->TicketOf(aNow, aRef.task, slot);
+  }
   call.leaseEndMs = this->LeaseEndFor(aNow, slot, kStartWindow);
   run->startLeaseEndMs = call.leaseEndMs;
   run->phase = RunPhase::Starting;
--- a/cells/src/cellgang.cpp
+++ b/cells/src/cellgang.cpp
@@ -55,6 +55,16 @@
       return;
     }
   }
+  if (job.row.policy.advised) {
+    this->AskAdvice(aRound,
+                    { &job,
+                      &spec,
+                      { job.Id(), aReady.occurrence, aReady.step },
+                      job.images[aReady.step],
+                      nullptr,
+                      kPoorPace },
+                    step.tasks.size());
+  }
   // Trying is dear: each rack is looked at.
   step.tasks.front().notBefore = aNow + kPlanAgain;
   this->planAgain = std::min(this->planAgain, aNow + kPlanAgain);
@@ -85,8 +95,12 @@
   // Held until all have a place: what is not placed leaves no trace.
   auto places = std::vector<std::pair<RunRef, WorkerSlot*>>{};
   auto placed = std::map<const WorkerSlot*, std::uint32_t>{};
-  auto query =
-    PlacementQuery{ &job, &spec, job.images[aReady.step], &placed, kPoorPace };
+  auto query = PlacementQuery{ &job,
+                               &spec,
+                               { job.Id(), aReady.occurrence, aReady.step },
+                               job.images[aReady.step],
+                               &placed,
+                               kPoorPace };
   for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
     const auto name =
       TaskName{ job.Id(), aReady.occurrence, aReady.step, index };
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -303,6 +303,7 @@
   aJob.state = aState;
   aJob.endedAt = aNow;
   this->activeJobs.erase(aJob.Id());
+  this->adviser.Drop(aJob.Id());
   this->endedJobs.emplace(aNow + this->options.keepEnded, aJob.Id());
   if (aState == JobState::Completed && !aJob.Spec().Timed()) {
     this->Note(SpanKind::Job, aNow - aJob.arrivedAt);
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -181,8 +181,12 @@
       }
     }
   }
-  auto query =
-    PlacementQuery{ &job, &spec, job.images[aReady.step], &placed, kGoodPace };
+  auto query = PlacementQuery{ &job,
+                               &spec,
+                               { job.Id(), aReady.occurrence, aReady.step },
+                               job.images[aReady.step],
+                               &placed,
+                               kGoodPace };
   for (auto index = std::uint32_t{ 0 }; index < tasks.size(); ++index) {
     auto& task = tasks[index];
     if (task.phase != TaskPhase::Open || !task.runs.empty()) {
@@ -202,6 +206,9 @@
       if (spec.fillsIdle) {
         this->planAgain = std::min(this->planAgain, aNow + kPlanAgain);
       }
+      if (job.row.policy.advised) {
+        this->AskAdvice(aRound, query, tasks.size() - index);
+      }
       return;
     }
     this->Note(SpanKind::Place, aNow - *task.waitingSince);
@@ -235,7 +242,10 @@
 {
   const auto& step = *aQuery.step;
   const auto& service = aQuery.job->row.policy.service;
+  // Of the others, a failure of one kind of task is one of all like it.
+  const auto special = step.maxPerWorker > 0 || aQuery.job->row.policy.advised;
   const auto hopeless =
+    !aQuery.job->row.policy.advised &&
     std::any_of(aRound.failures.begin(),
                 aRound.failures.end(),
                 [&](const PlacementRound::Failure& aFailure) {
@@ -255,7 +265,7 @@
     // It is owed a place wherever there is room.
     best = this->PickAmong(aRound, aRound.shunned, aQuery);
   }
-  if (best == nullptr && step.maxPerWorker == 0) {
+  if (best == nullptr && !special) {
     aRound.failures.push_back({ service,
                                 aQuery.image,
                                 step.fillsIdle,
@@ -277,7 +287,8 @@
   WorkerSlot* best = nullptr;
   auto bestScore = 0.0;
   for (auto* const slot : aWorkers) {
-    if (slot->entry.service != service || !this->Fits(*slot, aQuery)) {
+    if (slot->entry.service != service || !this->Fits(*slot, aQuery) ||
+        !this->IsAllowed(aRound.now, *slot, aQuery)) {
       continue;
     }
     auto pace = 1.0;
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -330,8 +330,14 @@
     return false;
   }
   auto round = this->NewRound(aNow);
-  const auto query =
-    PlacementQuery{ place.job, place.spec, place.image, nullptr, 1.0 };
+  const auto query = PlacementQuery{
+    place.job,
+    place.spec,
+    { aFill.ref.task.job, aFill.ref.task.occurrence, aFill.ref.task.step },
+    place.image,
+    nullptr,
+    1.0
+  };
   if (this->PickWorker(round, query) == nullptr) {
     return false;
   }
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -193,6 +193,9 @@
       this->Count(CellEvent::StartRefused);
       slot.avoidUntil = aNow + kAvoidRefusing;
       slot.lookNow = slot.lookNow || aAnswer.end == CallEnd::NoRoom;
+      if (aAnswer.end == CallEnd::NoTicket) {
+        this->OnTicketRefused(aRef.task, slot);
+      }
       this->ForgetRun(aNow, aRef, ToText(aAnswer.end));
       return;
   }
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -172,6 +172,21 @@
 inline constexpr int kProbes = 2;
 inline constexpr double kProbeVariance = 2.0;
 
+// Questions to the adviser that may be under way: it decides them one after the
+// other, the second one waits there and not here.
+inline constexpr std::size_t kMostQuestions = 2;
+// Workers named in one question: the adviser takes 100 and needs time for each.
+inline constexpr std::size_t kLeastAdvised = 4;
+inline constexpr std::size_t kMostAdvised = 100;
+inline constexpr double kLeastAllowedPart = 0.1;
+// Weight of the newest answer in the part of workers that is allowed.
+inline constexpr double kAllowedGain = 0.2;
+// A ticket has to stay valid for so long: a start is recorded, sent and, if its
+// worker is slow, taken within this.
+inline constexpr Millis kTicketReserve{ 500 };
+inline constexpr Millis kAdviceTimeout{ 2000 };
+inline constexpr Millis kAdviceRetry{ 200 };
+
 // Failures in a row, of at least two jobs, after which a worker is suspected; a
 // twentieth of all runs fails by itself.
 inline constexpr int kFailureStreak = 3;
--- a/fleet/src/cellkeeper.cpp
+++ b/fleet/src/cellkeeper.cpp
@@ -210,6 +210,7 @@
   this->cell->OnTick(this->ports.loop.Now(), this->ports.loop.UnixMillis());
   this->WriteNext();
   this->SendCalls();
+  this->SendQuestions();
   this->sweeper->Add(this->cell->TakeForgotten());
 }
 
@@ -251,6 +252,24 @@
   }
 }
 
+auto
+CellKeeper::SendQuestions() -> void
+{
+  for (const auto& question : this->cell->TakeQuestions()) {
+    this->ports.advice.Ask(question,
+                           [weak = this->weak_from_this(), at = this->term](
+                             const cells::AdviceAnswer& aAnswer) {
+                             const auto self = weak.lock();
+                             if (self && self->cell && self->term == at) {
+                               self->ports.metrics.CountAdvice(aAnswer.end);
+                               self->cell->OnAdvice(self->ports.loop.Now(),
+                                                    aAnswer);
+                               self->StepSoon();
+                             }
+                           });
+  }
+}
+
 auto
 CellKeeper::WriteNext() -> void
 {
--- a/fleet/src/cellkeeper.h
+++ b/fleet/src/cellkeeper.h
@@ -29,6 +29,7 @@
   Loop& loop;
   cells::TablePort& tables;
   cells::WorkerPort& workers;
+  cells::AdvicePort& advice;
   SiteWatch& site;
   FleetView& view;
   cells::DecisionLog& log;
@@ -79,6 +80,7 @@
   auto StepSoon() -> void;
   auto StepEvery() -> void;
   auto SendCalls() -> void;
+  auto SendQuestions() -> void;
   auto WriteNext() -> void;
   auto Commit(const cells::RowsCommit& aCommit) -> void;
   auto NoteRecording(const cells::CommitOutcome& aOutcome) -> void;
--- a/fleet/src/fleetinstance.cpp
+++ b/fleet/src/fleetinstance.cpp
@@ -33,6 +33,22 @@
 
 FleetInstance::~FleetInstance() = default;
 
+auto
+FleetInstance::MakeAdvice(std::string& aReason) -> bool
+{
+  if (this->settings.advice.empty()) {
+    this->advice = std::make_unique<wire::NoAdvice>(this->loop);
+    return true;
+  }
+  const auto address = ParseEndpoint(this->settings.advice);
+  if (!address) {
+    aReason = "advice '" + this->settings.advice + "' is not ADDRESS:PORT";
+    return false;
+  }
+  this->advice = std::make_unique<wire::WireAdvice>(this->loop, *address);
+  return true;
+}
+
 auto
 FleetInstance::Start(std::string& aReason) -> bool
 {
@@ -48,6 +64,9 @@
     *this->wireTables, this->loop, this->metrics);
   this->workers = std::make_unique<MeteredWorkers>(
     *this->wireWorkers, this->loop, this->metrics);
+  if (!this->MakeAdvice(aReason)) {
+    return false;
+  }
   this->site =
     std::make_unique<SiteWatch>(this->loop, *this->tables, this->log);
   this->view = std::make_shared<FleetView>(
@@ -56,6 +75,7 @@
                                             KeeperPorts{ this->loop,
                                                          *this->tables,
                                                          *this->workers,
+                                                         *this->advice,
                                                          *this->site,
                                                          *this->view,
                                                          this->log,
--- a/fleet/src/fleetinstance.h
+++ b/fleet/src/fleetinstance.h
@@ -15,6 +15,7 @@
 #include "fleetsettings.h"
 #include "httpserver.h"
 #include "sitewatch.h"
+#include "wireadvice.h"
 #include "wiretables.h"
 #include "wireworkers.h"
 
@@ -34,6 +35,7 @@
   auto Run() -> void;
 
 private:
+  auto MakeAdvice(std::string& aReason) -> bool;
   auto Listen(std::shared_ptr<HttpServer>& aServer,
               const std::string& aAddress,
               HttpServer::Handler aHandler,
@@ -52,6 +54,7 @@
   std::unique_ptr<wire::WireWorkers> wireWorkers;
   std::unique_ptr<cells::TablePort> tables;
   std::unique_ptr<cells::WorkerPort> workers;
+  std::unique_ptr<cells::AdvicePort> advice;
   std::unique_ptr<SiteWatch> site;
   std::shared_ptr<FleetView> view;
   std::shared_ptr<CellBoard> board;
--- a/fleet/src/fleetmetrics.cpp
+++ b/fleet/src/fleetmetrics.cpp
@@ -66,6 +66,10 @@
                 .Name("gooseberry_jobs_swept_total")
                 .Help("Ended jobs whose rows were removed from the store")
                 .Register(*this->registry))
+  , advice(BuildCounter()
+             .Name("gooseberry_advice_total")
+             .Help("Questions to the adviser of workers, by their end")
+             .Register(*this->registry))
   , gauges(BuildGauge()
              .Name("gooseberry_state")
              .Help("What this instance holds at present, by name")
@@ -144,6 +148,12 @@
   this->sweptJobs.Add({}).Increment();
 }
 
+auto
+FleetMetrics::CountAdvice(cells::AdviceEnd aEnd) -> void
+{
+  this->advice.Add({ { "end", ToText(aEnd) } }).Increment();
+}
+
 auto
 FleetMetrics::Set(const char* aName, double aValue) -> void
 {
--- a/fleet/src/fleetmetrics.h
+++ b/fleet/src/fleetmetrics.h
@@ -41,6 +41,7 @@
   auto CountOwnership(const char* aChange) -> void;
   // The rows of an ended job were removed.
   auto CountSweptJob() -> void;
+  auto CountAdvice(cells::AdviceEnd aEnd) -> void;
   auto Set(const char* aName, double aValue) -> void;
   // In the text format of Prometheus.
   auto Text() -> std::string;
@@ -57,6 +58,7 @@
   prometheus::Family<prometheus::Histogram>& spans;
   prometheus::Family<prometheus::Counter>& ownership;
   prometheus::Family<prometheus::Counter>& sweptJobs;
+  prometheus::Family<prometheus::Counter>& advice;
   prometheus::Family<prometheus::Gauge>& gauges;
 };
 
