--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -451,6 +451,18 @@
   return this->random;
 }
 
+auto
+FleetWorld::Now() const -> Time
+{
+  return this->queue.Now();
+}
+
+auto
+FleetWorld::After(Millis aDelay, std::function<void()> aWork) -> void
+{
+  this->queue.After(aDelay, std::move(aWork));
+}
+
 auto
 FleetWorld::RunFor(Millis aTime) -> void
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -12,6 +12,7 @@
 
 #include "cellboard.h"
 #include "entry.h"
+#include "faultyfleet.h"
 #include "fleetsettings.h"
 #include "jobjudge.h"
 #include "jobworker.h"
@@ -54,46 +55,32 @@
   std::uint64_t seed = 1;
 };
 
-// How the platform's store treats one instance.
-struct StoreTreatment
-{
-  enum class Mode
-  {
-    Serves,
-    Refuses,
-    Silent
-  };
-
-  Mode mode = Mode::Serves;
-  // Part of the writes whose answer is lost, after or before their effect.
-  double lost = 0.0;
-  // Lost writes take effect up to so much later.
-  Millis late{ 0 };
-  // Answers take so many times as long.
-  double slow = 1.0;
-};
+using fakes::StoreTreatment;
 
-class FleetWorld
+class FleetWorld : public fakes::FaultyFleet
 {
 public:
   explicit FleetWorld(FleetWorldOptions aOptions);
   FleetWorld(const FleetWorld&) = delete;
   auto operator=(const FleetWorld&) -> FleetWorld& = delete;
-  ~FleetWorld();
+  ~FleetWorld() override;
 
   auto Queue() -> EventQueue&;
   auto Judge() -> fakes::JobJudge&;
-  auto Random() -> std::mt19937_64&;
+  auto Random() -> std::mt19937_64& override;
+  auto Now() const -> Time override;
+  auto After(Millis aDelay, std::function<void()> aWork) -> void override;
   auto RunFor(Millis aTime) -> void;
 
   // Callers. A caller tries again, at another instance, until it has an answer.
-  auto Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan) -> cells::JobId;
-  auto Cancel(const cells::JobId& aJob) -> void;
+  auto Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan)
+    -> cells::JobId override;
+  auto Cancel(const cells::JobId& aJob) -> void override;
   // Takes the id of a job that is done and was forgotten for one like it.
   auto SubmitAgain(const cells::JobId& aJob) -> void;
 
   // Operators.
-  auto Evacuate(const DomainId& aDomain, bool aOut) -> void;
+  auto Evacuate(const DomainId& aDomain, bool aOut) -> void override;
   auto SetConfig(const cells::SiteConfig& aConfig) -> void;
   // Whether only workers that the adviser names may run the queue's steps.
   auto SetAdvised(bool aAdvised) -> void;
@@ -104,25 +91,25 @@
   auto RefusedTickets() const -> std::size_t;
 
   // Instances.
-  auto Instances() const -> int;
-  auto Kill(int aInstance) -> void;
-  auto Start(int aInstance) -> void;
-  auto Pause(int aInstance, Millis aTime) -> void;
-  auto Treat(int aInstance, StoreTreatment aTreatment) -> void;
-  auto CompactStore() -> void;
+  auto Instances() const -> int override;
+  auto Kill(int aInstance) -> void override;
+  auto Start(int aInstance) -> void override;
+  auto Pause(int aInstance, Millis aTime) -> void override;
+  auto Treat(int aInstance, StoreTreatment aTreatment) -> void override;
+  auto CompactStore() -> void override;
   // The instance that owns the cell; -1 if none does.
-  auto Owner() const -> int;
+  auto Owner() const -> int override;
 
   // Workers.
-  auto Workers() const -> int;
-  auto KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void;
-  auto CutWorker(int aWorker, bool aCut) -> void;
-  auto FailWorker(int aWorker, bool aFails) -> void;
-  auto SlowWorker(int aWorker, double aTimes) -> void;
-  auto DrainWorker(int aWorker) -> void;
+  auto Workers() const -> int override;
+  auto KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void override;
+  auto CutWorker(int aWorker, bool aCut) -> void override;
+  auto FailWorker(int aWorker, bool aFails) -> void override;
+  auto SlowWorker(int aWorker, double aTimes) -> void override;
+  auto DrainWorker(int aWorker) -> void override;
   // Part of the orders that get no answer and are carried out up to so much
   // later.
-  auto LateOrders(double aPart, Millis aLate) -> void;
+  auto LateOrders(double aPart, Millis aLate) -> void override;
   auto RunningTasks() const -> std::size_t;
 
   // Rows of jobs in the store, whatever they tell of them.
