Soak: real instances under drawn jobs and faults

Jobs and faults are those of the fleets in virtual time, and planned stops; the judge reads what workers, callers and operators saw.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -2,6 +2,7 @@
 
 #include <cstdio>
 
+#include "modelsite.h"
 #include "wirecallers.h"
 #include "wiresite.h"
 #include "wiretables.h"
@@ -604,13 +605,7 @@
 auto
 FleetWorld::Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan) -> cells::JobId
 {
-  auto text = std::array<char, cells::JobId::kDigits + 1>{};
-  std::snprintf(text.data(),
-                text.size(),
-                "%016llx",
-                static_cast<unsigned long long>(++this->nextJob));
-  const auto id = *cells::JobId::Parse(
-    std::string_view{ text.data(), cells::JobId::kDigits });
+  const auto id = fakes::NumberedJob(++this->nextJob);
   this->jobs.emplace(id, std::pair{ std::move(aSpec), aPlan });
   this->SubmitAs(id);
   return id;
@@ -886,18 +881,8 @@
   if (found == this->jobs.end()) {
     return {};
   }
-  auto plan = found->second.second;
-  const auto& step = found->second.first.steps.at(aTask.step);
-  plan.size = step.size;
-  plan.lasting = step.lasting;
-  plan.checkpoints = step.checkpoints;
-  plan.fillsIdle = step.fillsIdle;
-  // A twentieth of the runs fail, the same ones each time.
-  constexpr std::uint64_t kOneIn = 20;
-  plan.fails =
-    plan.fails ||
-    StableHash(ToText(aTask) + "#" + std::to_string(aRun)) % kOneIn == 0;
-  return plan;
+  return fakes::PlanOfRun(
+    found->second.first, found->second.second, aTask, aRun);
 }
 
 auto
@@ -905,18 +890,9 @@
 {
   auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
   ++box.life;
-  const auto domain = aWorker % this->options.domains;
-  box.entry.id = { "w-" + std::to_string(aWorker) + "-" +
-                   std::to_string(box.life) };
-  box.entry.service = { kService };
+  box.entry = fakes::EntryOfMachine(
+    aWorker, box.life, this->options.domains, { kService });
   box.entry.address = "10.0.0." + std::to_string(aWorker) + ":80";
-  box.entry.domain = { "zone-" + std::to_string(domain) };
-  box.entry.machine = { "m-" + std::to_string(aWorker) };
-  constexpr std::int64_t kCpu = 16000;
-  constexpr std::int64_t kMemory = 64000;
-  box.entry.capacity = { kCpu, kMemory, 0 };
-  box.entry.labels = { "a", "r-" + std::to_string(domain) };
-  box.entry.leaving = false;
   constexpr std::int64_t kEpochMs = 1'700'000'000'000;
   box.entry.bornUnixMs = kEpochMs + MillisOf(this->queue.Now());
   auto options = fakes::JobWorkerOptions{};
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -247,6 +247,15 @@
 auto
 JobJudge::Finish() -> void
 {
+  for (auto& text : this->Missing()) {
+    this->violations.push_back(std::move(text));
+  }
+}
+
+auto
+JobJudge::Missing() const -> std::vector<std::string>
+{
+  auto missing = std::vector<std::string>{};
   for (const auto& [id, job] : this->jobs) {
     if (!job.accepted || job.cancelAsked) {
       continue;
@@ -262,16 +271,17 @@
           return !aItem.second.live.empty();
         });
       if (static_cast<std::size_t>(running) < this->TasksOf(job)) {
-        this->violations.push_back("lasting job " + id.Text() + " runs " +
-                                   std::to_string(running) + " tasks of " +
-                                   std::to_string(this->TasksOf(job)));
+        missing.push_back("lasting job " + id.Text() + " runs " +
+                          std::to_string(running) + " tasks of " +
+                          std::to_string(this->TasksOf(job)));
       }
     } else if (!hopeless && job.done < this->TasksOf(job)) {
-      this->violations.push_back("job " + id.Text() + " has done " +
-                                 std::to_string(job.done) + " tasks of " +
-                                 std::to_string(this->TasksOf(job)));
+      missing.push_back("job " + id.Text() + " has done " +
+                        std::to_string(job.done) + " tasks of " +
+                        std::to_string(this->TasksOf(job)));
     }
   }
+  return missing;
 }
 
 auto
--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -52,6 +52,8 @@
 
   // At the end, long after the last fault: accepted jobs that are not done.
   auto Finish() -> void;
+  // Accepted jobs that are not done at present, in words.
+  auto Missing() const -> std::vector<std::string>;
 
   auto Violations() const -> const std::vector<std::string>&;
   auto Starts() const -> std::size_t;
--- /dev/null
+++ b/fakes/src/modelsite.cpp
@@ -0,0 +1,58 @@
+#include "modelsite.h"
+
+#include <array>
+#include <cstdio>
+
+#include "jobspec.h"
+
+namespace gooseberry::fakes {
+
+auto
+NumberedJob(std::uint64_t aNumber) -> cells::JobId
+{
+  auto text = std::array<char, cells::JobId::kDigits + 1>{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%016llx",
+                static_cast<unsigned long long>(aNumber));
+  return *cells::JobId::Parse(
+    std::string_view{ text.data(), cells::JobId::kDigits });
+}
+
+auto
+PlanOfRun(const cells::JobSpec& aSpec,
+          const WorkPlan& aPlan,
+          const TaskName& aTask,
+          std::uint32_t aRun) -> WorkPlan
+{
+  auto plan = aPlan;
+  const auto& step = aSpec.steps.at(aTask.step);
+  plan.size = step.size;
+  plan.lasting = step.lasting;
+  plan.checkpoints = step.checkpoints;
+  plan.fillsIdle = step.fillsIdle;
+  constexpr std::uint64_t kOneIn = 20;
+  plan.fails =
+    plan.fails ||
+    StableHash(ToText(aTask) + "#" + std::to_string(aRun)) % kOneIn == 0;
+  return plan;
+}
+
+auto
+EntryOfMachine(int aMachine, int aLife, int aDomains, ServiceId aService)
+  -> cells::WorkerEntry
+{
+  const auto domain = std::to_string(aMachine % aDomains);
+  auto entry = cells::WorkerEntry{};
+  entry.id = { "w-" + std::to_string(aMachine) + "-" + std::to_string(aLife) };
+  entry.service = std::move(aService);
+  entry.domain = { "zone-" + domain };
+  entry.machine = { "m-" + std::to_string(aMachine) };
+  constexpr std::int64_t kCpu = 16000;
+  constexpr std::int64_t kMemory = 64000;
+  entry.capacity = { kCpu, kMemory, 0 };
+  entry.labels = { "a", "r-" + domain };
+  return entry;
+}
+
+} // namespace gooseberry::fakes
--- /dev/null
+++ b/soak/src/main.cpp
@@ -0,0 +1,226 @@
+// gooseberry-soak: real instances under jobs and faults drawn from a seed,
+// judged by what workers, callers and operators saw. Afterwards, left in peace,
+// they must finish all accepted work.
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include <getopt.h>
+
+#include "drawnfaults.h"
+#include "realfleet.h"
+
+namespace {
+
+using namespace gooseberry;
+using namespace gooseberry::soak;
+
+constexpr int kExitUsage = 2;
+
+// Instances find each other, plan the cells and take them over.
+constexpr Millis kSettle{ 9000 };
+// Leases of lost workers, orders that are carried out late and the longest task
+// end within this, many times over.
+constexpr Millis kPatience{ 90000 };
+constexpr Millis kLook{ 250 };
+
+constexpr const char* kHelp =
+  R"(Usage: gooseberry-soak [OPTION]...
+Plays days of jobs and faults on real processes, one day for each seed.
+
+  -s, --seed N            the first seed (1)
+  -n, --seeds N           how many (1)
+  -f, --fault-seconds N   how long faults strike (30)
+  -b, --bounds on|off     judge the bounds on time as well (on)
+  -d, --directory DIR     logs and settings of the instances (soak-logs)
+  -h, --help              print this text and end
+
+Exit status: 0 all promises kept, 1 some broken, 2 wrong command line.
+)";
+
+struct SoakOptions
+{
+  std::uint64_t seed = 1;
+  std::uint64_t seeds = 1;
+  Millis faults{ 30000 };
+  bool bounds = true;
+  std::string directory = "soak-logs";
+};
+
+// Nothing with a text for the user if the command line is wrong or settles all.
+auto
+ReadOptions(int aCount, char** aArguments, int& aStatus)
+  -> std::optional<SoakOptions>
+{
+  constexpr std::array<option, 7> kOptions{
+    { { "seed", required_argument, nullptr, 's' },
+      { "seeds", required_argument, nullptr, 'n' },
+      { "fault-seconds", required_argument, nullptr, 'f' },
+      { "bounds", required_argument, nullptr, 'b' },
+      { "directory", required_argument, nullptr, 'd' },
+      { "help", no_argument, nullptr, 'h' },
+      { nullptr, 0, nullptr, 0 } }
+  };
+  auto options = SoakOptions{};
+  aStatus = kExitUsage;
+  try {
+    for (;;) {
+      switch (getopt_long(
+        aCount, aArguments, "s:n:f:b:d:h", kOptions.data(), nullptr)) {
+        case -1:
+          return options;
+        case 's':
+          options.seed = std::stoull(optarg);
+          break;
+        case 'n':
+          options.seeds = std::stoull(optarg);
+          break;
+        case 'f':
+          options.faults = std::chrono::seconds{ std::stoi(optarg) };
+          break;
+        case 'b':
+          options.bounds = std::string{ optarg } != "off";
+          break;
+        case 'd':
+          options.directory = optarg;
+          break;
+        case 'h':
+          std::cout << kHelp;
+          aStatus = EXIT_SUCCESS;
+          return std::nullopt;
+        default:
+          std::cerr << "Try 'gooseberry-soak --help'.\n";
+          return std::nullopt;
+      }
+    }
+  } catch (const std::exception&) {
+    std::cerr << "gooseberry-soak: '" << optarg << "' is no number\n";
+    return std::nullopt;
+  }
+}
+
+// A planned stop or two, besides the faults that fleets in virtual time know.
+auto
+DrawRestarts(RealFleet& aFleet, Millis aTime) -> std::vector<std::string>
+{
+  auto told = std::vector<std::string>{};
+  auto draw = [&aFleet](std::int64_t aFrom, std::int64_t aTo) {
+    return std::uniform_int_distribution{ aFrom, aTo }(aFleet.Random());
+  };
+  const auto count = draw(0, 2);
+  for (auto number = std::int64_t{ 0 }; number < count; ++number) {
+    const auto at = Millis{ draw(0, aTime.count()) };
+    const auto instance = static_cast<int>(draw(0, aFleet.Instances() - 1));
+    told.push_back(std::to_string(at.count()) +
+                   " ms: an instance is asked to end");
+    aFleet.After(at, [&aFleet, instance] { aFleet.Restart(instance); });
+  }
+  return told;
+}
+
+class Day
+{
+public:
+  Day(const SoakOptions& aOptions, std::uint64_t aSeed)
+    : options(aOptions)
+    , fleet(this->loop, FleetOptionsOf(aOptions, aSeed))
+  {
+  }
+
+  auto Play() -> void
+  {
+    this->fleet.After(kSettle, [this] {
+      fakes::DrawJobs(this->fleet, this->options.faults);
+      this->faults = fakes::DrawFaults(this->fleet, this->options.faults);
+      for (auto& text : DrawRestarts(this->fleet, this->options.faults)) {
+        this->faults.push_back(std::move(text));
+      }
+      this->fleet.After(this->options.faults, [this] {
+        this->deadline = this->fleet.Now() + kPatience;
+        this->Look();
+      });
+    });
+    this->loop.Run();
+  }
+
+  // Prints what was broken; how many promises were.
+  auto Tell(std::uint64_t aSeed) -> std::size_t
+  {
+    auto& judge = this->fleet.Judge();
+    judge.Finish();
+    const auto& violations = judge.Violations();
+    std::cout << "seed " << aSeed << ": " << judge.Starts() << " starts, "
+              << judge.CompletedJobs() << " jobs done, " << violations.size()
+              << " broken\n";
+    for (const auto& fault : this->faults) {
+      std::cout << "  " << fault << '\n';
+    }
+    for (const auto& violation : violations) {
+      std::cout << "  BROKEN " << violation << '\n';
+    }
+    std::cout << std::flush;
+    return violations.size();
+  }
+
+private:
+  static auto FleetOptionsOf(const SoakOptions& aOptions, std::uint64_t aSeed)
+    -> RealFleetOptions
+  {
+    auto options = RealFleetOptions{};
+    options.seed = aSeed;
+    options.directory = aOptions.directory + "/" + std::to_string(aSeed);
+    if (!aOptions.bounds) {
+      constexpr Millis kNone = std::chrono::hours{ 1 };
+      options.bounds = { kNone, kNone, kNone };
+    }
+    return options;
+  }
+
+  // Ends when all is done for two looks in a row, or the patience is over.
+  auto Look() -> void
+  {
+    constexpr int kQuietLooks = 8;
+    this->quiet = this->fleet.Judge().Missing().empty() ? this->quiet + 1 : 0;
+    if (this->quiet >= kQuietLooks || this->fleet.Now() > this->deadline) {
+      this->loop.Stop();
+      return;
+    }
+    this->fleet.After(kLook, [this] { this->Look(); });
+  }
+
+  const SoakOptions& options;
+  EventLoop loop;
+  RealFleet fleet;
+  std::vector<std::string> faults;
+  Time deadline{};
+  int quiet = 0;
+};
+
+} // namespace
+
+auto
+main(int aCount, char** aArguments) -> int
+{
+  auto status = 0;
+  const auto options = ReadOptions(aCount, aArguments, status);
+  if (!options) {
+    return status;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  auto broken = std::uint64_t{ 0 };
+  for (auto seed = options->seed; seed < options->seed + options->seeds;
+       ++seed) {
+    try {
+      auto day = Day{ *options, seed };
+      day.Play();
+      broken += day.Tell(seed) > 0 ? 1 : 0;
+    } catch (const std::runtime_error& fault) {
+      std::cerr << "gooseberry-soak: " << fault.what() << '\n';
+      return EXIT_FAILURE;
+    }
+  }
+  std::cout << options->seeds << " seeds, " << broken << " broken\n";
+  return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/soak/src/realfleet.cpp
@@ -0,0 +1,557 @@
+#include "realfleet.h"
+
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+#include "modelsite.h"
+#include "ownerrow.h"
+#include "recorder.h"
+#include "wirecallers.h"
+#include "wiresite.h"
+#include "wiretables.h"
+
+namespace gooseberry::soak {
+
+namespace {
+
+constexpr Millis kTick{ 10 };
+constexpr Millis kStateInterval{ 400 };
+constexpr Millis kCallTimeout{ 4000 };
+// A caller without an answer tries again after this.
+constexpr Millis kAgain{ 600 };
+// Dead workers are listed for so long.
+constexpr Millis kListedFor{ 4500 };
+constexpr int kMostTries = 12;
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kUnavailable = 503;
+constexpr const char* kHost = "jobs.example";
+constexpr const char* kPrefix = "/q/";
+constexpr const char* kService = "pool";
+
+auto
+Loopback(int aPort) -> std::string
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+} // namespace
+
+RealFleet::RealFleet(EventLoop& aLoop, RealFleetOptions aOptions)
+  : loop(aLoop)
+  , options(std::move(aOptions))
+  , random(this->options.seed)
+  , chance(this->options.seed)
+  , judge(this->options.bounds)
+{
+  std::filesystem::create_directories(this->options.directory);
+  auto queue = cells::Queue{ { "r-1" }, kHost, kPrefix };
+  queue.policy.service = { kService };
+  queue.policy.maxAttempts = 3;
+  queue.policy.slackFactor = 2.0;
+  queue.policy.target = Millis{ 500 };
+  this->config.version = 1;
+  this->config.queues.push_back(queue);
+  this->config.services.emplace(ServiceId{ kService },
+                                cells::Service{ { kService } });
+  this->PutRow({ wire::kOperatorTable,
+                 "",
+                 wire::WriteOperatorKey({ wire::OperatorKind::Config, "" }) },
+               wire::WriteConfig(this->config));
+  for (auto worker = 0; worker < this->options.workers; ++worker) {
+    auto machine = std::make_unique<Machine>();
+    machine->server =
+      std::make_unique<standin::WorkerServer>(this->loop, this->chance);
+    auto reason = std::string{};
+    if (!machine->server->Listen(reason)) {
+      throw std::runtime_error("a worker can't listen: " + reason);
+    }
+    this->machines.push_back(std::move(machine));
+    this->NewWorker(worker);
+  }
+  for (auto number = 0; number < this->options.instances; ++number) {
+    this->AddInstance(number);
+  }
+  this->Tick();
+  this->AskStates();
+}
+
+RealFleet::~RealFleet() = default;
+
+auto
+RealFleet::AddInstance(int aNumber) -> void
+{
+  auto instance = std::make_unique<Instance>();
+  instance->name = "entry-" + std::to_string(aNumber);
+  instance->settingsFile =
+    this->options.directory + "/" + instance->name + ".yaml";
+  instance->logFile = this->options.directory + "/" + instance->name + ".log";
+  instance->callersPort = test::FreePort();
+  instance->store = std::make_unique<standin::StoreServer>(
+    this->loop, this->table, this->chance, [this] { this->WakeFeeds(); });
+  auto reason = std::string{};
+  if (!instance->store->Listen(reason)) {
+    throw std::runtime_error("the store can't listen: " + reason);
+  }
+  this->WriteSettings(*instance, aNumber);
+  this->instances.push_back(std::move(instance));
+  this->Start(aNumber);
+}
+
+auto
+RealFleet::WriteSettings(const Instance& aInstance, int aNumber) const -> void
+{
+  auto file = std::ofstream{ aInstance.settingsFile };
+  file << "instance: \"" << aInstance.name << "\"\n"
+       << "domain: \"zone-" << aNumber % this->options.domains << "\"\n"
+       << "address: \"127.0.0.1\"\n"
+       << "first_peer_port: " << test::FreePort() << '\n'
+       << "last_peer_port: " << test::FreePort() << '\n'
+       << "callers: \"" << Loopback(aInstance.callersPort) << "\"\n"
+       << "ready: \"" << Loopback(test::FreePort()) << "\"\n"
+       << "metrics: \"" << Loopback(test::FreePort()) << "\"\n"
+       << "processor_share: 0.5\n"
+       << "memory_mb: 260\n"
+       << "max_descriptors: 1000\n"
+       << "store:\n"
+       << "  address: \"" << Loopback(aInstance.store->Port()) << "\"\n"
+       << "  writes_per_second: 600\n"
+       << "  reads_per_second: 2000\n"
+       << "bounds:\n"
+       << "  lease_max: 6000ms\n"
+       << "  stop: 400ms\n"
+       << "  keep_ended: 20s\n"
+       << "  grace: 6s\n"
+       << "  remote_factor: 3\n";
+}
+
+auto
+RealFleet::Judge() -> fakes::JobJudge&
+{
+  return this->judge;
+}
+
+auto
+RealFleet::Random() -> std::mt19937_64&
+{
+  return this->random;
+}
+
+auto
+RealFleet::Now() const -> Time
+{
+  return this->loop.Now();
+}
+
+auto
+RealFleet::After(Millis aDelay, std::function<void()> aWork) -> void
+{
+  const auto place = this->timers.emplace(this->timers.end());
+  *place = this->loop.After(aDelay, [this, place, work = std::move(aWork)] {
+    work();
+    this->timers.erase(place);
+  });
+}
+
+auto
+RealFleet::Start(int aInstance) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (instance.process && instance.process->Running()) {
+    return;
+  }
+  ++instance.life;
+  instance.paused = false;
+  instance.process = std::make_unique<test::Process>(
+    std::vector<std::string>{
+      GOOSEBERRY_DAEMON_PATH, "--config", instance.settingsFile },
+    std::vector<std::string>{},
+    instance.logFile);
+  instance.callers = std::make_shared<HttpClient>(
+    this->loop,
+    boost::asio::ip::tcp::endpoint{
+      boost::asio::ip::address_v4::loopback(),
+      static_cast<std::uint16_t>(instance.callersPort) },
+    HttpClientOptions{});
+}
+
+auto
+RealFleet::Kill(int aInstance) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (instance.process) {
+    instance.process->Signal(SIGKILL);
+    instance.process->Wait();
+    instance.process.reset();
+    ++instance.life;
+  }
+}
+
+auto
+RealFleet::Pause(int aInstance, Millis aTime) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (!instance.process) {
+    return;
+  }
+  instance.process->Signal(SIGSTOP);
+  instance.paused = true;
+  this->After(aTime, [&instance, life = instance.life] {
+    if (instance.life == life && instance.process) {
+      instance.process->Signal(SIGCONT);
+      instance.paused = false;
+    }
+  });
+}
+
+auto
+RealFleet::Restart(int aInstance) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (!instance.process || instance.paused) {
+    return;
+  }
+  instance.process->Signal(SIGTERM);
+  // One that is paused meanwhile ends later; it is not hurried.
+  constexpr Millis kGrace{ 8000 };
+  this->After(kGrace, [this, aInstance, life = instance.life] {
+    auto& later = *this->instances.at(static_cast<std::size_t>(aInstance));
+    if (later.life == life) {
+      this->Kill(aInstance);
+      this->Start(aInstance);
+    }
+  });
+}
+
+auto
+RealFleet::Treat(int aInstance, fakes::StoreTreatment aTreatment) -> void
+{
+  this->instances.at(static_cast<std::size_t>(aInstance))
+    ->store->Treat(aTreatment);
+}
+
+auto
+RealFleet::CompactStore() -> void
+{
+  this->table.Compact();
+}
+
+auto
+RealFleet::Owner() const -> int
+{
+  constexpr const char* kFirstCell = "c0";
+  auto more = false;
+  const auto owner = cells::CellRows{ kFirstCell }.Owner();
+  const auto rows =
+    this->table.Read({ owner.table, owner.part, "", "" }, 1, more).rows;
+  auto reason = std::string{};
+  const auto row = rows.empty()
+                     ? std::nullopt
+                     : cells::DecodeOwner(rows.front().value, reason);
+  for (auto number = 0; row && number < this->options.instances; ++number) {
+    if (this->instances.at(static_cast<std::size_t>(number))->name ==
+        row->owner.text) {
+      return number;
+    }
+  }
+  return -1;
+}
+
+auto
+RealFleet::Instances() const -> int
+{
+  return this->options.instances;
+}
+
+auto
+RealFleet::Workers() const -> int
+{
+  return this->options.workers;
+}
+
+auto
+RealFleet::PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
+  -> fakes::WorkPlan
+{
+  const auto found = this->jobs.find(aTask.job);
+  if (found == this->jobs.end()) {
+    return {};
+  }
+  return fakes::PlanOfRun(
+    found->second.first, found->second.second, aTask, aRun);
+}
+
+auto
+RealFleet::NewWorker(int aWorker) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  ++machine.life;
+  machine.entry = fakes::EntryOfMachine(
+    aWorker, machine.life, this->options.domains, { kService });
+  machine.entry.address = Loopback(machine.server->Port());
+  machine.entry.bornUnixMs = this->loop.UnixMillis();
+  auto options = fakes::JobWorkerOptions{};
+  // Up to 2% slow.
+  constexpr std::int64_t kSlowest = 980;
+  options.clockRate = kSlowest + (aWorker + machine.life) % 21;
+  machine.server->SetWorker(std::make_unique<fakes::JobWorker>(
+    machine.entry,
+    options,
+    this->loop.Now(),
+    [this](const cells::TaskName& aTask, std::uint32_t aRun) {
+      return this->PlanOf(aTask, aRun);
+    },
+    [this](const fakes::JobEvent& aEvent) { this->judge.OnEvent(aEvent); }));
+  this->judge.OnWorker(machine.entry);
+  this->ListWorker(aWorker, true);
+}
+
+auto
+RealFleet::ListWorker(int aWorker, bool aListed) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  const auto key =
+    cells::RowKey{ wire::kWorkerTable, "", machine.entry.id.text };
+  if (auto* const worker = machine.server->Worker(); aListed && worker) {
+    this->PutRow(key, wire::WriteWorker(worker->Entry(this->loop.Now())));
+  } else {
+    this->PutRow(key, std::nullopt);
+  }
+}
+
+auto
+RealFleet::KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  if (machine.server->Worker() == nullptr) {
+    return;
+  }
+  machine.server->Die();
+  this->After(kListedFor, [this, id = machine.entry.id.text] {
+    this->PutRow({ wire::kWorkerTable, "", id }, std::nullopt);
+  });
+  if (aComesBack) {
+    this->After(aAfter, [this, aWorker] { this->NewWorker(aWorker); });
+  }
+}
+
+auto
+RealFleet::CutWorker(int aWorker, bool aCut) -> void
+{
+  this->machines.at(static_cast<std::size_t>(aWorker))->server->SetCut(aCut);
+}
+
+auto
+RealFleet::FailWorker(int aWorker, bool aFails) -> void
+{
+  auto& server = *this->machines.at(static_cast<std::size_t>(aWorker))->server;
+  if (auto* const worker = server.Worker()) {
+    worker->SetFailing(aFails);
+  }
+}
+
+auto
+RealFleet::SlowWorker(int aWorker, double aTimes) -> void
+{
+  auto& server = *this->machines.at(static_cast<std::size_t>(aWorker))->server;
+  if (auto* const worker = server.Worker()) {
+    worker->SetSlowness(aTimes);
+  }
+}
+
+auto
+RealFleet::DrainWorker(int aWorker) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  auto* const worker = machine.server->Worker();
+  if (worker == nullptr) {
+    return;
+  }
+  worker->SetLeaving(true);
+  this->ListWorker(aWorker, true);
+  this->judge.OnLeaving(this->loop.Now(), machine.entry.id);
+  constexpr Millis kStays{ 6000 };
+  constexpr Millis kNext{ 4000 };
+  this->After(kStays, [this, aWorker, life = machine.life] {
+    auto& later = *this->machines.at(static_cast<std::size_t>(aWorker));
+    if (later.server->Worker() != nullptr && later.life == life) {
+      this->ListWorker(aWorker, false);
+      later.server->Die();
+      this->After(kNext, [this, aWorker] { this->NewWorker(aWorker); });
+    }
+  });
+}
+
+auto
+RealFleet::LateOrders(double aPart, Millis aLate) -> void
+{
+  for (const auto& machine : this->machines) {
+    machine->server->SetLate(aPart, aLate);
+  }
+}
+
+auto
+RealFleet::Evacuate(const DomainId& aDomain, bool aOut) -> void
+{
+  const auto key = cells::RowKey{
+    wire::kOperatorTable,
+    "",
+    wire::WriteOperatorKey({ wire::OperatorKind::Evacuation, aDomain.text })
+  };
+  this->PutRow(key, aOut ? std::optional<std::string>{ "{}" } : std::nullopt);
+  this->judge.OnEvacuation(this->loop.Now(), aDomain, aOut);
+}
+
+auto
+RealFleet::PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
+  -> void
+{
+  auto commit = cells::RowsCommit{};
+  if (aValue) {
+    commit.puts.push_back({ aKey, *aValue });
+  } else {
+    commit.removals.push_back(aKey);
+  }
+  this->table.Commit(commit);
+  this->WakeFeeds();
+}
+
+auto
+RealFleet::WakeFeeds() -> void
+{
+  for (const auto& instance : this->instances) {
+    instance->store->WakeFeeds();
+  }
+}
+
+auto
+RealFleet::SomeInstance() -> Instance*
+{
+  auto alive = std::vector<Instance*>{};
+  for (const auto& instance : this->instances) {
+    if (instance->process) {
+      alive.push_back(instance.get());
+    }
+  }
+  return alive.empty() ? nullptr : alive[this->chance() % alive.size()];
+}
+
+auto
+RealFleet::AskCaller(const std::string& aMethod,
+                     const cells::JobId& aJob,
+                     const std::string& aBody,
+                     OnStatus aDone) -> void
+{
+  auto* const instance = this->SomeInstance();
+  if (instance == nullptr) {
+    this->After(kTick, [done = std::move(aDone)] { done(0, false); });
+    return;
+  }
+  instance->callers->Call(
+    { aMethod,
+      kPrefix + aJob.Text(),
+      { { "Host", kHost },
+        { "Deadline-Ms", std::to_string(kCallTimeout.count()) } },
+      aBody },
+    kCallTimeout,
+    [done = std::move(aDone)](const HttpReply& aReply) {
+      const auto answered = aReply.end == HttpEnd::Answered;
+      done(answered ? aReply.status : 0,
+           aReply.end == HttpEnd::Lost ||
+             (answered && aReply.status != kUnavailable));
+    });
+}
+
+auto
+RealFleet::Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan) -> cells::JobId
+{
+  const auto id = fakes::NumberedJob(++this->nextJob);
+  auto row = cells::JobRow{ id, { "r-1" }, this->config.queues[0].policy };
+  row.spec = aSpec;
+  this->jobs.emplace(id, std::pair{ std::move(aSpec), aPlan });
+  this->judge.OnSubmitted(row);
+  this->TryToSubmit(id, 0, true);
+  return id;
+}
+
+auto
+RealFleet::TryToSubmit(const cells::JobId& aJob, int aTries, bool aRejected)
+  -> void
+{
+  this->AskCaller(
+    "POST",
+    aJob,
+    wire::WriteJob(this->jobs.at(aJob).first),
+    [this, aJob, aTries, aRejected](int aStatus, bool aMayHaveRun) {
+      const auto rejected = aRejected && !aMayHaveRun;
+      if (aStatus == kOk) {
+        this->judge.OnAccepted(aJob);
+      } else if (aTries + 1 < kMostTries) {
+        this->After(kAgain, [this, aJob, aTries, rejected] {
+          this->TryToSubmit(aJob, aTries + 1, rejected);
+        });
+      } else if (rejected) {
+        this->judge.OnRefused(aJob);
+      }
+    });
+}
+
+auto
+RealFleet::Cancel(const cells::JobId& aJob) -> void
+{
+  this->judge.OnCancelAsked(aJob);
+  this->TryToCancel(aJob, 0);
+}
+
+auto
+RealFleet::TryToCancel(const cells::JobId& aJob, int aTries) -> void
+{
+  this->AskCaller("DELETE",
+                  aJob,
+                  "",
+                  [this, aJob, aTries](int aStatus, bool /*aMayHaveRun*/) {
+                    if (aStatus == kOk) {
+                      this->judge.OnCancelled(this->loop.Now(), aJob);
+                    } else if (aStatus != kGone && aTries + 1 < kMostTries) {
+                      this->After(kAgain, [this, aJob, aTries] {
+                        this->TryToCancel(aJob, aTries + 1);
+                      });
+                    }
+                  });
+}
+
+// A caller now and then asks for the state of a job.
+auto
+RealFleet::AskStates() -> void
+{
+  auto* const instance = this->SomeInstance();
+  if (instance != nullptr && !this->jobs.empty()) {
+    auto job = this->jobs.begin();
+    std::advance(
+      job, static_cast<std::ptrdiff_t>(this->chance() % this->jobs.size()));
+    instance->callers->Call(
+      { "GET", kPrefix + job->first.Text(), { { "Host", kHost } }, "" },
+      kCallTimeout,
+      [this, id = job->first](const HttpReply& aReply) {
+        if (aReply.Ok() &&
+            aReply.body == wire::StateBody(cells::JobState::Completed)) {
+          this->judge.OnShownCompleted(this->loop.Now(), id);
+        }
+      });
+  }
+  this->After(kStateInterval, [this] { this->AskStates(); });
+}
+
+auto
+RealFleet::Tick() -> void
+{
+  for (const auto& machine : this->machines) {
+    machine->server->Advance();
+  }
+  this->WakeFeeds();
+  this->After(kTick, [this] { this->Tick(); });
+}
+
+} // namespace gooseberry::soak
--- /dev/null
+++ b/soak/src/realfleet.h
@@ -0,0 +1,135 @@
+#ifndef GOOSEBERRY_REALFLEET_H
+#define GOOSEBERRY_REALFLEET_H
+
+// A fleet of real processes on loopback: instances of gooseberryd against the
+// users' platform, which stands in this process together with workers, callers,
+// operators and the judge.
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "eventloop.h"
+#include "faultyfleet.h"
+#include "fleet.h"
+#include "httpclient.h"
+#include "jobjudge.h"
+#include "rowtable.h"
+#include "site.h"
+#include "storeserver.h"
+#include "workerserver.h"
+
+namespace gooseberry::soak {
+
+struct RealFleetOptions
+{
+  int instances = 3;
+  int workers = 12;
+  int domains = 3;
+  std::uint64_t seed = 1;
+  fakes::JudgeBounds bounds{};
+  // Logs and settings of the instances go there.
+  std::string directory;
+};
+
+class RealFleet : public fakes::FaultyFleet
+{
+public:
+  // Throws std::runtime_error if it can't be set up.
+  RealFleet(EventLoop& aLoop, RealFleetOptions aOptions);
+  RealFleet(const RealFleet&) = delete;
+  auto operator=(const RealFleet&) -> RealFleet& = delete;
+  ~RealFleet() override;
+
+  auto Judge() -> fakes::JobJudge&;
+
+  auto Random() -> std::mt19937_64& override;
+  auto Now() const -> Time override;
+  auto After(Millis aDelay, std::function<void()> aWork) -> void override;
+
+  auto Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan)
+    -> cells::JobId override;
+  auto Cancel(const cells::JobId& aJob) -> void override;
+
+  auto Evacuate(const DomainId& aDomain, bool aOut) -> void override;
+
+  auto Instances() const -> int override;
+  auto Kill(int aInstance) -> void override;
+  auto Start(int aInstance) -> void override;
+  auto Pause(int aInstance, Millis aTime) -> void override;
+  // Asks it to end, and starts it again when it has ended.
+  auto Restart(int aInstance) -> void;
+  auto Treat(int aInstance, fakes::StoreTreatment aTreatment) -> void override;
+  auto CompactStore() -> void override;
+  auto Owner() const -> int override;
+
+  auto Workers() const -> int override;
+  auto KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void override;
+  auto CutWorker(int aWorker, bool aCut) -> void override;
+  auto FailWorker(int aWorker, bool aFails) -> void override;
+  auto SlowWorker(int aWorker, double aTimes) -> void override;
+  auto DrainWorker(int aWorker) -> void override;
+  auto LateOrders(double aPart, Millis aLate) -> void override;
+
+private:
+  struct Instance
+  {
+    std::string name;
+    std::string settingsFile;
+    std::string logFile;
+    int callersPort = 0;
+    std::unique_ptr<test::Process> process;
+    std::unique_ptr<standin::StoreServer> store;
+    std::shared_ptr<HttpClient> callers;
+    bool paused = false;
+    int life = 0;
+  };
+
+  struct Machine
+  {
+    std::unique_ptr<standin::WorkerServer> server;
+    cells::WorkerEntry entry;
+    int life = 0;
+  };
+
+  using OnStatus = std::function<void(int aStatus, bool aMayHaveRun)>;
+
+  auto AddInstance(int aNumber) -> void;
+  auto WriteSettings(const Instance& aInstance, int aNumber) const -> void;
+  auto PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
+    -> fakes::WorkPlan;
+  auto NewWorker(int aWorker) -> void;
+  auto ListWorker(int aWorker, bool aListed) -> void;
+  auto PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
+    -> void;
+  auto WakeFeeds() -> void;
+  auto SomeInstance() -> Instance*;
+  auto AskCaller(const std::string& aMethod,
+                 const cells::JobId& aJob,
+                 const std::string& aBody,
+                 OnStatus aDone) -> void;
+  // aRejected: all tries so far surely did not run.
+  auto TryToSubmit(const cells::JobId& aJob, int aTries, bool aRejected)
+    -> void;
+  auto TryToCancel(const cells::JobId& aJob, int aTries) -> void;
+  auto AskStates() -> void;
+  auto Tick() -> void;
+
+  EventLoop& loop;
+  const RealFleetOptions options;
+  std::mt19937_64 random;
+  // What real time decides must not shift what the seed draws.
+  std::mt19937_64 chance;
+  fakes::RowTable table;
+  fakes::JobJudge judge;
+  cells::SiteConfig config;
+  std::vector<std::unique_ptr<Instance>> instances;
+  std::vector<std::unique_ptr<Machine>> machines;
+  std::map<cells::JobId, std::pair<cells::JobSpec, fakes::WorkPlan>> jobs;
+  std::uint64_t nextJob = 0;
+  std::list<TimerHandle> timers;
+};
+
+} // namespace gooseberry::soak
+
+#endif
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -42,25 +42,6 @@
   return bound;
 }
 
-// A port that no other test takes: each process has its own part of the range,
-// which lies below the ports that the kernel gives to outgoing connections.
-auto
-FreePort() -> int
-{
-  constexpr int kFirst = 12000;
-  constexpr int kCount = 20000;
-  constexpr int kPart = 100;
-  static auto next = static_cast<int>(::getpid()) * kPart % kCount;
-  for (auto tries = 0; tries < kCount; ++tries) {
-    const auto port = kFirst + next;
-    next = (next + 1) % kCount;
-    if (PortIsFree(port)) {
-      return port;
-    }
-  }
-  throw std::runtime_error("no free port");
-}
-
 auto
 Pointers(std::vector<std::string>& aTexts) -> std::vector<char*>
 {
@@ -94,6 +75,23 @@
 
 } // namespace
 
+auto
+FreePort() -> int
+{
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 20000;
+  constexpr int kPart = 100;
+  static auto next = static_cast<int>(::getpid()) * kPart % kCount;
+  for (auto tries = 0; tries < kCount; ++tries) {
+    const auto port = kFirst + next;
+    next = (next + 1) % kCount;
+    if (PortIsFree(port)) {
+      return port;
+    }
+  }
+  throw std::runtime_error("no free port");
+}
+
 Process::Process(const std::vector<std::string>& aCommand,
                  const std::vector<std::string>& aEnvironment,
                  const std::string& aLog)
--- a/tests/src/fleet.h
+++ b/tests/src/fleet.h
@@ -38,6 +38,11 @@
   int status = -1;
 };
 
+// A port that no other test takes: each process has its own part of the range,
+// which lies below the ports that the kernel gives to outgoing connections.
+auto
+FreePort() -> int;
+
 // Reply to a call of an HTTP helper; status 0 if there was none.
 struct Reply
 {
