An instance ends though the reader of its log has stopped

Cause: the log's destructor waited for room in a full queue, and for a writer that waits for the reader: a planned stop hung until it was killed. It waits 0.5 s, leaves the writer behind and turns the output away, so that the end of the process does not wait for the same reader.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -24,9 +24,6 @@
 constexpr std::size_t kPage = 500;
 // Tickets of the adviser are valid for so long.
 constexpr Millis kTicketTime{ 3000 };
-constexpr const char* kHost = "jobs.example";
-constexpr const char* kPrefix = "/q/";
-constexpr const char* kService = "pool";
 
 } // namespace
 
@@ -404,15 +401,7 @@
   , random(aOptions.seed)
   , judge(fakes::JudgeBounds{})
 {
-  auto queueOfJobs = cells::Queue{ { "r-1" }, kHost, kPrefix };
-  queueOfJobs.policy.service = { kService };
-  queueOfJobs.policy.maxAttempts = 3;
-  queueOfJobs.policy.slackFactor = 2.0;
-  queueOfJobs.policy.target = Millis{ 500 };
-  this->config.version = 1;
-  this->config.queues.push_back(queueOfJobs);
-  this->config.services.emplace(ServiceId{ kService },
-                                cells::Service{ { kService } });
+  this->config = fakes::ConfigOfModelSite();
   this->SetConfig(this->config);
   for (auto worker = 0; worker < aOptions.workers; ++worker) {
     this->workers.push_back(std::make_unique<WorkerBox>());
@@ -646,7 +635,10 @@
   }
   const auto body = wire::WriteJob(this->jobs.at(aJob).first);
   auto exchange = std::make_shared<FakeExchange>(
-    HttpRequest{ "POST", kPrefix + aJob.Text(), { { "Host", kHost } }, body },
+    HttpRequest{ "POST",
+                 fakes::kModelPrefix + aJob.Text(),
+                 { { "Host", fakes::kModelHost } },
+                 body },
     this->queue.Now(),
     [this, aJob, again](int aStatus, const std::string& /*aBody*/) {
       constexpr int kOk = 200;
@@ -684,7 +676,10 @@
     return;
   }
   auto exchange = std::make_shared<FakeExchange>(
-    HttpRequest{ "DELETE", kPrefix + aJob.Text(), { { "Host", kHost } }, "" },
+    HttpRequest{ "DELETE",
+                 fakes::kModelPrefix + aJob.Text(),
+                 { { "Host", fakes::kModelHost } },
+                 "" },
     this->queue.Now(),
     [this, aJob, again](int aStatus, const std::string& /*aBody*/) {
       constexpr int kOk = 200;
@@ -710,7 +705,10 @@
       job, static_cast<std::ptrdiff_t>(this->random() % this->jobs.size()));
     const auto id = job->first;
     auto exchange = std::make_shared<FakeExchange>(
-      HttpRequest{ "GET", kPrefix + id.Text(), { { "Host", kHost } }, "" },
+      HttpRequest{ "GET",
+                   fakes::kModelPrefix + id.Text(),
+                   { { "Host", fakes::kModelHost } },
+                   "" },
       this->queue.Now(),
       [this, id](int aStatus, const std::string& aBody) {
         constexpr int kOk = 200;
@@ -756,7 +754,10 @@
   auto status = std::make_shared<int>(0);
   if (auto* const instance = this->SomeInstance(); instance != nullptr) {
     const auto exchange = std::make_shared<FakeExchange>(
-      HttpRequest{ "GET", kPrefix + aJob.Text(), { { "Host", kHost } }, "" },
+      HttpRequest{ "GET",
+                   fakes::kModelPrefix + aJob.Text(),
+                   { { "Host", fakes::kModelHost } },
+                   "" },
       this->queue.Now(),
       [status](int aStatus, const std::string& /*aBody*/) {
         *status = aStatus;
@@ -890,8 +891,7 @@
 {
   auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
   ++box.life;
-  box.entry = fakes::EntryOfMachine(
-    aWorker, box.life, this->options.domains, { kService });
+  box.entry = fakes::EntryOfMachine(aWorker, box.life, this->options.domains);
   box.entry.address = "10.0.0." + std::to_string(aWorker) + ":80";
   constexpr std::int64_t kEpochMs = 1'700'000'000'000;
   box.entry.bornUnixMs = kEpochMs + MillisOf(this->queue.Now());
--- a/fakes/src/modelsite.cpp
+++ b/fakes/src/modelsite.cpp
@@ -7,6 +7,22 @@
 
 namespace gooseberry::fakes {
 
+auto
+ConfigOfModelSite() -> cells::SiteConfig
+{
+  auto queue = cells::Queue{ { "r-1" }, kModelHost, kModelPrefix };
+  queue.policy.service = { kModelService };
+  queue.policy.maxAttempts = 3;
+  queue.policy.slackFactor = 2.0;
+  queue.policy.target = Millis{ 500 };
+  auto config = cells::SiteConfig{};
+  config.version = 1;
+  config.queues.push_back(queue);
+  config.services.emplace(ServiceId{ kModelService },
+                          cells::Service{ { kModelService } });
+  return config;
+}
+
 auto
 NumberedJob(std::uint64_t aNumber) -> cells::JobId
 {
@@ -39,13 +55,12 @@
 }
 
 auto
-EntryOfMachine(int aMachine, int aLife, int aDomains, ServiceId aService)
-  -> cells::WorkerEntry
+EntryOfMachine(int aMachine, int aLife, int aDomains) -> cells::WorkerEntry
 {
   const auto domain = std::to_string(aMachine % aDomains);
   auto entry = cells::WorkerEntry{};
   entry.id = { "w-" + std::to_string(aMachine) + "-" + std::to_string(aLife) };
-  entry.service = std::move(aService);
+  entry.service = { kModelService };
   entry.domain = { "zone-" + domain };
   entry.machine = { "m-" + std::to_string(aMachine) };
   constexpr std::int64_t kCpu = 16000;
--- a/fleet/src/fleetlog.cpp
+++ b/fleet/src/fleetlog.cpp
@@ -4,6 +4,9 @@
 #include <array>
 #include <string_view>
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/level.h>
 #include <log4cxx/logger.h>
@@ -15,6 +18,9 @@
 
 // Lines that may wait for the writer; some hundred kilobytes at most.
 constexpr std::size_t kMaxQueued = 4000;
+// What is queued at the end is written within this, a moment for any reader.
+constexpr Millis kEndPatience{ 500 };
+constexpr Millis kEndLook{ 5 };
 // An empty line asks the writer to end.
 const std::string kEnd;
 
@@ -105,14 +111,32 @@
   : instance(std::move(aInstance))
   , budget(aLimits)
 {
-  this->lines.set_capacity(kMaxQueued);
-  this->writer = std::thread([this] { this->Run(); });
+  this->lines->set_capacity(kMaxQueued);
+  auto run = std::packaged_task<void()>{ [held = this->lines] { Run(*held); } };
+  this->written = run.get_future();
+  this->writer = std::thread(std::move(run));
 }
 
 FleetLog::~FleetLog()
 {
-  this->lines.push(kEnd);
-  this->writer.join();
+  const auto deadline = std::chrono::steady_clock::now() + kEndPatience;
+  auto told = this->lines->try_push(kEnd);
+  while (!told && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kEndLook);
+    told = this->lines->try_push(kEnd);
+  }
+  if (told && this->written.wait_until(deadline) == std::future_status::ready) {
+    this->writer.join();
+    return;
+  }
+  // The writer waits for a reader that has stopped. The end of the process must
+  // not wait for the same one.
+  this->writer.detach();
+  if (const auto nowhere = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+      nowhere >= 0) {
+    ::dup2(nowhere, STDOUT_FILENO);
+    ::close(nowhere);
+  }
 }
 
 auto
@@ -147,7 +171,7 @@
 auto
 FleetLog::Put(std::string aLine) -> void
 {
-  if (!this->lines.try_push(std::move(aLine))) {
+  if (!this->lines->try_push(std::move(aLine))) {
     this->dropped.fetch_add(1, std::memory_order_relaxed);
   }
 }
@@ -159,12 +183,12 @@
 }
 
 auto
-FleetLog::Run() -> void
+FleetLog::Run(Lines& aLines) -> void
 {
   const auto logger = MakeLogger();
   auto line = std::string{};
   for (;;) {
-    this->lines.pop(line);
+    aLines.pop(line);
     if (line.empty()) {
       return;
     }
--- a/fleet/src/fleetlog.h
+++ b/fleet/src/fleetlog.h
@@ -5,6 +5,8 @@
 // so that a reader that has stopped never holds up a decision.
 
 #include <atomic>
+#include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -64,15 +66,19 @@
   auto Dropped() const -> std::uint64_t;
 
 private:
-  auto Run() -> void;
+  using Lines = tbb::concurrent_bounded_queue<std::string>;
 
+  static auto Run(Lines& aLines) -> void;
   auto Put(std::string aLine) -> void;
 
   const std::string instance;
   LogBudget budget;
-  tbb::concurrent_bounded_queue<std::string> lines;
+  // Shared with the writer, which may outlive the log: whoever reads its output
+  // may have stopped.
+  std::shared_ptr<Lines> lines = std::make_shared<Lines>();
   std::atomic<std::uint64_t> dropped = 0;
   std::thread writer;
+  std::future<void> written;
 };
 
 } // namespace gooseberry::fleet
--- a/fleet/tests/fleet_test.cpp
+++ b/fleet/tests/fleet_test.cpp
@@ -1,6 +1,10 @@
 // Settings of an instance, and the parts that need neither workers nor sockets.
 
+#include <array>
+#include <csignal>
+
 #include <criterion/criterion.h>
+#include <unistd.h>
 
 #include "fleetlog.h"
 #include "fleetmetrics.h"
@@ -135,3 +139,26 @@
     text.find(R"(gooseberry_cell_events_total{event="stop_displaced"} 3)"),
     std::string::npos);
 }
+
+// Pattern: whoever reads the log has stopped. Neither decisions nor the end of
+// the process may wait for it.
+Test(log, of_a_reader_that_has_stopped_holds_nothing_up, .timeout = 60)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  auto ends = std::array<int, 2>{};
+  cr_assert_eq(::pipe(ends.data()), 0);
+  ::dup2(ends[1], STDOUT_FILENO);
+  constexpr auto kLines = 20000;
+  auto dropped = std::uint64_t{ 0 };
+  {
+    auto log = FleetLog{ "entry-1", { kLines * 2, 1.0 } };
+    for (auto line = 0; line < kLines; ++line) {
+      log.Write("cell_lost", { { "cell", "c0" }, { "why", "test" } });
+    }
+    dropped = log.Dropped();
+  }
+  // The pipe takes about a thousand lines, the queue four thousand.
+  cr_expect_gt(dropped, kLines / 2);
+  // Lets the writer go on, so that this process can end.
+  ::close(ends[0]);
+}
--- a/soak/src/realfleet.cpp
+++ b/soak/src/realfleet.cpp
@@ -27,9 +27,6 @@
 constexpr int kOk = 200;
 constexpr int kGone = 410;
 constexpr int kUnavailable = 503;
-constexpr const char* kHost = "jobs.example";
-constexpr const char* kPrefix = "/q/";
-constexpr const char* kService = "pool";
 
 auto
 Loopback(int aPort) -> std::string
@@ -47,15 +44,7 @@
   , judge(this->options.bounds)
 {
   std::filesystem::create_directories(this->options.directory);
-  auto queue = cells::Queue{ { "r-1" }, kHost, kPrefix };
-  queue.policy.service = { kService };
-  queue.policy.maxAttempts = 3;
-  queue.policy.slackFactor = 2.0;
-  queue.policy.target = Millis{ 500 };
-  this->config.version = 1;
-  this->config.queues.push_back(queue);
-  this->config.services.emplace(ServiceId{ kService },
-                                cells::Service{ { kService } });
+  this->config = fakes::ConfigOfModelSite();
   this->PutRow({ wire::kOperatorTable,
                  "",
                  wire::WriteOperatorKey({ wire::OperatorKind::Config, "" }) },
@@ -288,8 +277,8 @@
 {
   auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
   ++machine.life;
-  machine.entry = fakes::EntryOfMachine(
-    aWorker, machine.life, this->options.domains, { kService });
+  machine.entry =
+    fakes::EntryOfMachine(aWorker, machine.life, this->options.domains);
   machine.entry.address = Loopback(machine.server->Port());
   machine.entry.bornUnixMs = this->loop.UnixMillis();
   auto options = fakes::JobWorkerOptions{};
@@ -373,12 +362,12 @@
   this->ListWorker(aWorker, true);
   this->judge.OnLeaving(this->loop.Now(), machine.entry.id);
   constexpr Millis kStays{ 6000 };
-  constexpr Millis kNext{ 4000 };
   this->After(kStays, [this, aWorker, life = machine.life] {
     auto& later = *this->machines.at(static_cast<std::size_t>(aWorker));
     if (later.server->Worker() != nullptr && later.life == life) {
       this->ListWorker(aWorker, false);
       later.server->Die();
+      constexpr Millis kNext{ 4000 };
       this->After(kNext, [this, aWorker] { this->NewWorker(aWorker); });
     }
   });
@@ -451,8 +440,8 @@
   }
   instance->callers->Call(
     { aMethod,
-      kPrefix + aJob.Text(),
-      { { "Host", kHost },
+      fakes::kModelPrefix + aJob.Text(),
+      { { "Host", fakes::kModelHost },
         { "Deadline-Ms", std::to_string(kCallTimeout.count()) } },
       aBody },
     kCallTimeout,
@@ -532,7 +521,10 @@
     std::advance(
       job, static_cast<std::ptrdiff_t>(this->chance() % this->jobs.size()));
     instance->callers->Call(
-      { "GET", kPrefix + job->first.Text(), { { "Host", kHost } }, "" },
+      { "GET",
+        fakes::kModelPrefix + job->first.Text(),
+        { { "Host", fakes::kModelHost } },
+        "" },
       kCallTimeout,
       [this, id = job->first](const HttpReply& aReply) {
         if (aReply.Ok() &&
