The record of a job that can't be read stays

Cause: a new owner removed all records for which it had read no submission; one that it can't decode counted as none. Read again later, by a version that knows it, the job would have run once more.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -723,6 +723,12 @@
   this->queue.After(kStateInterval, [this] { this->AskStates(); });
 }
 
+auto
+FleetWorld::SpoilSubmission(const cells::JobId& aJob) -> void
+{
+  this->PutRow(cells::CellRows::Submission(aJob), "no job");
+}
+
 auto
 FleetWorld::JobRows() -> std::size_t
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -112,6 +112,8 @@
   auto LateOrders(double aPart, Millis aLate) -> void override;
   auto RunningTasks() const -> std::size_t;
 
+  // Replaces what the store holds of a submission.
+  auto SpoilSubmission(const cells::JobId& aJob) -> void;
   // Rows of jobs in the store, whatever they tell of them.
   auto JobRows() -> std::size_t;
   // The status of an answer to a question for the job's state; 0 without one.
--- a/bench/tests/sweep_test.cpp
+++ b/bench/tests/sweep_test.cpp
@@ -131,3 +131,20 @@
   cr_expect_eq(world->JobRows(), 0);
   ExpectKept(*world);
 }
+
+// Pattern: a new owner can't read a submission. The job's record was taken for
+// an orphan; once the row can be read again the job would have run once more.
+Test(sweep, the_record_of_an_unreadable_job_stays)
+{
+  const auto world = WorldThatForgetsAfter(60s);
+  const auto job = world->Submit(OneTask(), { 100ms });
+  world->RunFor(3s);
+  cr_expect_eq(world->JobRows(), 2);
+  world->SpoilSubmission(job);
+  const auto owner = world->Owner();
+  cr_assert_geq(owner, 0);
+  world->Kill(owner);
+  world->RunFor(6s);
+  cr_assert_geq(world->Owner(), 0);
+  cr_expect_eq(world->JobRows(), 2);
+}
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -244,8 +244,9 @@
     }
   }
   for (const auto& row : loaded->submissions) {
+    // Taken out also for a job that can't be read: its record is no orphan.
+    auto record = records.extract(row.key.key);
     if (auto job = this->JobOf(row)) {
-      auto record = records.extract(row.key.key);
       takeover.jobs.emplace_back(
         std::move(*job),
         record.empty() ? std::nullopt
