--- a/fleet/tests/fleet_test.cpp
+++ b/fleet/tests/fleet_test.cpp
@@ -148,17 +148,17 @@
   auto ends = std::array<int, 2>{};
   cr_assert_eq(::pipe(ends.data()), 0);
   ::dup2(ends[1], STDOUT_FILENO);
-  constexpr auto kLines = 20000;
+  constexpr std::int64_t kLines = 20000;
   auto dropped = std::uint64_t{ 0 };
   {
     auto log = FleetLog{ "entry-1", { kLines * 2, 1.0 } };
-    for (auto line = 0; line < kLines; ++line) {
+    for (auto line = std::int64_t{ 0 }; line < kLines; ++line) {
       log.Write("cell_lost", { { "cell", "c0" }, { "why", "test" } });
     }
     dropped = log.Dropped();
   }
   // The pipe takes about a thousand lines, the queue four thousand.
-  cr_expect_gt(dropped, kLines / 2);
+  cr_expect_gt(dropped, static_cast<std::uint64_t>(kLines / 2));
   // Lets the writer go on, so that this process can end.
   ::close(ends[0]);
 }
