Reading once more: one list of names, one name of a step, one state of a job's rows

- learnt.cpp kept a copy of Images; it uses Images.
- StepName and StepOf lie with the other names; four places built it by hand.
- Two flags of a job (forgotten, swept) were one state; it is JobRows.
- A report looked for the filling runs of its worker once for itself and once for each serving run; they are looked for once and handed on.
- One range for one row, one text for a reply without use.
- JobSweeper::Waiting had no caller.
Behaviour as before.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -842,8 +842,7 @@
     return true;
   }
   const auto ticket = this->tickets.find(aCall.ticket);
-  const auto step =
-    cells::StepName{ aCall.task.job, aCall.task.occurrence, aCall.task.step };
+  const auto step = StepOf(aCall.task);
   const auto valid = ticket != this->tickets.end() &&
                      ticket->second.step == step &&
                      ticket->second.worker == aBox.entry.id &&
--- a/cells/src/advice.h
+++ b/cells/src/advice.h
@@ -13,20 +13,6 @@
 
 namespace gooseberry::cells {
 
-// One step of one occurrence of a job.
-struct StepName
-{
-  JobId job;
-  std::uint32_t occurrence = 0;
-  std::uint32_t step = 0;
-
-  auto operator<=>(const StepName&) const = default;
-};
-
-// JOB.OCCURRENCE.STEP
-auto
-ToText(const StepName& aName) -> std::string;
-
 struct AdviceQuestion
 {
   // Names the question in its answer.
--- a/cells/src/adviser.cpp
+++ b/cells/src/adviser.cpp
@@ -8,13 +8,6 @@
 
 namespace gooseberry::cells {
 
-auto
-ToText(const StepName& aName) -> std::string
-{
-  return aName.job.Text() + '.' + std::to_string(aName.occurrence) + '.' +
-         std::to_string(aName.step);
-}
-
 auto
 ToText(AdviceEnd aEnd) -> const char*
 {
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -108,7 +108,7 @@
 Cell::FindJob(const JobId& aJob) const -> const Job*
 {
   const auto found = this->jobs.find(aJob);
-  return found == this->jobs.end() || found->second->swept
+  return found == this->jobs.end() || found->second->rows == JobRows::Gone
            ? nullptr
            : found->second.get();
 }
@@ -289,7 +289,7 @@
          aBatch.records.size() + aBatch.removals.size() <
            kMaxRecordsPerCommit) {
     const auto job = this->jobs.find(*stale);
-    if (job == this->jobs.end() || job->second->swept) {
+    if (job == this->jobs.end() || job->second->rows == JobRows::Gone) {
       aBatch.removals.push_back(*stale);
     }
     stale = this->staleRecords.erase(stale);
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -403,7 +403,7 @@
                  const WorkerSlot& aSlot,
                  const PlacementQuery& aQuery) const -> bool;
   auto AskAdvice(PlacementRound& aRound,
-                 PlacementQuery aQuery,
+                 const PlacementQuery& aQuery,
                  std::size_t aTasks) -> void;
   auto TicketOf(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot) const
     -> std::string;
@@ -426,8 +426,10 @@
   auto NoteTail(Time aNow, const WorkerSlot& aSlot, Run& aRun, double aMeasured)
     -> void;
   auto LearnFrom(Time aNow, WorkerSlot& aSlot) -> void;
-  auto BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
-    -> std::vector<Beside>;
+  static auto BesideSince(Time aNow,
+                          const WorkerSlot& aSlot,
+                          const std::vector<Fill>& aFills,
+                          Time aSince) -> std::vector<Beside>;
   auto UnloadedTail(const StepSpec& aStep, ImageId aImage) const -> double;
   auto LoadOf(Time aNow, const Job& aJob) const -> double;
   // Pressure that each serving image there may still take.
--- a/cells/src/celladvice.cpp
+++ b/cells/src/celladvice.cpp
@@ -16,12 +16,6 @@
   return { aSlot.entry.id, aSlot.entry.bornUnixMs };
 }
 
-auto
-StepOf(const TaskName& aTask) -> StepName
-{
-  return { aTask.job, aTask.occurrence, aTask.step };
-}
-
 } // namespace
 
 auto
@@ -37,7 +31,7 @@
 // known of or whose tickets are over.
 auto
 Cell::AskAdvice(PlacementRound& aRound,
-                PlacementQuery aQuery,
+                const PlacementQuery& aQuery,
                 std::size_t aTasks) -> void
 {
   if (!this->adviser.CanAsk(aRound.now, aQuery.name, this->planAgain)) {
--- a/cells/src/cellhealth.cpp
+++ b/cells/src/cellhealth.cpp
@@ -174,12 +174,8 @@
       }
     }
     const auto query =
-      PlacementQuery{ place.job,
-                      place.spec,
-                      { ref.task.job, ref.task.occurrence, ref.task.step },
-                      place.image,
-                      nullptr,
-                      kGoodPace };
+      PlacementQuery{ place.job,   place.spec, StepOf(ref.task),
+                      place.image, nullptr,    kGoodPace };
     if (this->PickWorker(round, query) == nullptr) {
       continue;
     }
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -38,7 +38,8 @@
 {
   if (const auto known = this->jobs.find(aRow.id); known != this->jobs.end()) {
     const auto& job = *known->second;
-    if (!job.forgotten || job.row.acceptedUnixMs == aRow.acceptedUnixMs) {
+    if (job.rows == JobRows::Kept ||
+        job.row.acceptedUnixMs == aRow.acceptedUnixMs) {
       this->Count(CellEvent::Repeat);
       return;
     }
@@ -378,8 +379,10 @@
       continue;
     }
     auto& job = *found->second;
-    const auto due = job.swept || aNow >= job.endedAt + this->options.keepEnded;
-    if (!IsFinal(job.state) || !due || job.forgotten != job.swept) {
+    const auto due = job.rows == JobRows::Gone ||
+                     (job.rows == JobRows::Kept && IsFinal(job.state) &&
+                      aNow >= job.endedAt + this->options.keepEnded);
+    if (!due) {
       // A later job of the same id, or one that is being removed already.
       continue;
     }
@@ -397,11 +400,11 @@
       this->endedJobs.emplace(aNow + kLazyCommit, id);
       continue;
     }
-    if (job.swept) {
+    if (job.rows == JobRows::Gone) {
       this->jobs.erase(found);
       continue;
     }
-    job.forgotten = true;
+    job.rows = JobRows::Leaving;
     this->forgotten.push_back({ id, job.row.acceptedUnixMs });
   }
 }
@@ -416,12 +419,12 @@
 Cell::OnSwept(Time aNow, const EndedJob& aJob) -> void
 {
   const auto found = this->jobs.find(aJob.id);
-  if (found == this->jobs.end() || !found->second->forgotten ||
+  if (found == this->jobs.end() || found->second->rows == JobRows::Kept ||
       found->second->row.acceptedUnixMs != aJob.acceptedUnixMs) {
     return;
   }
   // Rows that were read before may still be on their way.
-  found->second->swept = true;
+  found->second->rows = JobRows::Gone;
   this->endedJobs.emplace(aNow + kSweptKept, aJob.id);
   this->staleRecords.insert(aJob.id);
 }
--- a/cells/src/cellrelief.cpp
+++ b/cells/src/cellrelief.cpp
@@ -70,15 +70,17 @@
 
 // Shares of the worker's processors that filling tasks used since then.
 auto
-Cell::BesideSince(Time aNow, const WorkerSlot& aSlot, Time aSince)
-  -> std::vector<Beside>
+Cell::BesideSince(Time aNow,
+                  const WorkerSlot& aSlot,
+                  const std::vector<Fill>& aFills,
+                  Time aSince) -> std::vector<Beside>
 {
   auto beside = std::vector<Beside>{};
   for (const auto& gone : aSlot.goneFills) {
     beside.push_back(
       { gone.image, gone.share * Overlap(aSince, aNow, gone.from, gone.to) });
   }
-  for (const auto& fill : this->FillsOn(aSlot)) {
+  for (const auto& fill : aFills) {
     const auto from = std::max(fill.run->startedAt, fill.run->pacedAt);
     beside.push_back({ fill.image,
                        fill.share * fill.run->pace / kFullPace *
@@ -109,7 +111,7 @@
         run->percent < kReadyPercent || run->tailNow <= 0.0) {
       continue;
     }
-    const auto beside = this->BesideSince(aNow, aSlot, run->measuredBefore);
+    const auto beside = BesideSince(aNow, aSlot, fills, run->measuredBefore);
     const auto expected = this->disturbance.Sum(aNow, place.image, beside);
     if (std::sqrt(expected.variance) + expected.mean < kCertainPressure) {
       // The smoothed figure: what is computed from it may be off downwards.
@@ -250,7 +252,8 @@
   -> void
 {
   const auto [place, run] = this->FindActive(aRef);
-  const auto beside = this->BesideSince(aNow, aSlot, aNow - kTailHalfLife * 2);
+  const auto beside =
+    BesideSince(aNow, aSlot, this->FillsOn(aSlot), aNow - kTailHalfLife * 2);
   const auto expected = this->disturbance.Sum(aNow, place.image, beside);
   this->log.Write(
     "tail_over",
@@ -330,14 +333,9 @@
     return false;
   }
   auto round = this->NewRound(aNow);
-  const auto query = PlacementQuery{
-    place.job,
-    place.spec,
-    { aFill.ref.task.job, aFill.ref.task.occurrence, aFill.ref.task.step },
-    place.image,
-    nullptr,
-    1.0
-  };
+  const auto query =
+    PlacementQuery{ place.job,   place.spec, StepOf(aFill.ref.task),
+                    place.image, nullptr,    1.0 };
   if (this->PickWorker(round, query) == nullptr) {
     return false;
   }
--- a/cells/src/images.cpp
+++ b/cells/src/images.cpp
@@ -19,4 +19,10 @@
   return this->names.at(aImage);
 }
 
+auto
+Images::Names() const -> const std::vector<std::string>&
+{
+  return this->names;
+}
+
 } // namespace gooseberry::cells
--- a/cells/src/images.h
+++ b/cells/src/images.h
@@ -18,6 +18,8 @@
   // The image's number; the same for the same name.
   auto Number(const std::string& aName) -> ImageId;
   auto Name(ImageId aImage) const -> const std::string&;
+  // All names, by number.
+  auto Names() const -> const std::vector<std::string>&;
 
 private:
   std::map<std::string, ImageId> numbers;
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -180,6 +180,15 @@
   std::uint64_t number = 0;
 };
 
+// What becomes of the rows that the store holds of a job.
+enum class JobRows
+{
+  Kept,
+  Leaving, // nobody asks for the job any more; they are being removed
+  Gone,
+  JobRows_NB
+};
+
 struct Job
 {
   JobRow row;
@@ -201,10 +210,7 @@
   std::vector<PendingEnd> unrecordedEnds;
   // Load of its lasting tasks, all of which answer the same users.
   LoadEstimate load;
-  // Nobody asks for it any more; its rows are being removed.
-  bool forgotten = false;
-  // They are gone.
-  bool swept = false;
+  JobRows rows = JobRows::Kept;
 
   auto Id() const -> const JobId& { return this->row.id; }
   auto Spec() const -> const JobSpec& { return this->row.spec; }
--- a/cells/src/jobname.cpp
+++ b/cells/src/jobname.cpp
@@ -73,6 +73,19 @@
          std::to_string(aName.step) + '.' + std::to_string(aName.index);
 }
 
+auto
+StepOf(const TaskName& aTask) -> StepName
+{
+  return { aTask.job, aTask.occurrence, aTask.step };
+}
+
+auto
+ToText(const StepName& aName) -> std::string
+{
+  return aName.job.Text() + '.' + std::to_string(aName.occurrence) + '.' +
+         std::to_string(aName.step);
+}
+
 auto
 ParseTaskName(std::string_view aText) -> std::optional<TaskName>
 {
--- a/cells/src/jobname.h
+++ b/cells/src/jobname.h
@@ -47,6 +47,24 @@
   auto operator<=>(const TaskName&) const = default;
 };
 
+// One step of one occurrence of a job.
+struct StepName
+{
+  JobId job;
+  std::uint32_t occurrence = 0;
+  std::uint32_t step = 0;
+
+  auto operator<=>(const StepName&) const = default;
+};
+
+// The step of a task.
+auto
+StepOf(const TaskName& aTask) -> StepName;
+
+// JOB.OCCURRENCE.STEP
+auto
+ToText(const StepName& aName) -> std::string;
+
 // A run by name, valid as long as the job is known.
 struct RunRef
 {
--- a/cells/src/learnt.cpp
+++ b/cells/src/learnt.cpp
@@ -1,11 +1,12 @@
 #include "learnt.h"
 
-#include <algorithm>
 #include <cmath>
 #include <tuple>
 
 #include <msgpack.hpp>
 
+#include "images.h"
+
 namespace gooseberry::cells {
 
 namespace {
@@ -30,26 +31,6 @@
              std::vector<PaceTuple>,
              std::vector<std::pair<std::uint32_t, std::int64_t>>>;
 
-// Names are written once each.
-class NameList
-{
-public:
-  auto Number(const std::string& aName) -> std::uint32_t
-  {
-    const auto [item, added] = this->numbers.try_emplace(
-      aName, static_cast<std::uint32_t>(this->names.size()));
-    if (added) {
-      this->names.push_back(aName);
-    }
-    return item->second;
-  }
-
-  std::vector<std::string> names;
-
-private:
-  std::map<std::string, std::uint32_t> numbers;
-};
-
 auto
 FromTuple(const LearntTuple& aTuple) -> Learnt
 {
@@ -83,7 +64,8 @@
 auto
 EncodeLearnt(const Learnt& aLearnt) -> std::string
 {
-  auto list = NameList{};
+  // Names are written once each.
+  auto images = Images{};
   auto pairs = std::vector<PairTuple>{};
   for (const auto& pair : aLearnt.pairs) {
     auto thousandths = std::vector<std::uint32_t>{};
@@ -91,8 +73,8 @@
       thousandths.push_back(
         static_cast<std::uint32_t>(std::lround(weight * kThousandths)));
     }
-    pairs.emplace_back(list.Number(pair.serving),
-                       list.Number(pair.filling),
+    pairs.emplace_back(images.Number(pair.serving),
+                       images.Number(pair.filling),
                        std::move(thousandths),
                        pair.age.count());
   }
@@ -108,12 +90,12 @@
   }
   auto floors = std::vector<std::pair<std::uint32_t, std::int64_t>>{};
   for (const auto& [image, tail] : aLearnt.tailFloors) {
-    floors.emplace_back(list.Number(image), std::lround(tail * kThousandths));
+    floors.emplace_back(images.Number(image), std::lround(tail * kThousandths));
   }
   auto buffer = msgpack::sbuffer{};
   msgpack::pack(buffer,
                 LearntTuple{ aLearnt.storeMs,
-                             std::move(list.names),
+                             images.Names(),
                              std::move(pairs),
                              std::move(paces),
                              std::move(floors) });
--- a/cells/src/tableport.cpp
+++ b/cells/src/tableport.cpp
@@ -12,4 +12,11 @@
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
+auto
+RangeOf(const RowKey& aKey) -> RowsRange
+{
+  // The exclamation mark comes before all that keys consist of.
+  return { aKey.table, aKey.part, aKey.key, aKey.key + "!" };
+}
+
 } // namespace gooseberry::cells
--- a/cells/src/tableport.h
+++ b/cells/src/tableport.h
@@ -94,6 +94,10 @@
   std::string to;
 };
 
+// The range that holds this row and no other.
+auto
+RangeOf(const RowKey& aKey) -> RowsRange;
+
 struct RowsOutcome
 {
   TableEnd end = TableEnd::Unknown;
--- a/eventio/src/httpmessage.cpp
+++ b/eventio/src/httpmessage.cpp
@@ -23,6 +23,14 @@
          this->status <= kLast;
 }
 
+auto
+ReasonOf(const HttpReply& aReply) -> std::string
+{
+  return aReply.end == HttpEnd::Answered
+           ? "status " + std::to_string(aReply.status)
+           : aReply.reason;
+}
+
 auto
 FindField(const HttpFields& aFields, std::string_view aName) -> std::string
 {
--- a/eventio/src/httpmessage.h
+++ b/eventio/src/httpmessage.h
@@ -47,6 +47,10 @@
   auto Ok() const -> bool;
 };
 
+// What the reply was, or why there is none, for logs.
+auto
+ReasonOf(const HttpReply& aReply) -> std::string;
+
 // The value of a field, by its name in any case; empty if it is absent.
 auto
 FindField(const HttpFields& aFields, std::string_view aName) -> std::string;
--- a/fleet/src/entry.cpp
+++ b/fleet/src/entry.cpp
@@ -411,7 +411,7 @@
                std::function<void(const std::string*)> aThen) -> void
 {
   this->tables.Read(
-    { aKey.table, aKey.part, aKey.key, aKey.key + "!" },
+    cells::RangeOf(aKey),
     kCallTimeout,
     [this, aQuestion, aAgain, then = std::move(aThen)](
       const cells::RowsOutcome& aOutcome) {
--- a/fleet/src/jobsweeper.cpp
+++ b/fleet/src/jobsweeper.cpp
@@ -25,18 +25,12 @@
   }
 }
 
-auto
-JobSweeper::Waiting() const -> std::size_t
-{
-  return this->waiting.size();
-}
-
 auto
 JobSweeper::Next() -> void
 {
   const auto key = cells::CellRows::Submission(this->waiting.front().id);
   this->tables.Read(
-    { key.table, key.part, key.key, key.key + "!" },
+    cells::RangeOf(key),
     kStoreTimeout,
     [weak = this->weak_from_this()](const cells::RowsOutcome& aOutcome) {
       if (const auto self = weak.lock()) {
--- a/fleet/src/jobsweeper.h
+++ b/fleet/src/jobsweeper.h
@@ -28,8 +28,6 @@
              std::function<void(const cells::EndedJob&)> aSwept);
 
   auto Add(const std::vector<cells::EndedJob>& aJobs) -> void;
-  // Jobs whose rows are still there.
-  auto Waiting() const -> std::size_t;
 
 private:
   auto Next() -> void;
