Log: a lapse of a worker says which lease was waited for

The line worker_lapsed could not tell a lease that this owner granted from one that it assumes of an earlier owner, nor when the worker was last heard. It has two fields more: lease (granted, inherited, takeover) and unheard_ms. No logic is changed.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -255,8 +255,9 @@
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
     // An earlier owner may have granted the longest possible lease just before.
-    aSlot.leaseEndMs = std::max(aSlot.leaseEndMs.value_or(0),
-                                clock + this->options.maxLease.count());
+    aSlot.inheritedLeaseEndMs = clock + this->options.maxLease.count();
+    aSlot.leaseEndMs =
+      std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
     this->planNeeded = true;
   }
   auto runEnded = false;
@@ -511,6 +512,7 @@
   aSlot.unrecordedEnds.clear();
   aSlot.clockSample.reset();
   aSlot.leaseEndMs.reset();
+  aSlot.inheritedLeaseEndMs = 0;
   aSlot.lastReportClockMs = 0;
   aSlot.reconciled = false;
   aSlot.nextRenewalAt = aNow;
@@ -577,10 +579,15 @@
     auto& slot = item->second;
     const auto silent = !slot.listed || slot.silent || !slot.reconciled;
     if (silent && !slot.runs.empty() && aNow > slot.LeaseOverBy()) {
-      this->log.Write("worker_lapsed",
-                      { { "worker", slot.entry.id.text },
-                        { "listed", slot.listed ? "yes" : "no" },
-                        { "runs", std::to_string(slot.runs.size()) } });
+      const auto unheardSince = std::max(slot.lastAnswerAt, this->takeoverAt);
+      this->log.Write(
+        "worker_lapsed",
+        { { "worker", slot.entry.id.text },
+          { "listed", slot.listed ? "yes" : "no" },
+          { "lease", slot.LeaseBasis() },
+          { "unheard_ms",
+            std::to_string(ToMillis(aNow - unheardSince).count()) },
+          { "runs", std::to_string(slot.runs.size()) } });
       const auto lost = slot.runs;
       for (const auto& ref : lost) {
         this->DropRun(aNow, ref, "lease expired");
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -55,6 +55,16 @@
   return this->clockSample->receivedAt + WithWorkerDrift(Millis{ left });
 }
 
+auto
+WorkerSlot::LeaseBasis() const -> const char*
+{
+  if (!this->leaseEndMs || !this->clockSample) {
+    return "takeover";
+  }
+  return *this->leaseEndMs == this->inheritedLeaseEndMs ? "inherited"
+                                                        : "granted";
+}
+
 auto
 WorkerSlot::ReserveRun(const RunRef& aRun,
                        const StepSpec& aStep,
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -38,6 +38,8 @@
   // The latest lease end that the worker may have been given, on its own clock;
   // absent if an earlier owner may have given one that is not known.
   std::optional<std::int64_t> leaseEndMs;
+  // The part of it that earlier owners may have granted.
+  std::int64_t inheritedLeaseEndMs = 0;
   // Local time after which nothing runs there; holds only while leaseEndMs or
   // the worker's clock is not known.
   Time fallbackLeaseEnd{};
@@ -138,6 +140,10 @@
   // Local time after which every run there has certainly ended with its lease,
   // even if the worker does not answer.
   auto LeaseOverBy() const -> Time;
+  // What LeaseOverBy() follows from, for the log: a lease that this owner
+  // granted, one that an earlier owner may have granted, or the time of the
+  // takeover.
+  auto LeaseBasis() const -> const char*;
   // Reserves the resources of a run; false if they are reserved already.
   auto ReserveRun(const RunRef& aRun, const StepSpec& aStep, ImageId aImage)
     -> bool;
