--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -439,6 +439,7 @@
     instance->settings.instance = "entry-" + std::to_string(number);
     instance->settings.cellWorkers = this->options.cellWorkers;
     instance->settings.bounds.keepEnded = this->options.keepEnded;
+    instance->settings.bounds.leaseMax = this->options.leaseMax;
     instance->log = std::make_unique<TraceLog>(
       this->queue, this->options.trace, instance->settings.instance);
     this->instances.push_back(std::move(instance));
@@ -1031,6 +1032,7 @@
   constexpr std::int64_t kEpochMs = 1'700'000'000'000;
   box.entry.startUnixMs = kEpochMs + SteadyMillis(this->queue.Now());
   auto options = fakes::JobWorkerOptions{};
+  options.leaseMax = this->options.leaseMax;
   // Up to 2% slow.
   constexpr std::int64_t kSlowest = 980;
   constexpr std::int64_t kRates = 21;
@@ -1137,8 +1139,10 @@
       for (const auto& call : std::exchange(later.waiting, {})) {
         this->LoseAnswer(call);
       }
-      constexpr Millis kNext{ 4000 };
-      this->queue.After(kNext, [this, aWorker] { this->NewWorker(aWorker); });
+      if (this->options.machinesReturn) {
+        constexpr Millis kNext{ 4000 };
+        this->queue.After(kNext, [this, aWorker] { this->NewWorker(aWorker); });
+      }
     }
   });
 }
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -56,6 +56,10 @@
   std::size_t cellWorkers = 400;
   // Jobs are known for so long after their end.
   Millis keepEnded{ 120000 };
+  // The longest lease that workers accept.
+  Millis leaseMax{ 6000 };
+  // A machine whose worker has left starts a new one soon after.
+  bool machinesReturn = true;
   std::uint64_t seed = 1;
 };
 
--- /dev/null
+++ b/bench/tests/lasting_test.cpp
@@ -0,0 +1,112 @@
+// Long-running tasks run again in time after their worker is gone, in virtual
+// time.
+
+#include <criterion/criterion.h>
+
+#include "fleetworld.h"
+
+using namespace gooseberry;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// With capacity for it, a long-running task runs again within this time after
+// its last run, whatever worker that was on.
+constexpr Millis kMaxInterruption{ 9000 };
+
+// Half of the site's capacity, so that there is room for it after three of
+// twelve workers have gone.
+auto
+LongRunningJob() -> cells::JobSpec
+{
+  auto step = cells::StepSpec{ 24, { 4000, 1000, 0 }, 500ms };
+  step.longRunning = true;
+  return { "payload", { step } };
+}
+
+class InterruptionWatch
+{
+public:
+  explicit InterruptionWatch(FleetWorld& aWorld)
+    : world(aWorld)
+  {
+  }
+
+  auto RunFor(Millis aTime) -> void
+  {
+    constexpr Millis kInterval{ 50 };
+    const auto end = this->world.Now() + aTime;
+    while (this->world.Now() < end) {
+      this->world.RunFor(kInterval);
+      auto waiting = std::map<cells::TaskName, Time>{};
+      for (const auto& task : this->world.Judge().WaitingTasks()) {
+        const auto known = this->waitingSince.find(task.task);
+        const auto since =
+          known == this->waitingSince.end() ? this->world.Now() : known->second;
+        waiting.emplace(task.task, since);
+        this->longest =
+          std::max(this->longest, ToMillis(this->world.Now() - since));
+      }
+      this->waitingSince = std::move(waiting);
+    }
+  }
+
+  auto Longest() const -> Millis { return this->longest; }
+
+private:
+  FleetWorld& world;
+  std::map<cells::TaskName, Time> waitingSince;
+  Millis longest{ 0 };
+};
+
+// A fleet whose workers accept leases of 10 s, twice as long as owners grant.
+auto
+WorldWithLongRunningTasks(std::uint64_t aSeed) -> std::unique_ptr<FleetWorld>
+{
+  auto options = FleetWorldOptions{};
+  options.leaseMax = 10s;
+  options.machinesReturn = false;
+  options.seed = aSeed;
+  auto world = std::make_unique<FleetWorld>(options);
+  world->RunFor(8s);
+  world->Submit(LongRunningJob(), { 600s });
+  world->RunFor(6s);
+  cr_assert_eq(world->Judge().WaitingTasks().size(), 0);
+  return world;
+}
+
+auto
+ExpectKept(FleetWorld& aWorld) -> void
+{
+  aWorld.Judge().Finish();
+  for (const auto& violation : aWorld.Judge().Violations()) {
+    cr_expect(false, "%s", violation.c_str());
+  }
+}
+
+} // namespace
+
+// Guards against: a worker leaves after the new owner of its cell has heard
+// from it, and its tasks wait for a longer lease than any owner granted.
+Test(long_running,
+     restart_in_time_on_loss_of_a_worker_just_after_a_takeover,
+     .timeout = 60)
+{
+  for (auto seed = std::uint64_t{ 1 }; seed <= 4; ++seed) {
+    const auto world = WorldWithLongRunningTasks(seed);
+    auto watch = InterruptionWatch{ *world };
+    for (auto worker = 0; worker < world->Workers(); worker += 4) {
+      world->DrainWorker(worker);
+      watch.RunFor(5s);
+      world->Restart(world->Owner());
+      watch.RunFor(14s);
+    }
+    cr_expect_leq(watch.Longest().count(),
+                  kMaxInterruption.count(),
+                  "seed %d: a task did not run for %d ms",
+                  static_cast<int>(seed),
+                  static_cast<int>(watch.Longest().count()));
+    ExpectKept(*world);
+  }
+}
