Cells: a new owner counts on the leases that were granted, not on the longest

Cause: when a worker answers a new owner for the first time, that owner assumes that its predecessor granted the worker the longest lease that workers accept. Owners grant 5 s; on a platform that accepts 10 s, tasks of a worker that goes within the next seconds waited twice as long as needed. The same held for a worker that had just started, which no earlier owner knew.

Change: the owner's row tells the longest lease that its writer or an owner before it granted and that may still hold (it told only the writer's own); the next owner counts on that, until all earlier leases are over. It is never too short: the worker's answer shows that it obeys the new owner, the lease's end is counted on the worker's clock from the moment the earlier owner sent it, and a row that can't be read, or does not tell, stands for the longest lease that workers accept.

Ruled out: no room (0.6 ms from the lapse to the next run), leases that the new owner granted itself (those of workers that went later were over after 3 to 5 s).

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -655,6 +655,17 @@
   return count;
 }
 
+auto
+FleetWorld::LongestLease() const -> Millis
+{
+  const auto owner = this->Owner();
+  return owner < 0 ? Millis{ 0 }
+                   : this->instances.at(static_cast<std::size_t>(owner))
+                       ->board->OwnedCells()
+                       .front()
+                       ->LongestLease(this->Now());
+}
+
 auto
 FleetWorld::WorkerConnections(int aInstance) const -> std::size_t
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -115,6 +115,9 @@
   // raise the tails of the other.
   auto CellsThatKnow(const std::string& aServing,
                      const std::string& aFilling) const -> int;
+  // The longest lease that may hold, as the owner of the first cell knows it; 0
+  // without an owner.
+  auto LongestLease() const -> Millis;
   // How many workers the instance has connections to.
   auto WorkerConnections(int aInstance) const -> std::size_t;
 
--- a/bench/tests/lasting_test.cpp
+++ b/bench/tests/lasting_test.cpp
@@ -110,3 +110,21 @@
     ExpectKept(*world);
   }
 }
+
+// Guards against: a task runs twice because the row that tells how long the
+// earlier owner's leases are can't be read.
+Test(long_running, wait_for_the_longest_lease_after_an_unknown_owner)
+{
+  auto options = FleetWorldOptions{};
+  options.leaseMax = 10s;
+  const auto world = std::make_unique<FleetWorld>(options);
+  world->RunFor(8s);
+  const auto granted = world->LongestLease();
+  cr_assert_gt(granted.count(), 0);
+  cr_assert_lt(granted.count(), 10'000);
+  world->SpoilRows(cells::CellRows::kOwnerTable, "owner", "no owner");
+  world->RunFor(5s);
+  cr_expect_eq(world->LongestLease().count(), 10'000);
+  world->RunFor(15s);
+  cr_expect_eq(world->LongestLease().count(), granted.count());
+}
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -39,8 +39,7 @@
 // Properties of the platform that a cell's decisions depend on.
 struct CellOptions
 {
-  // The longest lease that workers accept, and the lease that the owner grants.
-  Millis maxLease{ 6000 };
+  // The lease that the owner grants.
   Millis lease{ 5000 };
   // A worker that accepts a stop has ended the run within this time.
   Millis maxStopTime{ 400 };
@@ -69,8 +68,9 @@
   std::vector<JobId> cancelled;
   // Records of jobs whose submission is gone.
   std::vector<JobId> orphanRecords;
-  // The length of the previous owner's leases, and by when the leases of the
-  // workers that did not answer it have certainly expired.
+  // The longest lease that earlier owners may have granted and that may still
+  // hold, and by when the leases of the workers that did not answer the
+  // previous owner have certainly expired.
   Millis previousLease{ 0 };
   std::map<WorkerId, Time> leaseEnds;
   // State that the previous owner learned from reports, and the time since it
@@ -260,6 +260,9 @@
   // The part of it that is of use to the owners of other cells: what they have
   // no newer observations of.
   auto ExportSharedState(Time aNow, Millis aMaxAge) const -> LearnedState;
+  // The longest lease that this owner or an earlier one may have granted and
+  // that may still hold.
+  auto LongestLease(Time aNow) const -> Millis;
   auto EventCounts() const -> const CellEventCounts&;
   // Latencies measured since the last call.
   auto TakeLatencySamples() -> std::vector<LatencySample>;
@@ -428,6 +431,8 @@
                   const TaskName& aName,
                   const JobRecord::RunRecord& aRecord) -> void;
   auto InheritWorker(const JobRecord::RunRecord& aMark) -> WorkerSlot&;
+  // Local time by which all leases of earlier owners have certainly expired.
+  auto PreviousLeasesOverBy() const -> Time;
   auto ImportLearnedState(const LearnedState& aLearned, Millis aAge) -> void;
   auto OpenOccurrences(Time aNow, Job& aJob, std::int64_t aNowUnixMs) -> void;
   // A worker has started one of the job's tasks.
@@ -699,6 +704,7 @@
   const CellOptions options;
   const std::uint64_t fencingToken;
   const Time takeoverAt;
+  // At least the lease that this owner grants.
   const Millis previousLease;
   const std::map<WorkerId, Time> previousLeaseEnds;
   Time ownershipConfirmedAt;
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -182,15 +182,27 @@
     slot.entry.startUnixMs = aMark.workerStartUnixMs;
     slot.entry.machine = aMark.machine;
     const auto expiry = this->previousLeaseEnds.find(aMark.worker);
-    slot.fallbackLeaseEnd =
-      expiry != this->previousLeaseEnds.end()
-        ? expiry->second
-        : this->takeoverAt + this->options.ownershipValidity +
-            WithWorkerDrift(this->previousLease + kClockMargin);
+    slot.fallbackLeaseEnd = expiry != this->previousLeaseEnds.end()
+                              ? expiry->second
+                              : this->PreviousLeasesOverBy();
   }
   return slot;
 }
 
+auto
+Cell::PreviousLeasesOverBy() const -> Time
+{
+  return this->takeoverAt + this->options.ownershipValidity +
+         WithWorkerDrift(this->previousLease + kClockMargin);
+}
+
+auto
+Cell::LongestLease(Time aNow) const -> Millis
+{
+  return aNow > this->PreviousLeasesOverBy() ? this->options.lease
+                                             : this->previousLease;
+}
+
 // The paces are assumed to hold until calls of this owner are answered.
 auto
 Cell::ImportLearnedState(const LearnedState& aLearned, Millis aAge) -> void
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -254,8 +254,11 @@
   }
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
-    // An earlier owner may have granted the longest possible lease just before.
-    aSlot.inheritedLeaseEndMs = clock + this->options.maxLease.count();
+    // An earlier owner may have granted a lease just before. The worker refuses
+    // its calls from now on.
+    const auto inherited =
+      aNow > this->PreviousLeasesOverBy() ? Millis{ 0 } : this->previousLease;
+    aSlot.inheritedLeaseEndMs = clock + inherited.count();
     aSlot.leaseEndMs =
       std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
     this->planNeeded = true;
--- a/cells/src/ownerrow.h
+++ b/cells/src/ownerrow.h
@@ -25,7 +25,8 @@
   // Incremented when there is nothing else to write, as a heartbeat for other
   // instances.
   std::uint64_t beat = 0;
-  // Duration of the leases that this owner grants to workers, in milliseconds.
+  // The longest lease that this owner or an earlier one may have granted to a
+  // worker and that may still hold, in milliseconds; 0 if that is not known.
   std::int64_t leaseMs = 0;
   // Workers that do not answer, each with the time on the store's steady clock,
   // in milliseconds, at which its lease has certainly expired. The owner does
--- a/cells/src/recorder.cpp
+++ b/cells/src/recorder.cpp
@@ -92,6 +92,12 @@
   this->owner.silent = std::move(aSilent);
 }
 
+auto
+Recorder::SetLongestLease(Millis aLease) -> void
+{
+  this->owner.leaseMs = aLease.count();
+}
+
 auto
 Recorder::SetLearnedState(std::string aBytes) -> void
 {
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -74,6 +74,9 @@
   // Workers that do not answer, each with the end of its lease on the store's
   // steady clock; written to the owner's row with the next transaction.
   auto SetSilentWorkers(std::map<std::string, std::int64_t> aSilent) -> void;
+  // The longest lease that may hold; written to the owner's row with the next
+  // transaction.
+  auto SetLongestLease(Millis aLease) -> void;
   // Written with the next transaction; not repeated if that fails.
   auto SetLearnedState(std::string aBytes) -> void;
   // The same, for the owners of other cells: written to the table of
--- a/cells/tests/values_test.cpp
+++ b/cells/tests/values_test.cpp
@@ -112,6 +112,17 @@
   cr_expect_not(DecodeLearnedState("{}", reason).has_value());
 }
 
+Test(recorder, longest_lease_is_written_to_the_owners_row)
+{
+  auto recorder = Recorder{ { "c" }, { { "i" }, "i:1", 3 }, 7 };
+  recorder.SetLongestLease(Millis{ 9000 });
+  const auto commit = recorder.HeartbeatCommit(false);
+  auto reason = std::string{};
+  const auto row = DecodeOwnerRow(commit.puts.at(0).value, reason);
+  cr_assert(row.has_value());
+  cr_expect_eq(row->leaseMs, 9000);
+}
+
 Test(recorder, learned_state_is_written_once)
 {
   auto recorder = Recorder{ { "cell-1" }, { { "me" }, "", 3 }, 17 };
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -311,6 +311,7 @@
       return !silent.contains(aWorker.first);
     });
   this->recorder->SetSilentWorkers(silent);
+  this->recorder->SetLongestLease(this->cell->LongestLease(now));
   if (now > this->learnedStateWrittenAt + kLearnedStateInterval &&
       this->storeClock) {
     this->learnedStateWrittenAt = now;
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -156,6 +156,9 @@
     Time receivedAt{};
   };
   auto GrantedLease() const -> Millis;
+  // The longest lease that may hold when the owner's row is replaced.
+  // aOwnerRowVersion: 0 if there is none.
+  auto InheritedLease(std::uint64_t aOwnerRowVersion) const -> Millis;
   auto UpdateStoreClock(std::int64_t aStoreMs, Time aSentAt) -> void;
   auto LeaseExpiries(const cells::OwnerRow& aOwner) const
     -> std::map<WorkerId, Time>;
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -140,7 +140,9 @@
   auto owner = cells::OwnerRow{ { this->settings.instance },
                                 this->settings.address,
                                 aFencingToken };
-  owner.leaseMs = this->GrantedLease().count();
+  owner.leaseMs =
+    std::max(this->GrantedLease(), this->InheritedLease(aOwnerRowVersion))
+      .count();
   if (this->previousOwner) {
     // Keep the previous owner's list of unresponsive workers until the records
     // are read.
@@ -291,8 +293,8 @@
   takeover.fencingToken = this->recorder->Owner().fencingToken;
   takeover.now = this->ports.loop.Now();
   takeover.nowUnixMs = this->ports.loop.UnixMillis();
+  takeover.previousLease = Millis{ this->recorder->Owner().leaseMs };
   if (this->previousOwner) {
-    takeover.previousLease = Millis{ this->previousOwner->leaseMs };
     takeover.leaseEnds = this->LeaseExpiries(*this->previousOwner);
   }
   auto reason = std::string{};
@@ -338,7 +340,6 @@
   this->publishedCounts = {};
   this->ports.metrics.CountOwnership("taken");
   auto options = cells::CellOptions{};
-  options.maxLease = this->settings.bounds.leaseMax;
   options.lease = this->GrantedLease();
   options.maxStopTime = this->settings.bounds.stop;
   options.endedJobRetention = this->settings.bounds.keepEnded;
@@ -436,6 +437,18 @@
       { "age_ms", std::to_string(aTakeover.learnedStateAge.count()) } });
 }
 
+auto
+CellController::InheritedLease(std::uint64_t aOwnerRowVersion) const -> Millis
+{
+  if (aOwnerRowVersion == 0) {
+    return Millis{ 0 };
+  }
+  const auto leaseMax = this->settings.bounds.leaseMax;
+  const auto known = this->previousOwner && this->previousOwner->leaseMs > 0;
+  return known ? std::min(Millis{ this->previousOwner->leaseMs }, leaseMax)
+               : leaseMax;
+}
+
 auto
 CellController::GrantedLease() const -> Millis
 {
