Cells: leases of a released cell end after their length, of a failed owner's later

What callers would see: a worker leaves while its cell changes hands, before the new owner has heard from it, and its lasting tasks are away for 9.4 s.

Cause: for a worker that has not answered it, a new owner counted 4 s, for which an owner that was replaced may go on granting, and then a lease, both from the end of its own takeover. An owner that has released the cell grants nothing any more, and one that failed was confirmed by the store for the last time when its row changed, 1.5 s and more before the takeover.

Change: the takeover tells the cell when the owner's row last changed and whether it was released. After a release only the lease itself is waited for. For that to be true, an owner grants no lease from the moment it asks for the release (renewals went on until the answer), and it names in its last row the workers that it has not heard from, each with the end of its lease: an owner before it may have failed and not released the cell, and may still be granting.

Ruled out: taking the missing row of a worker that had announced to leave as proof that it is gone. The row is also removed when the worker is cut off from the store, and then its tasks run on.

--- a/bench/tests/lasting_test.cpp
+++ b/bench/tests/lasting_test.cpp
@@ -128,3 +128,25 @@
   world->RunFor(15s);
   cr_expect_eq(world->LongestLease().count(), granted.count());
 }
+
+// Guards against: a worker leaves while the cell changes hands, before the new
+// owner has heard from it, and its tasks wait for leases that an owner which has
+// released the cell can't have granted.
+Test(long_running, restart_in_time_on_loss_of_a_worker_during_a_handover,
+     .timeout = 60)
+{
+  for (auto before = 0ms; before <= 500ms; before += 50ms) {
+    const auto world = WorldWithLongRunningTasks(1);
+    auto watch = InterruptionWatch{ *world };
+    world->DrainWorker(0);
+    watch.RunFor(6s - before);
+    world->Restart(world->Owner());
+    watch.RunFor(14s);
+    cr_expect_leq(watch.Longest().count(),
+                  kMaxInterruption.count(),
+                  "%d ms before the worker left: a task did not run for %d ms",
+                  static_cast<int>(before.count()),
+                  static_cast<int>(watch.Longest().count()));
+    ExpectKept(*world);
+  }
+}
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -41,11 +41,29 @@
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
 
+namespace {
+
+// By when the leases of all earlier owners have certainly expired. An owner
+// that was replaced may grant some until it notices.
+auto
+LeasesOverBy(const CellTakeover& aTakeover,
+             const CellOptions& aOptions,
+             Millis aLongest) -> Time
+{
+  const auto grantsFor =
+    aTakeover.previousReleased ? Millis{ 0 } : aOptions.ownershipValidity;
+  return aTakeover.previousConfirmedBy.value_or(aTakeover.now) +
+         WithWorkerDrift(grantsFor + aLongest + kClockMargin);
+}
+
+} // namespace
+
 Cell::Cell(CellOptions aOptions, CellTakeover aTakeover, DecisionLog& aLog)
   : options(aOptions)
   , fencingToken(aTakeover.fencingToken)
   , takeoverAt(aTakeover.now)
   , previousLease(std::max(aTakeover.previousLease, aOptions.lease))
+  , previousLeasesOverBy(LeasesOverBy(aTakeover, aOptions, this->previousLease))
   , previousLeaseEnds(std::move(aTakeover.leaseEnds))
   , ownershipConfirmedAt(aTakeover.now)
   , siteUpToDateAt(aTakeover.now)
@@ -286,12 +304,19 @@
   this->ownershipConfirmedAt = std::max(this->ownershipConfirmedAt, aAskedAt);
 }
 
+auto
+Cell::OnRelease() -> void
+{
+  this->releasing = true;
+}
+
 auto
 Cell::SilentWorkers() -> std::map<WorkerId, Time>
 {
   auto silent = std::map<WorkerId, Time>{};
   for (auto& [id, slot] : this->workers) {
-    if (slot.silent && !slot.runs.empty()) {
+    const auto unheard = this->releasing && !slot.reconciled;
+    if ((slot.silent || unheard) && !slot.runs.empty()) {
       silent.emplace(id, slot.LeaseOverBy());
       slot.silentInOwnerRow = true;
     }
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -73,6 +73,11 @@
   // previous owner have certainly expired.
   Millis previousLease{ 0 };
   std::map<WorkerId, Time> leaseEnds;
+  // The store confirmed no earlier owner after this local time; empty for the
+  // time of the takeover.
+  std::optional<Time> previousConfirmedBy;
+  // The last owner had released the cell before.
+  bool previousReleased = false;
   // State that the previous owner learned from reports, and the time since it
   // was written.
   std::optional<LearnedState> learnedState;
@@ -221,8 +226,13 @@
   // was sent.
   auto OnOwnershipConfirmed(Time aAskedAt) -> void;
 
+  // The cell is about to be released: grants no lease any more.
+  auto OnRelease() -> void;
+
   // Workers that do not answer, each with the time by which its lease has
-  // certainly expired; to be written to the owner's row.
+  // certainly expired; to be written to the owner's row. Before a release, also
+  // those that have not answered yet: an earlier owner that has not released
+  // the cell may still grant them leases.
   auto SilentWorkers() -> std::map<WorkerId, Time>;
   // The owner's row was written with these workers as its silent ones.
   auto OnSilentWorkersWritten(
@@ -431,8 +441,6 @@
                   const TaskName& aName,
                   const JobRecord::RunRecord& aRecord) -> void;
   auto InheritWorker(const JobRecord::RunRecord& aMark) -> WorkerSlot&;
-  // Local time by which all leases of earlier owners have certainly expired.
-  auto PreviousLeasesOverBy() const -> Time;
   auto ImportLearnedState(const LearnedState& aLearned, Millis aAge) -> void;
   auto OpenOccurrences(Time aNow, Job& aJob, std::int64_t aNowUnixMs) -> void;
   // A worker has started one of the job's tasks.
@@ -706,6 +714,8 @@
   const Time takeoverAt;
   // At least the lease that this owner grants.
   const Millis previousLease;
+  // By when all leases of earlier owners have certainly expired.
+  const Time previousLeasesOverBy;
   const std::map<WorkerId, Time> previousLeaseEnds;
   Time ownershipConfirmedAt;
   Time siteUpToDateAt;
@@ -783,6 +793,8 @@
   bool othersWaiting = false;
   // A worker has seen a newer fencing token.
   bool fenced = false;
+  // The cell is about to be released.
+  bool releasing = false;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -167,7 +167,8 @@
   // The lease of a worker that does not answer is not extended: otherwise its
   // tasks could never be started elsewhere.
   const auto mayExtendLease =
-    aSlot.reconciled && !aSlot.silent && !aSlot.silentInOwnerRow &&
+    !this->releasing && aSlot.reconciled && !aSlot.silent &&
+    !aSlot.silentInOwnerRow &&
     aNow < this->ownershipConfirmedAt + this->options.ownershipValidity;
   if (mayExtendLease && !aSlot.runs.empty()) {
     call.leaseEndMs = this->GrantLease(aNow, aSlot, this->options.lease);
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -184,23 +184,16 @@
     const auto expiry = this->previousLeaseEnds.find(aMark.worker);
     slot.fallbackLeaseEnd = expiry != this->previousLeaseEnds.end()
                               ? expiry->second
-                              : this->PreviousLeasesOverBy();
+                              : this->previousLeasesOverBy;
   }
   return slot;
 }
 
-auto
-Cell::PreviousLeasesOverBy() const -> Time
-{
-  return this->takeoverAt + this->options.ownershipValidity +
-         WithWorkerDrift(this->previousLease + kClockMargin);
-}
-
 auto
 Cell::LongestLease(Time aNow) const -> Millis
 {
-  return aNow > this->PreviousLeasesOverBy() ? this->options.lease
-                                             : this->previousLease;
+  return aNow > this->previousLeasesOverBy ? this->options.lease
+                                           : this->previousLease;
 }
 
 // The paces are assumed to hold until calls of this owner are answered.
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -257,7 +257,7 @@
     // An earlier owner may have granted a lease just before. The worker refuses
     // its calls from now on.
     const auto inherited =
-      aNow > this->PreviousLeasesOverBy() ? Millis{ 0 } : this->previousLease;
+      aNow > this->previousLeasesOverBy ? Millis{ 0 } : this->previousLease;
     aSlot.inheritedLeaseEndMs = clock + inherited.count();
     aSlot.leaseEndMs =
       std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -63,3 +63,91 @@
                kGranted.count());
   cr_expect_leq(LeaseAfterFirstAnswer(harness).count(), 100);
 }
+
+namespace {
+
+constexpr const char* kWorker = "w";
+
+// What a new owner reads of a cell whose worker runs one task.
+auto
+TakeoverWithARun() -> CellTakeover
+{
+  auto first = CellHarness{};
+  first.AddWorker(kWorker);
+  const auto job = first.Submit(JobWithSteps({ 1 }));
+  cr_assert_eq(first.StartAll().size(), 1);
+  auto reason = std::string{};
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(
+    first.cell.FindJob(job)->row,
+    DecodeJobRecord(EncodeJobRecord(MakeJobRecord(*first.cell.FindJob(job))),
+                    reason));
+  return takeover;
+}
+
+// How long after the takeover a worker's lease counts that does not answer.
+auto
+LeaseWithoutAnswer(const CellHarness& aHarness) -> Millis
+{
+  const auto& slot = aHarness.cell.Workers().at(WorkerId{ kWorker });
+  return ToMillis(slot.LeaseOverBy() - aHarness.now);
+}
+
+} // namespace
+
+// Guards against: tasks of a worker that is gone wait for leases that an owner
+// which had released the cell can't have granted.
+Test(lease, of_a_released_cell_ends_after_its_length)
+{
+  auto takeover = TakeoverWithARun();
+  takeover.previousReleased = true;
+  const auto released = CellHarness{ {}, takeover };
+  cr_expect_geq(LeaseWithoutAnswer(released).count(), kGranted.count());
+  cr_expect_leq(LeaseWithoutAnswer(released).count(), 5200);
+}
+
+// An owner that failed may be cut off from the store only, and grant leases
+// until its ownership expires.
+Test(lease, of_an_owner_that_failed_counts_from_its_last_confirmation)
+{
+  auto takeover = TakeoverWithARun();
+  const auto atOnce = LeaseWithoutAnswer(CellHarness{ {}, takeover });
+  cr_expect_geq(atOnce, kGranted + CellOptions{}.ownershipValidity);
+  takeover.previousConfirmedBy = CellHarness::WithDefaults({}).now - 2s;
+  const auto later = LeaseWithoutAnswer(CellHarness{ {}, takeover });
+  cr_expect_eq((atOnce - later).count(), 2000);
+}
+
+// Guards against: a task runs twice after two changes of the owner in a row.
+// The first of them failed and may still grant leases to workers that the
+// second one has not heard from when it releases the cell.
+Test(lease, of_workers_not_heard_from_is_told_on_release)
+{
+  auto harness = CellHarness{ {}, TakeoverWithARun() };
+  harness.Tick();
+  cr_expect_eq(harness.cell.SilentWorkers().size(), 0);
+  harness.cell.OnRelease();
+  const auto silent = harness.cell.SilentWorkers();
+  cr_assert_eq(silent.size(), 1);
+  cr_expect_geq(ToMillis(silent.at(WorkerId{ kWorker }) - harness.now),
+                kGranted + CellOptions{}.ownershipValidity);
+}
+
+// Guards against: the next owner counts on no lease that was granted after the
+// release, which it knows nothing of.
+Test(lease, is_not_extended_while_the_cell_is_released)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker(kWorker);
+  harness.Submit(JobWithSteps({ 1 }));
+  const auto starts = harness.StartAll();
+  harness.cell.OnRelease();
+  for (auto round = 0; round < 20; ++round) {
+    harness.Advance(200ms);
+    harness.Tick();
+    for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+      cr_expect_eq(call.leaseEndMs, 0);
+      harness.Report(call, { RunReportOf(starts[0]) }, {});
+    }
+  }
+}
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -304,6 +304,9 @@
     return;
   }
   const auto now = this->ports.loop.Now();
+  if (this->releasing) {
+    this->cell->OnRelease();
+  }
   const auto silent = this->UnresponsiveWorkerExpiries();
   const auto& written = this->recorder->Owner().silent;
   const auto workerIsBack =
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -174,9 +174,10 @@
   // The owner's row that the last takeover attempt of this instance replaces;
   // empty if the cell had none.
   std::optional<cells::OwnerRow> previousOwner;
+  // No earlier owner was confirmed after this time.
+  Time previousConfirmedBy{};
   std::uint64_t ownerRowVersion = 0;
   Time ownerRowUnchangedSince{};
-  bool seenReleased = false;
   std::size_t takeoverRank = 0;
   bool takeoverInFlight = false;
   TimerHandle ownerPollTimer;
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -137,6 +137,7 @@
     return;
   }
   this->takeoverInFlight = true;
+  this->previousConfirmedBy = this->ownerRowUnchangedSince;
   auto owner = cells::OwnerRow{ { this->settings.instance },
                                 this->settings.address,
                                 aFencingToken };
@@ -294,7 +295,9 @@
   takeover.now = this->ports.loop.Now();
   takeover.nowUnixMs = this->ports.loop.UnixMillis();
   takeover.previousLease = Millis{ this->recorder->Owner().leaseMs };
+  takeover.previousConfirmedBy = this->previousConfirmedBy;
   if (this->previousOwner) {
+    takeover.previousReleased = this->previousOwner->released;
     takeover.leaseEnds = this->LeaseExpiries(*this->previousOwner);
   }
   auto reason = std::string{};
