--- a/bench/src/jobsbench.cpp
+++ b/bench/src/jobsbench.cpp
@@ -13,6 +13,7 @@
 constexpr Millis kSettle{ 6000 };
 constexpr Millis kFaultTime{ 30000 };
 constexpr Millis kRecovery{ 45000 };
+constexpr Millis kLongLeaseMax{ 10000 };
 // Workers of the smallest cells.
 constexpr std::size_t kSmallCell = 4;
 
@@ -51,6 +52,10 @@
   auto options = FleetWorldOptions{};
   options.seed = aSeed;
   options.trace = aTrace;
+  // Workers of each other fleet accept leases twice as long as owners grant.
+  if (aSeed % 2 == 0) {
+    options.leaseMax = kLongLeaseMax;
+  }
   // Each third fleet has two cells or three.
   constexpr std::uint64_t kEach = 3;
   if (aSeed % kEach == 0) {
