--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -56,6 +56,10 @@
   std::size_t cellWorkers = 400;
   // Jobs are known for so long after their end.
   Millis keepEnded{ 120000 };
+  // The longest lease that workers accept.
+  Millis leaseMax{ 6000 };
+  // A machine whose worker has left starts a new one soon after.
+  bool machinesReturn = true;
   std::uint64_t seed = 1;
 };
 
@@ -111,6 +115,9 @@
   // raise the tails of the other.
   auto CellsThatKnow(const std::string& aServing,
                      const std::string& aFilling) const -> int;
+  // The longest lease that may hold, as the owner of the first cell knows it; 0
+  // without an owner.
+  auto LongestLease() const -> Millis;
   // How many workers the instance has connections to.
   auto WorkerConnections(int aInstance) const -> std::size_t;
 
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -39,8 +39,7 @@
 // Properties of the platform that a cell's decisions depend on.
 struct CellOptions
 {
-  // The longest lease that workers accept, and the lease that the owner grants.
-  Millis maxLease{ 6000 };
+  // The lease that the owner grants.
   Millis lease{ 5000 };
   // A worker that accepts a stop has ended the run within this time.
   Millis maxStopTime{ 400 };
@@ -69,10 +68,16 @@
   std::vector<JobId> cancelled;
   // Records of jobs whose submission is gone.
   std::vector<JobId> orphanRecords;
-  // The length of the previous owner's leases, and by when the leases of the
-  // workers that did not answer it have certainly expired.
+  // The longest lease that earlier owners may have granted and that may still
+  // hold, and by when the leases of the workers that did not answer the
+  // previous owner have certainly expired.
   Millis previousLease{ 0 };
   std::map<WorkerId, Time> leaseEnds;
+  // The store confirmed no earlier owner after this local time; empty for the
+  // time of the takeover.
+  std::optional<Time> previousConfirmedBy;
+  // The last owner had released the cell before.
+  bool previousReleased = false;
   // State that the previous owner learned from reports, and the time since it
   // was written.
   std::optional<LearnedState> learnedState;
@@ -221,8 +226,13 @@
   // was sent.
   auto OnOwnershipConfirmed(Time aAskedAt) -> void;
 
+  // The cell is about to be released: grants no lease any more.
+  auto OnRelease() -> void;
+
   // Workers that do not answer, each with the time by which its lease has
-  // certainly expired; to be written to the owner's row.
+  // certainly expired; to be written to the owner's row. Before a release, also
+  // those that have not answered yet: an earlier owner that has not released
+  // the cell may still grant them leases.
   auto SilentWorkers() -> std::map<WorkerId, Time>;
   // The owner's row was written with these workers as its silent ones.
   auto OnSilentWorkersWritten(
@@ -260,6 +270,9 @@
   // The part of it that is of use to the owners of other cells: what they have
   // no newer observations of.
   auto ExportSharedState(Time aNow, Millis aMaxAge) const -> LearnedState;
+  // The longest lease that this owner or an earlier one may have granted and
+  // that may still hold.
+  auto LongestLease(Time aNow) const -> Millis;
   auto EventCounts() const -> const CellEventCounts&;
   // Latencies measured since the last call.
   auto TakeLatencySamples() -> std::vector<LatencySample>;
@@ -699,7 +712,10 @@
   const CellOptions options;
   const std::uint64_t fencingToken;
   const Time takeoverAt;
+  // At least the lease that this owner grants.
   const Millis previousLease;
+  // By when all leases of earlier owners have certainly expired.
+  const Time previousLeasesOverBy;
   const std::map<WorkerId, Time> previousLeaseEnds;
   Time ownershipConfirmedAt;
   Time siteUpToDateAt;
@@ -777,6 +793,8 @@
   bool othersWaiting = false;
   // A worker has seen a newer fencing token.
   bool fenced = false;
+  // The cell is about to be released.
+  bool releasing = false;
 };
 
 } // namespace gooseberry::cells
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -304,6 +304,9 @@
     return;
   }
   const auto now = this->ports.loop.Now();
+  if (this->releasing) {
+    this->cell->OnRelease();
+  }
   const auto silent = this->UnresponsiveWorkerExpiries();
   const auto& written = this->recorder->Owner().silent;
   const auto workerIsBack =
@@ -311,6 +314,7 @@
       return !silent.contains(aWorker.first);
     });
   this->recorder->SetSilentWorkers(silent);
+  this->recorder->SetLongestLease(this->cell->LongestLease(now));
   if (now > this->learnedStateWrittenAt + kLearnedStateInterval &&
       this->storeClock) {
     this->learnedStateWrittenAt = now;
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -156,6 +156,9 @@
     Time receivedAt{};
   };
   auto GrantedLease() const -> Millis;
+  // The longest lease that may hold when the owner's row is replaced.
+  // aOwnerRowVersion: 0 if there is none.
+  auto InheritedLease(std::uint64_t aOwnerRowVersion) const -> Millis;
   auto UpdateStoreClock(std::int64_t aStoreMs, Time aSentAt) -> void;
   auto LeaseExpiries(const cells::OwnerRow& aOwner) const
     -> std::map<WorkerId, Time>;
@@ -171,9 +174,10 @@
   // The owner's row that the last takeover attempt of this instance replaces;
   // empty if the cell had none.
   std::optional<cells::OwnerRow> previousOwner;
+  // No earlier owner was confirmed after this time.
+  Time previousConfirmedBy{};
   std::uint64_t ownerRowVersion = 0;
   Time ownerRowUnchangedSince{};
-  bool seenReleased = false;
   std::size_t takeoverRank = 0;
   bool takeoverInFlight = false;
   TimerHandle ownerPollTimer;
