Cells: workers that the owner's row lists as silent get no lease of the next owner

Callers: a task may run twice. The row of the owner tells by when the lease of a worker that does not answer is over. The next owner takes the cell over with the same list, but took no worker for listed: it extended the lease of one that answered again at once, before a row without it was written. If it failed in between, the owner after it started the worker's tasks elsewhere at the time in the row, while the worker ran them on.

Cause: silentInOwnerRow is set where this owner lists a worker, not where it inherits the list. Change: inherited workers of the list count as listed, and stay in it until they have answered.

Test: lease/of_a_worker_listed_as_silent_is_extended_after_the_row_is_written, failed before (the row did not name the worker, and its lease was extended).

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -315,7 +315,8 @@
 {
   auto silent = std::map<WorkerId, Time>{};
   for (auto& [id, slot] : this->workers) {
-    const auto unheard = this->releasing && !slot.reconciled;
+    const auto unheard =
+      !slot.reconciled && (this->releasing || slot.silentInOwnerRow);
     if ((slot.silent || unheard) && !slot.runs.empty()) {
       silent.emplace(id, slot.LeaseOverBy());
       slot.silentInOwnerRow = true;
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -185,6 +185,8 @@
     slot.fallbackLeaseEnd = expiry != this->previousLeaseEnds.end()
                               ? expiry->second
                               : this->previousLeasesOverBy;
+    // The row that this owner took the cell over with lists the same workers.
+    slot.silentInOwnerRow = expiry != this->previousLeaseEnds.end();
   }
   return slot;
 }
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -151,3 +151,34 @@
     }
   }
 }
+
+// Guards against: a task runs twice because the owner's row lists its worker as
+// silent, with the end of an old lease, while the new owner extends the lease.
+Test(lease, of_a_worker_listed_as_silent_is_extended_after_the_row_is_written)
+{
+  auto takeover = TakeoverWithARun();
+  takeover.leaseEnds.emplace(WorkerId{ kWorker },
+                             CellHarness::WithDefaults({}).now + 3s);
+  auto harness = CellHarness{ {}, takeover };
+  harness.Tick();
+  cr_expect_eq(harness.cell.SilentWorkers().size(), 1);
+  harness.AddWorker(kWorker);
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 1);
+  const auto renewedUpTo = [&] {
+    auto latest = std::int64_t{ 0 };
+    for (auto round = 0; round < 10; ++round) {
+      harness.Advance(200ms);
+      harness.Tick();
+      for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+        latest = std::max(latest, call.leaseEndMs);
+        harness.Report(call, { RunReportOf(starts[0]) }, {});
+      }
+    }
+    return latest;
+  };
+  cr_expect_eq(renewedUpTo(), 0);
+  cr_expect_eq(harness.cell.SilentWorkers().size(), 0);
+  harness.cell.OnSilentWorkersWritten({});
+  cr_expect_gt(renewedUpTo(), harness.ClockMs());
+}
