Cells: the first answer of a worker counts a whole lease

Callers: a task may run twice. An owner forgets a worker that is not listed and runs nothing. Once the worker is listed again, its next answer was taken for the first one, and since no lease was counted for it if those of earlier owners were over. But this owner itself had granted one: a task that was started there then, and after which the worker fell silent, was started elsewhere while the worker still had the old lease.

Change: the first answer counts the longest lease that this owner or one before may have granted, as it did before with the longest that workers accept.

Test: lease/of_a_worker_that_was_forgotten_still_counts, failed before.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -254,10 +254,12 @@
   }
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
-    // An earlier owner may have granted a lease just before. The worker refuses
-    // its calls from now on.
-    const auto inherited =
-      aNow > this->previousLeasesOverBy ? Millis{ 0 } : this->previousLease;
+    // An earlier owner may have granted a lease just before; the worker refuses
+    // its calls from now on. So may this one have, if it forgot the worker
+    // since.
+    const auto inherited = aNow > aSlot.fallbackLeaseEnd
+                             ? this->LongestLease(aNow)
+                             : this->previousLease;
     aSlot.inheritedLeaseEndMs = clock + inherited.count();
     aSlot.leaseEndMs =
       std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
