Cells: a new owner's time to grant leases counts from when its takeover was sent

Callers: a task may run twice. An owner grants leases for 4 s after the store last confirmed it. A new one counted from when it had read the cell's records, which may be seconds after the takeover on a slow store. Since its successor counts from when the owner's row last changed, that is from the takeover, and so waited too short if the new owner was then cut off from the store.

Change: counts from when the takeover was sent, as for all other transactions.

Test: lease/are_granted_only_for_a_time_after_the_takeover_was_sent, failed before.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -78,6 +78,9 @@
   std::optional<Time> previousConfirmedBy;
   // The last owner had released the cell before.
   bool previousReleased = false;
+  // When the transaction was sent with which the store confirmed this owner;
+  // empty for the time of the takeover.
+  std::optional<Time> confirmedAt;
   // State that the previous owner learned from reports, and the time since it
   // was written.
   std::optional<LearnedState> learnedState;
--- a/cells/tests/cellharness.h
+++ b/cells/tests/cellharness.h
@@ -65,7 +65,9 @@
   auto Tick() -> void
   {
     this->cell.OnSiteUpToDate(this->now);
-    this->cell.OnOwnershipConfirmed(this->now);
+    if (this->confirmsOwnership) {
+      this->cell.OnOwnershipConfirmed(this->now);
+    }
     this->cell.OnTick(this->now, 0);
     this->CollectCalls();
   }
@@ -172,6 +174,8 @@
   WorkerTable table;
   std::map<WorkerId, std::int64_t> workerStarts;
   std::vector<WorkerCall> calls;
+  // The store confirms the ownership before each round of decisions.
+  bool confirmsOwnership = true;
   Cell cell;
 
 private:
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -212,3 +212,23 @@
     harness.cell.Workers().at(WorkerId{ kWorker }).LeaseOverBy();
   cr_expect_geq(std::chrono::floor<Millis>(overBy - Time{}).count(), granted);
 }
+
+// Guards against: a task runs twice because an owner counts the time in which
+// it may grant leases from when it has read the records, not from when the
+// store confirmed it.
+Test(lease, are_granted_only_for_a_time_after_the_takeover_was_sent)
+{
+  auto takeover = CellTakeover{};
+  takeover.confirmedAt =
+    CellHarness::WithDefaults({}).now - CellOptions{}.ownershipValidity + 500ms;
+  auto harness = CellHarness{ {}, takeover };
+  harness.confirmsOwnership = false;
+  harness.AddWorker(kWorker);
+  harness.Submit(JobWithSteps({ 1 }));
+  cr_assert_eq(harness.StartAll().size(), 1);
+  harness.Advance(200ms);
+  harness.Tick();
+  const auto renewals = harness.TakeCallsOfKind(CallKind::Renew);
+  cr_assert_eq(renewals.size(), 1);
+  cr_expect_eq(renewals[0].leaseEndMs, 0);
+}
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -176,6 +176,8 @@
   std::optional<cells::OwnerRow> previousOwner;
   // No earlier owner was confirmed after this time.
   Time previousConfirmedBy{};
+  // When the transaction of the last takeover attempt was sent.
+  Time takeoverSentAt{};
   std::uint64_t ownerRowVersion = 0;
   Time ownerRowUnchangedSince{};
   std::size_t takeoverRank = 0;
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -138,6 +138,7 @@
   }
   this->takeoverInFlight = true;
   this->previousConfirmedBy = this->ownerRowUnchangedSince;
+  this->takeoverSentAt = this->ports.loop.Now();
   auto owner = cells::OwnerRow{ { this->settings.instance },
                                 this->settings.address,
                                 aFencingToken };
@@ -296,6 +297,7 @@
   takeover.nowUnixMs = this->ports.loop.UnixMillis();
   takeover.previousLease = Millis{ this->recorder->Owner().leaseMs };
   takeover.previousConfirmedBy = this->previousConfirmedBy;
+  takeover.confirmedAt = this->takeoverSentAt;
   if (this->previousOwner) {
     takeover.previousReleased = this->previousOwner->released;
     takeover.leaseEnds = this->LeaseExpiries(*this->previousOwner);
