Cells: a restarted worker may have the longest lease that workers accept

Callers: a task may run twice. The end of a lease is a time on the worker's clock. A renewal that was sent to the process before a restart and reaches the one after it names a time far ahead there, which the worker limits by the longest lease that it accepts.

Change: the first answer after a restart counts the longest lease that workers accept, as before.

Test: lease/of_a_restarted_worker_may_be_the_longest_that_workers_accept, failed before.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -39,7 +39,8 @@
 // Properties of the platform that a cell's decisions depend on.
 struct CellOptions
 {
-  // The lease that the owner grants.
+  // The longest lease that workers accept, and the lease that the owner grants.
+  Millis maxLease{ 6000 };
   Millis lease{ 5000 };
   // A worker that accepts a stop has ended the run within this time.
   Millis maxStopTime{ 400 };
@@ -558,6 +559,8 @@
     -> void;
   auto ExpireLeases(Time aNow) -> void;
   auto DropRunsOfEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void;
+  // The longest lease that the worker may have when it first answers.
+  auto InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis;
   auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
   // Placement (cellplace.cpp).
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -254,13 +254,8 @@
   }
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
-    // An earlier owner may have granted a lease just before; the worker refuses
-    // its calls from now on. So may this one have, if it forgot the worker
-    // since.
-    const auto inherited = aNow > aSlot.fallbackLeaseEnd
-                             ? this->LongestLease(aNow)
-                             : this->previousLease;
-    aSlot.inheritedLeaseEndMs = clock + inherited.count();
+    aSlot.inheritedLeaseEndMs =
+      clock + this->InheritedLease(aNow, aSlot).count();
     aSlot.leaseEndMs =
       std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
     this->planNeeded = true;
@@ -518,11 +513,26 @@
   aSlot.clockSample.reset();
   aSlot.leaseEndMs.reset();
   aSlot.inheritedLeaseEndMs = 0;
+  aSlot.restarted = true;
   aSlot.lastReportClockMs = 0;
   aSlot.reconciled = false;
   aSlot.nextRenewalAt = aNow;
 }
 
+auto
+Cell::InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis
+{
+  if (aSlot.restarted) {
+    // The lease in a renewal is on the clock of the earlier process; the new
+    // one limits it by the longest that it accepts.
+    return std::max(this->options.maxLease, this->previousLease);
+  }
+  // An earlier owner may have granted a lease just before; the worker refuses
+  // its calls from now on. So may this one have, if it forgot the worker since.
+  return aNow > aSlot.fallbackLeaseEnd ? this->LongestLease(aNow)
+                                       : this->previousLease;
+}
+
 auto
 Cell::SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void
 {
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -232,3 +232,24 @@
   cr_assert_eq(renewals.size(), 1);
   cr_expect_eq(renewals[0].leaseEndMs, 0);
 }
+
+// Guards against: a task runs twice because a renewal for the worker's earlier
+// process reached the one that was started since, which limits the lease only
+// by the longest that it accepts.
+Test(lease, of_a_restarted_worker_may_be_the_longest_that_workers_accept)
+{
+  auto options = CellOptions{};
+  options.maxLease = 10s;
+  auto harness = CellHarness{ options, {} };
+  harness.AddWorker(kWorker);
+  harness.Advance(30s);
+  harness.Tick();
+  harness.workerStarts[WorkerId{ kWorker }] = 2000;
+  harness.AnswerRenewals();
+  harness.Advance(200ms);
+  harness.Tick();
+  harness.AnswerRenewals();
+  const auto& slot = harness.cell.Workers().at(WorkerId{ kWorker });
+  cr_assert(slot.reconciled);
+  cr_expect_geq(ToMillis(slot.LeaseOverBy() - harness.now).count(), 10'000);
+}
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -345,6 +345,7 @@
   this->publishedCounts = {};
   this->ports.metrics.CountOwnership("taken");
   auto options = cells::CellOptions{};
+  options.maxLease = this->settings.bounds.leaseMax;
   options.lease = this->GrantedLease();
   options.maxStopTime = this->settings.bounds.stop;
   options.endedJobRetention = this->settings.bounds.keepEnded;
