Cells: leases are granted until the release is sent

Callers: with a planned stop of an instance while the store accepts no records, all tasks of its cells end after 5 s; without the stop they would run on. An owner that was to release its cell granted no lease from the first attempt on, also where the store refused the release for seconds.

Change: the owner grants no lease while a release is in flight or its outcome is not known; after a refusal it grants again, and also while records go before the release.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -261,6 +261,7 @@
 public:
   InstanceWorkers(FleetWorld& aWorld, Instance& aInstance)
     : world(aWorld)
+    , instance(aInstance)
     , loop(*aInstance.loop)
   {
   }
@@ -297,7 +298,8 @@
     }
     this->world.queue.After(delay, [this, aCall, reply, lost, late] {
       auto* const box = this->Find(aCall.address);
-      if (box == nullptr || !box->alive || box->cut) {
+      if (box == nullptr || !box->alive || box->cut ||
+          this->world.cutLinks.contains({ &this->instance, box })) {
         if (!late) {
           this->world.queue.After(aCall.timeout,
                                   [reply, lost] { reply(lost); });
@@ -342,6 +344,7 @@
   }
 
   FleetWorld& world;
+  const Instance& instance;
   // Addresses of workers that were called.
   std::set<std::string> called;
   // Of the process that uses this; it outlives the process.
@@ -666,6 +669,19 @@
                        ->LongestLease(this->Now());
 }
 
+auto
+FleetWorld::CutLink(int aInstance, int aWorker, bool aCut) -> void
+{
+  const auto link =
+    std::pair{ this->instances.at(static_cast<std::size_t>(aInstance)).get(),
+               this->workers.at(static_cast<std::size_t>(aWorker)).get() };
+  if (aCut) {
+    this->cutLinks.insert(link);
+  } else {
+    this->cutLinks.erase(link);
+  }
+}
+
 auto
 FleetWorld::WorkerConnections(int aInstance) const -> std::size_t
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -118,6 +118,8 @@
   // The longest lease that may hold, as the owner of the first cell knows it; 0
   // without an owner.
   auto LongestLease() const -> Millis;
+  // Cuts the network between an instance and a worker, or mends it.
+  auto CutLink(int aInstance, int aWorker, bool aCut) -> void;
   // How many workers the instance has connections to.
   auto WorkerConnections(int aInstance) const -> std::size_t;
 
@@ -230,6 +232,8 @@
   std::size_t delegationsWritten = 0;
   // Workers by address.
   std::map<std::string, WorkerBox*> addresses;
+  // Instances and workers that don't reach each other.
+  std::set<std::pair<const Instance*, const WorkerBox*>> cutLinks;
   double lateOrders = 0.0;
   Millis lateBy{ 0 };
   double lostAnswers = 0.0;
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -305,9 +305,9 @@
 }
 
 auto
-Cell::OnRelease() -> void
+Cell::SetReleasing(bool aReleasing) -> void
 {
-  this->releasing = true;
+  this->releasing = aReleasing;
 }
 
 auto
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -230,8 +230,8 @@
   // was sent.
   auto OnOwnershipConfirmed(Time aAskedAt) -> void;
 
-  // The cell is about to be released: grants no lease any more.
-  auto OnRelease() -> void;
+  // While the cell may be released at any time, no lease is granted.
+  auto SetReleasing(bool aReleasing) -> void;
 
   // Workers that do not answer, each with the time by which its lease has
   // certainly expired; to be written to the owner's row. Before a release, also
@@ -799,7 +799,7 @@
   bool othersWaiting = false;
   // A worker has seen a newer fencing token.
   bool fenced = false;
-  // The cell is about to be released.
+  // The cell may be released at any time.
   bool releasing = false;
 };
 
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -127,7 +127,7 @@
   auto harness = CellHarness{ {}, TakeoverWithARun() };
   harness.Tick();
   cr_expect_eq(harness.cell.SilentWorkers().size(), 0);
-  harness.cell.OnRelease();
+  harness.cell.SetReleasing(true);
   const auto silent = harness.cell.SilentWorkers();
   cr_assert_eq(silent.size(), 1);
   cr_expect_geq(ToMillis(silent.at(WorkerId{ kWorker }) - harness.now),
@@ -142,7 +142,7 @@
   harness.AddWorker(kWorker);
   harness.Submit(JobWithSteps({ 1 }));
   const auto starts = harness.StartAll();
-  harness.cell.OnRelease();
+  harness.cell.SetReleasing(true);
   for (auto round = 0; round < 20; ++round) {
     harness.Advance(200ms);
     harness.Tick();
@@ -253,3 +253,20 @@
   cr_assert(slot.reconciled);
   cr_expect_geq(ToMillis(slot.LeaseOverBy() - harness.now).count(), 10'000);
 }
+
+// Guards against: a planned stop ends all tasks of the cell because no lease is
+// granted while the store refuses to record the release.
+Test(lease, is_extended_again_after_a_release_that_failed)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker(kWorker);
+  harness.Submit(JobWithSteps({ 1 }));
+  const auto starts = harness.StartAll();
+  harness.cell.SetReleasing(true);
+  harness.cell.SetReleasing(false);
+  harness.Advance(200ms);
+  harness.Tick();
+  const auto renewals = harness.TakeCallsOfKind(CallKind::Renew);
+  cr_assert_eq(renewals.size(), 1);
+  cr_expect_gt(renewals[0].leaseEndMs, harness.ClockMs());
+}
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -304,9 +304,9 @@
     return;
   }
   const auto now = this->ports.loop.Now();
-  if (this->releasing) {
-    this->cell->OnRelease();
-  }
+  const auto batch = this->cell->NextBatch(now);
+  const auto releases = this->releasing && !batch;
+  this->cell->SetReleasing(releases || this->mayBeReleased);
   const auto silent = this->UnresponsiveWorkerExpiries();
   const auto& written = this->recorder->Owner().silent;
   const auto workerIsBack =
@@ -324,17 +324,18 @@
   }
   this->AddLoadToCommit(now);
   this->AddSharedStateToCommit(now);
-  if (const auto batch = this->cell->NextBatch(now)) {
-    this->Commit(this->recorder->BatchCommit(*batch));
-  } else if (this->releasing ||
+  if (batch) {
+    this->Commit(this->recorder->BatchCommit(*batch), false);
+  } else if (releases ||
              now > this->lastCommitAt +
                      (workerIsBack ? kSilentRowInterval : kHeartbeatInterval)) {
-    this->Commit(this->recorder->HeartbeatCommit(this->releasing));
+    this->Commit(this->recorder->HeartbeatCommit(releases), releases);
   }
 }
 
 auto
-CellController::Commit(const cells::TableTransaction& aCommit) -> void
+CellController::Commit(const cells::TableTransaction& aCommit, bool aReleases)
+  -> void
 {
   this->lastCommitAt = this->ports.loop.Now();
   this->ports.tables.Commit(
@@ -342,7 +343,8 @@
     kStoreTimeout,
     [weak = this->weak_from_this(),
      epoch = this->ownershipEpoch,
-     sentAt = this->lastCommitAt](const cells::TableCommitResult& aOutcome) {
+     sentAt = this->lastCommitAt,
+     aReleases](const cells::TableCommitResult& aOutcome) {
       const auto self = weak.lock();
       if (!self || !self->cell || self->ownershipEpoch != epoch) {
         return;
@@ -350,7 +352,12 @@
       self->UpdateStoreClock(aOutcome.storeClockMs, sentAt);
       if (aOutcome.status == cells::TableStatus::Done) {
         self->cell->OnOwnershipConfirmed(sentAt);
+        // A release with an unknown outcome can't take effect any more.
+        self->mayBeReleased = false;
+      } else if (aOutcome.status == cells::TableStatus::Unknown && aReleases) {
+        self->mayBeReleased = true;
       }
+      self->cell->SetReleasing(self->mayBeReleased);
       self->LogRecordingState(aOutcome);
       self->ApplyRecorderResult(self->recorder->OnOutcome(aOutcome));
       if (self->cell && aOutcome.status == cells::TableStatus::Done) {
@@ -447,6 +454,7 @@
   this->sweeper.reset();
   this->decisionTimer.reset();
   this->ownerReadInFlight = false;
+  this->mayBeReleased = false;
   this->StopFollowingDelegations();
   for (auto* const follower :
        { &this->submissionFollower, &this->cancellationFollower }) {
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -124,7 +124,8 @@
   auto SendWorkerCalls() -> void;
   auto SendAdviceRequests() -> void;
   auto CommitNext() -> void;
-  auto Commit(const cells::TableTransaction& aCommit) -> void;
+  // aReleases: the transaction releases the cell.
+  auto Commit(const cells::TableTransaction& aCommit, bool aReleases) -> void;
   auto LogRecordingState(const cells::TableCommitResult& aOutcome) -> void;
   auto ReadOwnerRow() -> void;
   auto ApplyRecorderResult(const cells::RecorderResult& aResult) -> void;
@@ -211,6 +212,8 @@
   TimerHandle decisionTimer;
   std::function<void()> onReleased;
   bool releasing = false;
+  // A release was sent, and its outcome is not known.
+  bool mayBeReleased = false;
   // The release is not for a shutdown.
   bool handingOver = false;
 };
