Cells: a released row tells by when the leases of leaving workers are over

Callers: tasks that are to last, on a worker that leaves while its cell changes hands, start elsewhere later than they could. The next owner may never hear from such a worker, and counted its lease from when it saw the release. The owner that releases the cell knows the end of the lease.

Change: before a release, workers that leave, or are not listed any more, are told of in the row like silent ones.

Test: lease/of_a_leaving_worker_is_told_on_release, failed before.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -317,7 +317,8 @@
   for (auto& [id, slot] : this->workers) {
     const auto unheard =
       !slot.reconciled && (this->releasing || slot.silentInOwnerRow);
-    if ((slot.silent || unheard) && !slot.runs.empty()) {
+    const auto leaves = this->releasing && (!slot.listed || slot.entry.leaving);
+    if ((slot.silent || unheard || leaves) && !slot.runs.empty()) {
       silent.emplace(id, slot.LeaseOverBy());
       slot.silentInOwnerRow = true;
     }
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -235,8 +235,9 @@
 
   // Workers that do not answer, each with the time by which its lease has
   // certainly expired; to be written to the owner's row. Before a release, also
-  // those that have not answered yet: an earlier owner that has not released
-  // the cell may still grant them leases.
+  // those that have not answered yet, since an earlier owner that has not
+  // released the cell may still grant them leases, and those that leave, which
+  // the next owner may never hear from.
   auto SilentWorkers() -> std::map<WorkerId, Time>;
   // The owner's row was written with these workers as its silent ones.
   auto OnSilentWorkersWritten(
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -270,3 +270,23 @@
   cr_assert_eq(renewals.size(), 1);
   cr_expect_gt(renewals[0].leaseEndMs, harness.ClockMs());
 }
+
+// Guards against: tasks of a worker that leaves while the cell changes hands
+// wait for the longest lease that its owner may have granted, although the
+// owner knew when it ends.
+Test(lease, of_a_leaving_worker_is_told_on_release)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker(kWorker);
+  harness.AddWorker("stays");
+  harness.Submit(JobWithSteps({ 20 }));
+  cr_assert_eq(harness.StartAll().size(), 20);
+  harness.table.at(WorkerId{ kWorker }).leaving = true;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  harness.Tick();
+  cr_expect_eq(harness.cell.SilentWorkers().size(), 0);
+  harness.cell.SetReleasing(true);
+  const auto silent = harness.cell.SilentWorkers();
+  cr_assert_eq(silent.size(), 1);
+  cr_expect_eq(silent.begin()->first.text, kWorker);
+}
