--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -80,6 +80,11 @@
     std::uint32_t failed = 0;
     std::uint32_t failedNoted = 0;
     std::uint32_t newestRun = 0;
+    // Workers that it crashed, and those that were lost while it ran there.
+    std::uint32_t crashes = 0;
+    std::uint32_t lostWorkers = 0;
+    // Starts after the last crash that is allowed.
+    std::uint32_t startsTooMany = 0;
   };
 
   struct JobFacts
@@ -98,9 +103,13 @@
   auto OnStart(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnEnd(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnNoted(JobFacts& aJob, const JobEvent& aEvent) -> void;
+  auto OnCrash(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnGone(const JobEvent& aEvent) -> void;
   auto TasksOf(const JobFacts& aJob) const -> std::size_t;
   // Whether all steps before this one are done.
+  // Whether a task of the job may be given up, since two workers have crashed
+  // under it.
+  static auto MayBeGivenUp(const JobFacts& aJob) -> bool;
   // Whether a task of the job has had all its attempts.
   static auto HasFailed(const JobFacts& aJob) -> bool;
   static auto IsReady(const JobFacts& aJob, const cells::StepSpec& aStep)
--- a/fakes/src/jobworker.h
+++ b/fakes/src/jobworker.h
@@ -29,6 +29,8 @@
   // Ends as failed instead of done, after that time.
   bool fails = false;
   bool lasting = false;
+  // The worker crashes under it after that time.
+  bool crashes = false;
   bool checkpoints = false;
   Resources size;
   // Processors are not counted against the worker's room.
@@ -45,6 +47,7 @@
   Start,
   End,
   Noted, // the scheduler recorded the end
+  Crash, // the worker crashed under the task; Gone follows
   Gone,  // the worker died and its runs with it
 };
 
@@ -100,6 +103,8 @@
   auto SetFailing(bool aFailing) -> void;
   // Work takes so many times as long; 0: it stands still.
   auto SetSlowness(double aTimes) -> void;
+  // A task has crashed the worker; it must die.
+  auto HasCrashed() const -> bool;
   auto Running() const -> std::size_t;
   // What is not reserved by running tasks.
   auto Room() const -> Resources;
@@ -152,6 +157,7 @@
   Time last{};
   double slowness = 1.0;
   bool failing = false;
+  bool crashed = false;
   std::size_t staleOrders = 0;
   std::size_t repeatedStarts = 0;
 };
