--- a/bench/tests/lasting_test.cpp
+++ b/bench/tests/lasting_test.cpp
@@ -130,9 +130,10 @@
 }
 
 // Guards against: a worker leaves while the cell changes hands, before the new
-// owner has heard from it, and its tasks wait for leases that an owner which has
-// released the cell can't have granted.
-Test(long_running, restart_in_time_on_loss_of_a_worker_during_a_handover,
+// owner has heard from it, and its tasks wait for leases that an owner which
+// has released the cell can't have granted.
+Test(long_running,
+     restart_in_time_on_loss_of_a_worker_during_a_handover,
      .timeout = 60)
 {
   for (auto before = 0ms; before <= 500ms; before += 50ms) {
