Cells: a worker whose machine has started a new one gets no tasks

Callers: a task waits for 500 ms and more before it starts, several times over where workers crash often. A worker that crashed stays listed for a while beside the one that its machine started anew. Its runs were dropped at once, but it still got new tasks, whose starts nobody answered.

Change: a worker is superseded while a later one of its machine is listed.

Test: cell/a_machines_earlier_worker_gets_no_tasks, failed before: 16 tasks went to both workers.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -559,7 +559,7 @@
   auto RemoveRun(Time aNow, const TaskContext& aContext, const RunRef& aRef)
     -> void;
   auto ExpireLeases(Time aNow) -> void;
-  auto DropRunsOfEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void;
+  auto RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void;
   // The longest lease that the worker may have when it first answers.
   auto InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis;
   auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -320,7 +320,7 @@
 Cell::AcceptsRuns(Time aNow, const WorkerSlot& aSlot) const -> bool
 {
   return aSlot.listed && aSlot.reconciled && !aSlot.silent &&
-         !aSlot.entry.leaving &&
+         !aSlot.superseded && !aSlot.entry.leaving &&
          !this->evacuatedDomains.contains(aSlot.entry.domain) &&
          aNow >= aSlot.noStartsUntil &&
          (aSlot.enforcesCapacity || aSlot.orphanRuns.empty());
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -24,6 +24,7 @@
 {
   for (auto& [id, slot] : this->workers) {
     slot.listed = slot.listed && aWorkers.contains(id);
+    slot.superseded = false;
   }
   for (const auto& [id, entry] : aWorkers) {
     auto [item, added] = this->workers.try_emplace(id);
@@ -44,7 +45,7 @@
       this->OnWorkerRestart(aNow, slot, entry.startUnixMs);
     }
     slot.listed = true;
-    this->DropRunsOfEarlierWorkers(aNow, slot);
+    this->RetireEarlierWorkers(aNow, slot);
     if (!slot.clockSample && entry.startUnixMs == slot.entry.startUnixMs) {
       slot.clockSample = ClockSample{ entry.clockMs, aNow };
     }
@@ -60,15 +61,18 @@
 // A machine runs one worker at a time: once a later one is listed, the runs of
 // the earlier ones no longer exist.
 auto
-Cell::DropRunsOfEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void
+Cell::RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void
 {
   if (aSlot.entry.machine.Empty()) {
     return;
   }
   for (auto& [id, other] : this->workers) {
     if (&other == &aSlot || other.entry.machine != aSlot.entry.machine ||
-        other.entry.startUnixMs >= aSlot.entry.startUnixMs ||
-        other.runs.empty()) {
+        other.entry.startUnixMs >= aSlot.entry.startUnixMs) {
+      continue;
+    }
+    other.superseded = true;
+    if (other.runs.empty()) {
       continue;
     }
     this->log.Write("machine_lives_anew",
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -206,6 +206,30 @@
   cr_expect_eq(again[0].worker.text, "w9");
 }
 
+// Guards against: tasks are started on a worker that is gone, because its row
+// is still listed beside that of its machine's new worker.
+Test(cell, a_machines_earlier_worker_gets_no_tasks)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  auto entry = harness.table.begin()->second;
+  entry.id = { "w9" };
+  entry.address = "w9:1";
+  entry.startUnixMs = 2000;
+  harness.table[entry.id] = entry;
+  harness.workerStarts[entry.id] = 2000;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  harness.Advance(Millis{ 20 });
+  harness.Tick();
+  harness.AnswerRenewals();
+  harness.Submit(JobWithSteps({ 16 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 16);
+  for (const auto& start : starts) {
+    cr_expect_eq(start.worker.text, "w9");
+  }
+}
+
 Test(cell, a_new_owner_asks_workers_before_it_restarts_inherited_runs)
 {
   // The record of an earlier owner: both tasks were started on w1.
