Cells: a task under which workers crash is given up

Callers: one task that crashes its worker takes down worker after worker, and with each all other tasks there, for as long as its job is known.

Cause: a run that is lost with its worker is no failure of the task, so nothing bounds its attempts; and nothing tells a task that crashes workers from those that are lost beside it.

Change (cells/src/cellcrash.cpp): each loss of a worker is counted against the tasks that had started there a short time before, as far as the worker's last answer tells, or against all if there are none. A task is given up, and its job fails, after two losses if it was the only suspect and the machine started a new worker, after three if it is among the likeliest ones, after four in any case. Suspects start again apart from each other, on the workers with least to lose, which take nothing else for 500 ms; at most one worker in eight is given to them, and none waits for that longer than 600 ms. Counts are stored with the task's record and go with it to a host and back; they are dropped once a run has lasted 30 s. Workers that leave count against nobody. Log events task_suspected and task_given_up, counted as suspected and given_up.

Ruled out: a bound on the starts of a task alone, since tasks that are lost beside a crashing one would be given up with it.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -37,6 +37,8 @@
       "delegated",
       "hosted",
       "returned",
+      "suspected",
+      "given_up",
     };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -152,6 +152,8 @@
   TaskDelegated, // to another cell, which has room
   TaskHosted,    // delegated to this cell
   TaskReturned,  // not started, or stopped, and returned to its home cell
+  TaskSuspected, // a worker was lost soon after the start of the task there
+  TaskGivenUp,   // workers crash under it
   CellEvent_NB
 };
 
@@ -334,6 +336,20 @@
     // Runs of the step by worker, for a step with a limit per worker.
     const std::map<const WorkerSlot*, std::uint32_t>* runsByWorker = nullptr;
     double minPace = 1.0;
+    // The task may crash its worker: it starts apart from other tasks.
+    bool isolated = false;
+  };
+
+  // A run that ended with its worker.
+  struct LostRun
+  {
+    RunRef ref;
+    // Time between its start and the last answer of the worker.
+    Micros age{ 0 };
+    // The worker had confirmed the start.
+    bool confirmed = false;
+    // Of its task.
+    std::uint32_t earlierLosses = 0;
   };
 
   // State shared by all placements that are decided at one time.
@@ -372,6 +388,9 @@
     std::vector<WorkerSlot*> lastResortWorkers;
     // Workers that were taken out of usableWorkers for overdue tasks.
     std::size_t heldWorkers = 0;
+    // Workers that a suspected task has to itself, and the most there may be.
+    std::size_t isolatedWorkers = 0;
+    std::size_t maxIsolatedWorkers = 0;
     std::map<std::pair<ImageId, ImageId>, ImagePairState> pairs;
     std::vector<Failure> failures;
   };
@@ -547,6 +566,8 @@
     -> std::optional<double>;
   auto MoveRunsElsewhere(Time aNow, WorkerSlot& aSlot) -> void;
   auto CountFailure(Time aNow, const TaskContext& aContext) -> void;
+  // The task fails for good, and its job with it.
+  auto FailTask(Time aNow, const TaskContext& aContext) -> void;
   auto OnMissingRuns(Time aNow,
                      WorkerSlot& aSlot,
                      const std::set<RunRef>& aSeen,
@@ -564,6 +585,27 @@
   auto InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis;
   auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
+  // Tasks that crash workers (cellcrash.cpp).
+  // Drops the runs of a worker that does not exist any more, and counts it
+  // against the tasks that may have crashed it. aRestarted: a new one was
+  // started in its place.
+  auto OnWorkerLost(Time aNow,
+                    WorkerSlot& aSlot,
+                    bool aRestarted,
+                    const char* aWhy) -> void;
+  auto LostRuns(const WorkerSlot& aSlot) -> std::vector<LostRun>;
+  auto CountLosses(Time aNow,
+                   const WorkerId& aWorker,
+                   bool aRestarted,
+                   const std::vector<LostRun>& aLost) -> void;
+  // The run has lasted until aNow.
+  auto ClearSuspicion(Time aNow, const TaskContext& aContext, const Run& aRun)
+    -> void;
+  static auto RestoreLosses(Task& aTask, std::uint32_t aLosses) -> void;
+  auto RunsSuspectedTask(const WorkerSlot& aSlot) -> bool;
+  auto Isolate(PlacementRound& aRound, WorkerSlot& aSlot, const RunRef& aRun)
+    -> void;
+
   // Placement (cellplace.cpp).
   auto PlanStarts(Time aNow) -> void;
   auto ReadySteps(Time aNow) -> std::vector<ReadyStep>;
--- a/cells/src/celldelegation.cpp
+++ b/cells/src/celldelegation.cpp
@@ -336,6 +336,9 @@
     task.waitingSince.reset();
   }
   task.failures = std::max(task.failures, aReport.failures);
+  if (aReport.lastRunNumber >= task.lastRunNumber) {
+    RestoreLosses(task, aReport.losses);
+  }
   task.lastRunNumber = std::max(task.lastRunNumber, aReport.lastRunNumber);
   task.checkpoint = aReport.checkpoint;
   switch (aReport.state) {
@@ -486,6 +489,7 @@
     progress.Reopen(given.index);
     task.delegation = aDelegation.number;
     task.failures = given.failures;
+    RestoreLosses(task, given.losses);
     task.lastRunNumber = std::max(task.lastRunNumber, given.lastRunNumber);
     task.checkpoint = given.checkpoint;
     task.waitingSince.reset();
@@ -691,7 +695,8 @@
                                  task.checkpoint,
                                  std::clamp(task.WaitedUntil(this->lastPlanAt),
                                             Millis{ 0 },
-                                            kMaxDelegatedWait) });
+                                            kMaxDelegatedWait),
+                                 task.losses });
   }
   return delegation;
 }
@@ -720,6 +725,7 @@
     reported.failures = task.failures;
     reported.lastRunNumber = task.lastRunNumber;
     reported.checkpoint = task.checkpoint;
+    reported.losses = task.losses;
     if (task.delegation == aNumber) {
       reported.runs = MakeRunRecords(task);
     }
@@ -804,6 +810,7 @@
     }
     auto& task = *context.task;
     task.failures = reported.failures;
+    RestoreLosses(task, reported.losses);
     task.lastRunNumber = reported.lastRunNumber;
     task.checkpoint = reported.checkpoint;
     task.phase =
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -133,6 +133,7 @@
     auto& task = *context.task;
     task.phase = mark.phase;
     task.failures = mark.failures;
+    RestoreLosses(task, mark.losses);
     task.lastRunNumber = mark.lastRunNumber;
     task.checkpoint = mark.checkpoint;
     if (task.phase == TaskPhase::Done) {
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -112,7 +112,9 @@
   round.mostFreeCpu = 0;
   round.mostIdleCpu = 0;
   for (auto& [id, slot] : this->workers) {
-    const auto usableAt = std::max(slot.noStartsUntil, slot.lastResortUntil);
+    round.isolatedWorkers += slot.isolatedUntil > aNow ? 1 : 0;
+    const auto usableAt = std::max(
+      { slot.noStartsUntil, slot.lastResortUntil, slot.isolatedUntil });
     if (usableAt > aNow) {
       this->nextPlanAt = std::min(this->nextPlanAt, usableAt);
     }
@@ -127,6 +129,8 @@
       round.mostIdleCpu = std::max(round.mostIdleCpu, slot.IdleCpu());
     }
   }
+  round.maxIsolatedWorkers =
+    std::max<std::size_t>(1, round.usableWorkers.size() / kIsolatedWorkersPart);
   return round;
 }
 
@@ -227,7 +231,15 @@
       task.waitingSince = aNow;
     }
     query.minPace = this->MinPaceFor(aNow, job, task);
+    query.isolated =
+      task.suspected && aNow < *task.waitingSince + kIsolationMaxWait;
     auto* const slot = this->PickWorker(aRound, query);
+    if (slot == nullptr && query.isolated) {
+      this->nextPlanAt = std::min({ this->nextPlanAt,
+                                    aNow + kPlanRetryInterval,
+                                    *task.waitingSince + kIsolationMaxWait });
+      continue;
+    }
     if (slot == nullptr) {
       if (spec.bestEffort) {
         this->nextPlanAt =
@@ -251,6 +263,12 @@
     task.waitedAtHome = Millis{ 0 };
     this->PlanRun(
       aNow, { job.Id(), aReady.occurrence, aReady.step, index }, *slot);
+    if (query.isolated) {
+      this->Isolate(aRound,
+                    *slot,
+                    { { job.Id(), aReady.occurrence, aReady.step, index },
+                      task.lastRunNumber });
+    }
     if (spec.maxPerWorker > 0) {
       ++placed[slot];
     }
@@ -322,7 +340,7 @@
   return aSlot.listed && aSlot.reconciled && !aSlot.silent &&
          !aSlot.superseded && !aSlot.entry.leaving &&
          !this->evacuatedDomains.contains(aSlot.entry.domain) &&
-         aNow >= aSlot.noStartsUntil &&
+         aNow >= aSlot.noStartsUntil && aNow >= aSlot.isolatedUntil &&
          (aSlot.enforcesCapacity || aSlot.orphanRuns.empty());
 }
 
@@ -332,6 +350,9 @@
 {
   const auto& step = *aQuery.step;
   const auto& service = aQuery.job->row.policy.service;
+  if (aQuery.isolated && aRound.isolatedWorkers >= aRound.maxIsolatedWorkers) {
+    return nullptr;
+  }
   // A failure to place a task holds for all tasks of its kind that need at
   // least as much, unless the task has a limit per worker or an adviser.
   const auto hasOwnLimits =
@@ -361,7 +382,7 @@
     // A long-running task is placed wherever there is room.
     best = this->PickBestWorker(aRound, aRound.lastResortWorkers, aQuery);
   }
-  if (best == nullptr && !hasOwnLimits) {
+  if (best == nullptr && !hasOwnLimits && !aQuery.isolated) {
     aRound.failures.push_back({ service,
                                 aQuery.image,
                                 step.bestEffort,
@@ -381,7 +402,8 @@
                    const PlacementQuery& aQuery) -> std::optional<double>
 {
   if (aSlot.entry.service != aQuery.job->row.policy.service ||
-      !this->HasRoomFor(aSlot, aQuery)) {
+      !this->HasRoomFor(aSlot, aQuery) || aRound.now < aSlot.isolatedUntil ||
+      (aQuery.isolated && this->RunsSuspectedTask(aSlot))) {
     return std::nullopt;
   }
   if (!aQuery.step->bestEffort || aSlot.longRunningTasks.empty()) {
@@ -524,6 +546,13 @@
                   double aPace) const -> double
 {
   const auto& step = *aQuery.step;
+  if (aQuery.isolated) {
+    // As few tasks as possible are lost with the worker.
+    constexpr double kLongRunningWeight = 100.0;
+    return -static_cast<double>(aSlot.runs.size()) -
+           kLongRunningWeight *
+             static_cast<double>(aSlot.longRunningTasks.size());
+  }
   const auto capacity = static_cast<double>(
     std::max<std::int64_t>(aSlot.entry.capacity.cpuMillis, 1));
   const auto idle = static_cast<double>(aSlot.IdleCpu()) / capacity;
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -80,10 +80,7 @@
                       { "worker", id.text },
                       { "now", aSlot.entry.id.text },
                       { "runs", std::to_string(other.runs.size()) } });
-    const auto lost = other.runs;
-    for (const auto& ref : lost) {
-      this->DropRun(aNow, ref, "its machine started a new worker");
-    }
+    this->OnWorkerLost(aNow, other, true, "its machine started a new worker");
   }
 }
 
@@ -190,6 +187,7 @@
       }
       return;
     case CallOutcome::WorkerRestarted:
+      run->neverBegan = true;
       slot.reportRequested = true;
       slot.noStartsUntil = aNow + kRefusalAvoidTime;
       run->phase = RunPhase::StartUnconfirmed;
@@ -331,6 +329,7 @@
       this->dueStops.insert(ref);
     }
   }
+  this->ClearSuspicion(aNow, context, *run);
   if (aReport.percent != run->progressPercent || !run->hasReported) {
     run->lastProgressAt = aNow;
   }
@@ -438,13 +437,20 @@
   ++holder.failures;
   holder.earliestStart = aNow + BackoffAfter(holder.failures);
   if (holder.failures >= job.row.policy.maxAttempts) {
-    holder.phase = TaskPhase::Failed;
-    if (job.IsHosted()) {
-      this->MarkDirty(job, true);
-      return;
-    }
-    this->EndJob(aNow, job, JobState::Failed, StopReason::JobFailed);
+    this->FailTask(aNow, aContext);
+  }
+}
+
+auto
+Cell::FailTask(Time aNow, const TaskContext& aContext) -> void
+{
+  auto& job = *aContext.job;
+  CheckpointHolder(aContext).phase = TaskPhase::Failed;
+  if (job.IsHosted()) {
+    this->MarkDirty(job, true);
+    return;
   }
+  this->EndJob(aNow, job, JobState::Failed, StopReason::JobFailed);
 }
 
 auto
@@ -505,10 +511,7 @@
                     { "born", std::to_string(aBornUnixMs) },
                     { "before", std::to_string(aSlot.entry.startUnixMs) },
                     { "runs", std::to_string(aSlot.runs.size()) } });
-  const auto lost = aSlot.runs;
-  for (const auto& ref : lost) {
-    this->DropRun(aNow, ref, "worker was restarted");
-  }
+  this->OnWorkerLost(aNow, aSlot, true, "worker was restarted");
   aSlot.silent = false;
   aSlot.entry.startUnixMs = aBornUnixMs;
   aSlot.orphanRuns.clear();
@@ -607,10 +610,7 @@
           { "unheard_ms",
             std::to_string(ToMillis(aNow - unheardSince).count()) },
           { "runs", std::to_string(slot.runs.size()) } });
-      const auto lost = slot.runs;
-      for (const auto& ref : lost) {
-        this->DropRun(aNow, ref, "lease expired");
-      }
+      this->OnWorkerLost(aNow, slot, false, "lease expired");
     }
     if (!slot.listed && slot.runs.empty() && slot.pendingRenewals.empty()) {
       item = this->workers.erase(item);
--- a/cells/src/delegation.cpp
+++ b/cells/src/delegation.cpp
@@ -13,8 +13,12 @@
 const std::string kDelegationPrefix = "out/";
 const std::string kReportPrefix = "in/";
 
-using TaskTuple = std::
-  tuple<std::uint32_t, std::uint32_t, std::uint32_t, std::string, std::int64_t>;
+using TaskTuple = std::tuple<std::uint32_t,
+                             std::uint32_t,
+                             std::uint32_t,
+                             std::string,
+                             std::int64_t,
+                             std::uint32_t>;
 using DelegationTuple = std::tuple<std::uint64_t,
                                    std::string,
                                    std::uint32_t,
@@ -29,7 +33,8 @@
                                    std::uint32_t,
                                    std::uint32_t,
                                    std::string,
-                                   std::vector<RunTuple>>;
+                                   std::vector<RunTuple>,
+                                   std::uint32_t>;
 using ReportTuple =
   std::tuple<std::uint64_t, std::string, bool, std::vector<ReportTaskTuple>>;
 
@@ -66,7 +71,8 @@
                        task.failures,
                        task.lastRunNumber,
                        task.checkpoint,
-                       task.waited.count());
+                       task.waited.count(),
+                       task.losses);
   }
   return Pack(DelegationTuple{ aDelegation.number,
                                EncodeJobRow(aDelegation.job),
@@ -104,7 +110,8 @@
               std::to_string(steps.size());
     return std::nullopt;
   }
-  for (auto& [index, failures, lastRunNumber, checkpoint, waitedMs] : tasks) {
+  for (auto& [index, failures, lastRunNumber, checkpoint, waitedMs, losses] :
+       tasks) {
     if (index >= steps[delegation.step].taskCount) {
       aReason = "task " + std::to_string(index) + " of " +
                 std::to_string(steps[delegation.step].taskCount);
@@ -118,7 +125,8 @@
                                  failures,
                                  lastRunNumber,
                                  std::move(checkpoint),
-                                 Millis{ waitedMs } });
+                                 Millis{ waitedMs },
+                                 losses });
   }
   return delegation;
 }
@@ -138,7 +146,8 @@
                        task.failures,
                        task.lastRunNumber,
                        task.checkpoint,
-                       std::move(runs));
+                       std::move(runs),
+                       task.losses);
   }
   return Pack(ReportTuple{
     aReport.number, aReport.job.Text(), aReport.started, std::move(tasks) });
@@ -159,7 +168,7 @@
     return std::nullopt;
   }
   auto report = DelegationReport{ number, *job, started, {} };
-  for (auto& [index, state, failures, lastRunNumber, checkpoint, runs] :
+  for (auto& [index, state, failures, lastRunNumber, checkpoint, runs, losses] :
        tasks) {
     if (state < 0 ||
         state >= static_cast<int>(DelegatedTaskState::DelegatedTaskState_NB)) {
@@ -172,6 +181,7 @@
     task.failures = failures;
     task.lastRunNumber = lastRunNumber;
     task.checkpoint = std::move(checkpoint);
+    task.losses = losses;
     for (auto& [run, worker, startUnixMs, machine] : runs) {
       task.runs.push_back(
         { run, { std::move(worker) }, startUnixMs, { std::move(machine) } });
--- a/cells/src/delegation.h
+++ b/cells/src/delegation.h
@@ -37,6 +37,7 @@
     // How long it had been ready without a worker; at most
     // kMaxDelegatedWait.
     Millis waited{ 0 };
+    std::uint32_t losses = 0;
 
     auto operator==(const Task&) const -> bool = default;
   };
@@ -74,6 +75,7 @@
     std::string checkpoint;
     // Runs that may exist on the host's workers.
     std::vector<JobRecord::RunRecord> runs;
+    std::uint32_t losses = 0;
 
     auto operator==(const Task&) const -> bool = default;
   };
--- a/cells/src/job.cpp
+++ b/cells/src/job.cpp
@@ -42,7 +42,8 @@
                                    std::uint32_t,
                                    std::uint32_t,
                                    std::string,
-                                   std::vector<RunTuple>>;
+                                   std::vector<RunTuple>,
+                                   std::uint32_t>;
 
 auto
 MakeTaskRecord(const Task& aTask,
@@ -60,6 +61,7 @@
     record.checkpoint = aTask.checkpoint;
   }
   record.runs = MakeRunRecords(aTask);
+  record.losses = aTask.losses;
   return record;
 }
 
@@ -74,7 +76,8 @@
   return { aRecord.occurrence, aRecord.step,
            aRecord.index,      static_cast<int>(aRecord.phase),
            aRecord.failures,   aRecord.lastRunNumber,
-           aRecord.checkpoint, std::move(runs) };
+           aRecord.checkpoint, std::move(runs),
+           aRecord.losses };
 }
 
 auto
@@ -90,6 +93,7 @@
        std::get<7>(aTuple)) {
     record.runs.push_back({ number, { worker }, bornUnixMs, { machine } });
   }
+  record.losses = std::get<8>(aTuple);
   return record;
 }
 
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -112,6 +112,8 @@
   // set.
   int speedPercent = kFullPace;
   Time speedSetAt{};
+  // The worker refused the start, since it had been restarted.
+  bool neverBegan = false;
   // The last speed order got no answer, so the actual limit is unknown.
   bool speedUncertain = false;
   // Working time lost to the speed limit before the limit was last changed.
@@ -137,6 +139,11 @@
 {
   TaskPhase phase = TaskPhase::Open;
   std::uint32_t failures = 0;
+  // Workers that were lost with a run of the task and may have crashed under
+  // it; back to 0 once a run has lasted.
+  std::uint32_t losses = 0;
+  // The last of them was lost soon after the start of the run.
+  bool suspected = false;
   std::uint32_t lastRunNumber = 0;
   // The newest checkpoint that a run reported.
   std::string checkpoint;
@@ -297,6 +304,7 @@
     std::uint32_t lastRunNumber = 0;
     std::string checkpoint;
     std::vector<RunRecord> runs;
+    std::uint32_t losses = 0;
 
     auto operator==(const TaskRecord&) const -> bool = default;
   };
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -343,6 +343,25 @@
 // Relative chance that a new job is sent to a full cell.
 inline constexpr double kMinCellChance = 0.02;
 
+// A worker that is lost soon after a task was started there may have crashed
+// under it. Workers report at least every 2 s; a task that crashes its worker
+// mostly does so at once.
+inline constexpr Millis kCrashWindow{ 2000 };
+inline constexpr Millis kLikelyCrashWindow{ 500 };
+// A task is given up after so many losses: if it was the only one that may have
+// crashed the last worker, if it is among the most likely ones, and in any
+// case.
+inline constexpr std::uint32_t kMaxLossesAlone = 2;
+inline constexpr std::uint32_t kMaxLossesLikely = 3;
+inline constexpr std::uint32_t kMaxLosses = 4;
+// The losses of a task are forgotten once a run of it has lasted so long.
+inline constexpr Millis kLossMemory{ 30000 };
+// A suspected task waits so long for a worker that it can have to itself, and
+// has it for that long. At most one worker in so many is given to them.
+inline constexpr Millis kIsolationMaxWait{ 600 };
+inline constexpr Millis kIsolationTime{ 500 };
+inline constexpr std::size_t kIsolatedWorkersPart = 8;
+
 // A worker that refused an order or did not answer it gets no new ones for this
 // time.
 inline constexpr Millis kRefusalAvoidTime{ 300 };
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -95,6 +95,9 @@
   if (this->runs.erase(aRun) == 0) {
     return;
   }
+  if (this->isolatedRun == aRun) {
+    this->isolatedUntil = {};
+  }
   auto size = aStep.taskResources;
   if (aStep.longRunning) {
     this->longRunningReserved -= size;
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -91,6 +91,10 @@
 
   // The worker gets no new runs until this time.
   Time noStartsUntil{};
+  // A task that may crash the worker was started there: until this time, or the
+  // end of that run, the worker gets no other.
+  Time isolatedUntil{};
+  RunRef isolatedRun;
   // The worker fails or is slow: until this time it gets only long-running
   // tasks that find no other worker.
   Time lastResortUntil{};
--- /dev/null
+++ b/cells/tests/crash_test.cpp
@@ -0,0 +1,239 @@
+// Tasks under which workers crash: what counts against them, and what does not.
+
+#include <criterion/criterion.h>
+
+#include <msgpack.hpp>
+
+#include "cellharness.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// The machine of this worker starts a new one, which answers at once.
+auto
+Crash(CellHarness& aHarness, const WorkerId& aWorker) -> void
+{
+  auto entry = aHarness.table.at(aWorker);
+  aHarness.table.erase(aWorker);
+  entry.id = { aWorker.text + "'" };
+  entry.address = entry.id.text + ":1";
+  entry.startUnixMs += 1000;
+  aHarness.table[entry.id] = entry;
+  aHarness.workerStarts[entry.id] = entry.startUnixMs;
+  aHarness.cell.OnWorkers(aHarness.now, aHarness.table);
+  aHarness.Advance(200ms);
+  aHarness.Tick();
+  aHarness.AnswerRenewals();
+}
+
+// Starts the only task that waits.
+auto
+StartOne(CellHarness& aHarness) -> WorkerCall
+{
+  auto starts = std::vector<WorkerCall>{};
+  for (auto round = 0; round < 10 && starts.empty(); ++round) {
+    starts = aHarness.StartAll();
+  }
+  cr_assert_eq(starts.size(), 1);
+  return starts[0];
+}
+
+auto
+StateOf(const CellHarness& aHarness, const JobId& aJob) -> JobState
+{
+  return aHarness.cell.FindJob(aJob)->state;
+}
+
+auto
+HarnessWithWorkers(int aWorkers) -> std::unique_ptr<CellHarness>
+{
+  auto harness = std::make_unique<CellHarness>();
+  for (auto number = 0; number < aWorkers; ++number) {
+    harness->AddWorker("w" + std::to_string(number));
+  }
+  return harness;
+}
+
+} // namespace
+
+Test(crash, a_task_alone_on_two_crashed_workers_is_given_up)
+{
+  const auto harness = HarnessWithWorkers(4);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  Crash(*harness, StartOne(*harness).worker);
+  cr_expect_eq(StateOf(*harness, job), JobState::Running);
+  Crash(*harness, StartOne(*harness).worker);
+  cr_expect_eq(StateOf(*harness, job), JobState::Failed);
+  cr_expect_eq(harness->StartAll().size(), 0);
+}
+
+// Guards against: a job fails because its worker was taken away twice.
+Test(crash, of_a_worker_that_leaves_counts_against_nobody)
+{
+  const auto harness = HarnessWithWorkers(4);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  for (auto round = 0; round < 4; ++round) {
+    const auto worker = StartOne(*harness).worker;
+    harness->table.at(worker).leaving = true;
+    harness->cell.OnWorkers(harness->now, harness->table);
+    harness->table.at(worker).leaving = false;
+    Crash(*harness, worker);
+  }
+  cr_expect_eq(StateOf(*harness, job), JobState::Running);
+}
+
+// Guards against: a task that lasts is given up for crashes of its workers long
+// after its start, each under another task.
+Test(crash, is_forgotten_once_a_run_has_lasted)
+{
+  const auto harness = HarnessWithWorkers(4);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  for (auto round = 0; round < 5; ++round) {
+    const auto start = StartOne(*harness);
+    for (auto second = 0; second < 32; ++second) {
+      harness->Advance(1s);
+      harness->Tick();
+      for (const auto& call : harness->TakeCallsOfKind(CallKind::Renew)) {
+        harness->Report(call,
+                        call.worker == start.worker
+                          ? std::vector{ RunReportOf(start) }
+                          : std::vector<RunReport>{},
+                        {});
+      }
+    }
+    Crash(*harness, start.worker);
+  }
+  cr_expect_eq(StateOf(*harness, job), JobState::Running);
+}
+
+// Guards against: tasks that were lost with one worker go to the next one
+// together, so that the one that crashes workers is never found out.
+Test(crash, suspected_tasks_start_apart)
+{
+  const auto harness = HarnessWithWorkers(1);
+  harness->Submit(JobWithSteps({ 3 }));
+  cr_assert_eq(harness->StartAll().size(), 3);
+  for (auto number = 1; number < 17; ++number) {
+    harness->AddWorker("w" + std::to_string(number));
+  }
+  Crash(*harness, { "w0" });
+  auto workers = std::set<std::string>{};
+  for (auto round = 0; round < 3; ++round) {
+    for (const auto& start : harness->StartAll()) {
+      cr_expect(workers.insert(start.worker.text).second);
+    }
+  }
+  cr_expect_eq(workers.size(), 3);
+}
+
+Test(crash, counts_are_known_to_the_next_owner)
+{
+  const auto first = HarnessWithWorkers(4);
+  const auto job = first->Submit(JobWithSteps({ 1 }));
+  Crash(*first, StartOne(*first).worker);
+  auto reason = std::string{};
+  const auto record = DecodeJobRecord(
+    EncodeJobRecord(MakeJobRecord(*first->cell.FindJob(job))), reason);
+  cr_assert(record);
+  cr_expect_eq(record->tasks.at(0).losses, 1);
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(first->cell.FindJob(job)->row, record);
+  auto second = CellHarness{ {}, takeover };
+  second.table = first->table;
+  second.workerStarts = first->workerStarts;
+  second.cell.OnWorkers(second.now, second.table);
+  second.Tick();
+  second.AnswerRenewals();
+  Crash(second, StartOne(second).worker);
+  cr_expect_eq(StateOf(second, job), JobState::Failed);
+}
+
+Test(crash, counts_are_known_to_a_host_and_come_back)
+{
+  auto reason = std::string{};
+  auto delegation = Delegation{ 7 };
+  delegation.job.id = *JobId::Parse("0000000000000001");
+  delegation.job.spec = JobWithSteps({ 1 });
+  delegation.tasks.push_back({ 0, 0, 3, "", Millis{ 0 }, 2 });
+  const auto given = DecodeDelegation(EncodeDelegation(delegation), reason);
+  cr_assert(given, "%s", reason.c_str());
+  cr_expect_eq(given->tasks.at(0).losses, 2);
+  auto report = DelegationReport{ 7, delegation.job.id };
+  report.tasks.push_back({ 0, DelegatedTaskState::Returned, 0, 4, "", {}, 3 });
+  const auto told =
+    DecodeDelegationReport(EncodeDelegationReport(report), reason);
+  cr_assert(told, "%s", reason.c_str());
+  cr_expect_eq(told->tasks.at(0).losses, 3);
+}
+
+// Instances of the version before run beside this one during an upgrade.
+Test(crash, rows_of_earlier_versions_count_no_crash)
+{
+  using OldRun =
+    std::tuple<std::uint32_t, std::string, std::int64_t, std::string>;
+  using OldTask = std::tuple<std::uint32_t,
+                             std::uint32_t,
+                             std::uint32_t,
+                             int,
+                             std::uint32_t,
+                             std::uint32_t,
+                             std::string,
+                             std::vector<OldRun>>;
+  auto buffer = msgpack::sbuffer{};
+  const auto runs = std::vector{ OldRun{ 2, "w", 1000, "m" } };
+  msgpack::pack(
+    buffer,
+    std::tuple{ 1,
+                std::uint32_t{ 0 },
+                std::vector{ OldTask{ 0, 0, 0, 0, 1, 2, "mark", runs } },
+                std::vector<std::array<std::uint32_t, 4>>{},
+                std::int64_t{ 5 } });
+  auto reason = std::string{};
+  const auto record = DecodeJobRecord({ buffer.data(), buffer.size() }, reason);
+  cr_assert(record, "%s", reason.c_str());
+  cr_expect_eq(record->tasks.at(0).runs.size(), 1);
+  cr_expect_eq(record->tasks.at(0).losses, 0);
+
+  auto report = msgpack::sbuffer{};
+  using OldReportTask = std::tuple<std::uint32_t,
+                                   int,
+                                   std::uint32_t,
+                                   std::uint32_t,
+                                   std::string,
+                                   std::vector<OldRun>>;
+  msgpack::pack(
+    report,
+    std::tuple{ std::uint64_t{ 7 },
+                std::string{ "0000000000000001" },
+                true,
+                std::vector{ OldReportTask{ 0, 0, 0, 2, "", runs } } });
+  const auto told =
+    DecodeDelegationReport({ report.data(), report.size() }, reason);
+  cr_assert(told, "%s", reason.c_str());
+  cr_expect_eq(told->tasks.at(0).losses, 0);
+
+  auto given = msgpack::sbuffer{};
+  auto row = JobRow{ *JobId::Parse("0000000000000001"), { "queue" } };
+  row.spec = JobWithSteps({ 1 });
+  using OldGivenTask = std::tuple<std::uint32_t,
+                                  std::uint32_t,
+                                  std::uint32_t,
+                                  std::string,
+                                  std::int64_t>;
+  msgpack::pack(given,
+                std::tuple{ std::uint64_t{ 7 },
+                            EncodeJobRow(row),
+                            std::uint32_t{ 0 },
+                            std::uint32_t{ 0 },
+                            false,
+                            std::vector{ OldGivenTask{ 0, 0, 2, "", 0 } } });
+  const auto delegation =
+    DecodeDelegation({ given.data(), given.size() }, reason);
+  cr_assert(delegation, "%s", reason.c_str());
+  cr_expect_eq(delegation->tasks.at(0).losses, 0);
+}
