Cells: waiting tasks use room that a worker gains while it runs

Callers: tasks wait beside free processors after the capacity of a worker has grown again, until something else changes in the cell. A round of placement follows when a worker is added or leaves, but not when its row tells another capacity.

Change: a changed capacity asks for a round. A capacity that shrinks was taken into account before: nothing is started until what runs there fits (LIMIT).

Test: cell/a_worker_that_shrinks_gets_no_more_than_its_capacity; the part about growing again failed before.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -34,7 +34,8 @@
     if (added || slot.entry.address.empty()) {
       slot.nextRenewalAt = aNow;
     }
-    if (!added && slot.entry.leaving != entry.leaving) {
+    if (!added && (slot.entry.leaving != entry.leaving ||
+                   slot.entry.capacity != entry.capacity)) {
       this->planNeeded = true;
     }
     slot.entry = entry;
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -514,3 +514,41 @@
   cr_assert_geq(renewals.size(), 1);
   cr_expect_eq(renewals[0].leaseEndMs, 0);
 }
+
+// Guards against: starts that bring a worker over its capacity, which may
+// shrink and grow again while it runs (LIMIT).
+Test(cell, a_worker_that_shrinks_gets_no_more_than_its_capacity)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1", { 4000, 64000, 0 });
+  harness.Submit(JobWithSteps({ 8 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 4);
+  const auto setCpu = [&](std::int64_t aMillis) {
+    harness.table.at({ "w1" }).capacity.cpuMillis = aMillis;
+    harness.cell.OnWorkers(harness.now, harness.table);
+  };
+  const auto reportEndOf = [&](std::size_t aFirst, std::uint64_t aEnded) {
+    harness.Advance(Millis{ 200 });
+    harness.Tick();
+    for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+      auto running = std::vector<RunReport>{};
+      for (auto index = aFirst; index < starts.size(); ++index) {
+        running.push_back(RunReportOf(starts[index]));
+      }
+      harness.Report(
+        call,
+        running,
+        { EndReportOf(starts[aFirst - 1], aEnded, RunOutcome::Done) });
+    }
+  };
+  setCpu(2000);
+  reportEndOf(1, 1);
+  cr_expect_eq(harness.StartAll().size(), 0);
+  reportEndOf(2, 2);
+  cr_expect_eq(harness.StartAll().size(), 0);
+  reportEndOf(3, 3);
+  cr_expect_eq(harness.StartAll().size(), 1);
+  setCpu(4000);
+  cr_expect_eq(harness.StartAll().size(), 2);
+}
