PeerLink: stopping never waits for ever for the sender thread

Users: a process that is told to stop would not end.

Cause, by reading: Stop() sets the flag that the sender thread waits for without holding the mutex. Between the thread's look at the flag and its wait the notification is lost, and Stop() joins a thread that never wakes. That moment comes right after a hint was sent, which is when each test stops its link.

Ruled out: the other condition variables (thread pool, pipe, exchange, gate) change what is waited for under their mutex.

--- a/peerlink/src/peerlink.cpp
+++ b/peerlink/src/peerlink.cpp
@@ -135,8 +135,13 @@
 auto
 PeerLink::Stop() -> void
 {
-  if (this->stopping.exchange(true) || this->listenSocket < 0) {
-    return;
+  {
+    // Without the lock, the sender thread may miss the notification between its
+    // look at `stopping` and its wait, and never end.
+    const auto lock = std::lock_guard{ this->mutex };
+    if (this->stopping.exchange(true) || this->listenSocket < 0) {
+      return;
+    }
   }
   this->queueChanged.notify_all();
   this->acceptThread.join();
