PeerLink tests: an unreachable port stays unreachable

The test closed a port and took it for one on which nobody listens. Another test, or the connection itself, may be given it meanwhile: the hint is then sent, and the test waits for ever for it to fail. The port is now held by a socket that does not listen.

--- a/peerlink/tests/peerlink_test.cpp
+++ b/peerlink/tests/peerlink_test.cpp
@@ -31,6 +31,36 @@
   return ntohs(address.sin_port);
 }
 
+// A port on which nothing listens, and that nothing else gets meanwhile.
+class RefusingPort
+{
+public:
+  RefusingPort()
+    : socket(::socket(AF_INET, SOCK_STREAM, 0))
+  {
+    auto address = sockaddr_in{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto size = socklen_t{ sizeof address };
+    cr_assert_eq(
+      ::bind(this->socket, reinterpret_cast<sockaddr*>(&address), size), 0);
+    ::getsockname(this->socket, reinterpret_cast<sockaddr*>(&address), &size);
+    this->number = ntohs(address.sin_port);
+  }
+  RefusingPort(const RefusingPort&) = delete;
+  auto operator=(const RefusingPort&) -> RefusingPort& = delete;
+  ~RefusingPort() { ::close(this->socket); }
+
+  auto Address() const -> std::string
+  {
+    return "127.0.0.1:" + std::to_string(this->number);
+  }
+
+private:
+  const int socket;
+  int number = 0;
+};
+
 // Records the hints and events that a link reports, and waits for events.
 class LinkRecorder
 {
@@ -125,7 +155,8 @@
   auto reason = std::string{};
   const auto sender = MakeLink(senderRecorder);
   cr_assert(sender->Start("127.0.0.1:" + std::to_string(FreePort()), reason));
-  sender->Send("127.0.0.1:" + std::to_string(FreePort()), { 1, {} });
+  const auto refusing = RefusingPort{};
+  sender->Send(refusing.Address(), { 1, {} });
   senderRecorder.WaitForEvents(PeerEvent::Unreachable, 1);
   sender->Send("not an address", { 1, {} });
   senderRecorder.WaitForEvents(PeerEvent::Unreachable, 2);
