--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -15,5 +15,7 @@
   endif()
   add_executable(${name} ${sources})
   target_link_libraries(${name} PRIVATE ${ARGN} PkgConfig::CRITERION)
-  add_test(NAME ${name} COMMAND ${name} --jobs 2 --timeout 120)
+  add_test(NAME ${name} COMMAND ${name} --jobs 2 --timeout 120 --verbose)
+  # Criterion does not end a test that waits for ever, whatever its timeout.
+  set_tests_properties(${name} PROPERTIES TIMEOUT 600)
 endfunction()
