Cells: a machine's later worker counts once it has answered

Operators: an odd entry that names the machine of a worker that is well, with a later start, was taken for its successor: the runs of the good worker were dropped as over and started elsewhere while it ran them on (a task runs twice), and it got no new ones.

Change: the runs of a machine's earlier worker are over, and it gets no more, once the later one is listed and has answered under this owner.

Test: cell/an_entry_that_never_answers_ends_no_runs_of_its_machine, failed before.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -46,7 +46,9 @@
       this->OnWorkerRestart(aNow, slot, entry.startUnixMs);
     }
     slot.listed = true;
-    this->RetireEarlierWorkers(aNow, slot);
+    if (slot.reconciled) {
+      this->RetireEarlierWorkers(aNow, slot);
+    }
     if (!slot.clockSample && entry.startUnixMs == slot.entry.startUnixMs) {
       slot.clockSample = ClockSample{ entry.clockMs, aNow };
     }
@@ -59,8 +61,9 @@
   }
 }
 
-// A machine runs one worker at a time: once a later one is listed, the runs of
-// the earlier ones no longer exist.
+// A machine runs one worker at a time: once a later one is listed and has
+// answered, the runs of the earlier ones no longer exist. The entry alone
+// proves nothing: anybody can write one.
 auto
 Cell::RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void
 {
@@ -257,6 +260,7 @@
   }
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
+    this->RetireEarlierWorkers(aNow, aSlot);
     aSlot.inheritedLeaseEndMs =
       clock + this->InheritedLease(aNow, aSlot).count();
     aSlot.leaseEndMs =
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -29,7 +29,8 @@
   WorkerEntry entry;
   // The worker is in the store's table at present.
   bool listed = false;
-  // A later worker of the same machine is listed: this one is gone.
+  // A later worker of the same machine is listed and has answered: this one is
+  // gone.
   bool superseded = false;
   // The worker refuses tasks that do not fit.
   bool enforcesCapacity = true;
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -230,6 +230,39 @@
   }
 }
 
+// Guards against: tasks run twice because an entry of another writer names the
+// machine of a worker that is well.
+Test(cell, an_entry_that_never_answers_ends_no_runs_of_its_machine)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Submit(JobWithSteps({ 1 }));
+  const auto starts = harness.StartAll();
+  cr_assert_eq(starts.size(), 1);
+  auto entry = harness.table.begin()->second;
+  entry.id = { "odd" };
+  entry.address = "odd:1";
+  entry.startUnixMs = 2000;
+  harness.table[entry.id] = entry;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  for (auto round = 0; round < 20; ++round) {
+    harness.Advance(Millis{ 200 });
+    harness.Tick();
+    for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+      if (call.worker.text == "w1") {
+        harness.Report(call, { RunReportOf(starts[0]) }, {});
+      } else {
+        harness.Answer(call, CallOutcome::Unanswered);
+      }
+    }
+  }
+  cr_expect_eq(harness.StartAll().size(), 0);
+  harness.Submit(JobWithSteps({ 1 }));
+  const auto more = harness.StartAll();
+  cr_assert_eq(more.size(), 1);
+  cr_expect_eq(more[0].worker.text, "w1");
+}
+
 Test(cell, a_new_owner_asks_workers_before_it_restarts_inherited_runs)
 {
   // The record of an earlier owner: both tasks were started on w1.
