Tests: odd entries of another writer; what the tests assumed of entries

A test with a fleet in virtual time puts an odd entry among those of the workers, 24 kinds of key and value (very deeply nested, numbers too large, ports out of range, names of 70 KB, the machine of a good worker), replaces the owner, and expects that new jobs run and nothing runs twice.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -919,6 +919,13 @@
   return *status;
 }
 
+auto
+FleetWorld::PutWorkerRow(const std::string& aKey, const std::string& aValue)
+  -> void
+{
+  this->PutRow({ wire::kWorkerTable, "", aKey }, aValue);
+}
+
 auto
 FleetWorld::PutRow(const RowKey& aKey, std::optional<std::string> aValue)
   -> void
@@ -1047,7 +1054,9 @@
   auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
   ++box.life;
   box.entry = fakes::EntryOfMachine(aWorker, box.life, this->options.domains);
-  box.entry.address = "10.0.0." + std::to_string(aWorker) + ":80";
+  constexpr int kHostsOfNet = 250;
+  box.entry.address = "10.0." + std::to_string(aWorker / kHostsOfNet) + "." +
+                      std::to_string(aWorker % kHostsOfNet + 1) + ":80";
   box.entry.capacity = this->options.capacity;
   if (this->options.rackWorkers > 0) {
     const auto rack = aWorker / this->options.rackWorkers;
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -153,6 +153,8 @@
   auto SpoilRows(const std::string& aTable,
                  const std::string& aKeyPrefix,
                  const std::string& aValue) -> std::size_t;
+  // Writes a row of the table of workers, as another writer may.
+  auto PutWorkerRow(const std::string& aKey, const std::string& aValue) -> void;
   // Submits a job and lets time pass; whether it is done then.
   auto RunsNewJobs() -> bool;
   // Rows of jobs in the store, whatever they tell of them.
--- a/bench/tests/reported_failures_test.cpp
+++ b/bench/tests/reported_failures_test.cpp
@@ -5,6 +5,7 @@
 
 #include "fleetworld.h"
 #include "httptableclient.h"
+#include "modelsite.h"
 #include "siterows.h"
 
 using namespace gooseberry;
@@ -332,6 +333,54 @@
   }
 }
 
+// Another writer left one odd entry among those of the workers.
+Test(odd_worker_entry, takes_nobody_down, .timeout = 100)
+{
+  auto entry = fakes::EntryOfMachine(0, 9, 3);
+  entry.address = "10.0.0.99:80";
+  entry.startUnixMs = 1'800'000'000'000;
+  entry.capacity = { 16000, 64000, 0 };
+  const auto with = [&](const char* aMember, const std::string& aValue) {
+    auto text = wire::SerializeWorkerEntry(entry);
+    const auto start = text.find("\"" + std::string{ aMember } + "\":");
+    cr_assert_neq(start, std::string::npos);
+    const auto value = start + std::string{ aMember }.size() + 3;
+    const auto end =
+      text.find_first_of(",}", text.find_first_of("\"0123456789", value) + 1);
+    return text.replace(value, end - value, aValue);
+  };
+  const auto values = std::vector<std::string>{
+    with("machine", "\"m-0\""),
+    with("address", "\"10.0.0.99:70000\""),
+    with("address", "\"10.0.0.99:-1\""),
+    with("born", "99999999999999999999999999"),
+    with("clockMs", "1e300"),
+    with("clockMs", "-9223372036854775808"),
+    with("zone", "\"" + std::string(70000, 'z') + "\""),
+    with("machine", std::string(100000, '[') + std::string(100000, ']')),
+  };
+  for (const auto& key : { std::string{ "odd" },
+                           std::string{ "odd\r\nX: y&=%#" },
+                           std::string(70000, 'k') }) {
+    for (const auto& value : values) {
+      const auto world = NewWorld(4);
+      auto lasting = JobOf(1, 12, 300s);
+      lasting.steps[0].taskResources.cpuMillis = 4000;
+      lasting.steps[0].longRunning = true;
+      world->Submit(lasting, { 300s });
+      world->RunFor(4s);
+      world->PutWorkerRow(key, value);
+      world->RunFor(2s);
+      world->Kill(world->Owner());
+      world->RunFor(6s);
+      cr_expect(world->RunsNewJobs(), "%.200s", value.c_str());
+      for (const auto& violation : world->Judge().Violations()) {
+        cr_expect(false, "%.200s: %s", value.c_str(), violation.c_str());
+      }
+    }
+  }
+}
+
 // 6. An unexpected state took a process down: a cell is added to the layout
 // while an instance hands its cells over.
 Test(hand_over, outlives_a_cell_that_is_new_meanwhile, .timeout = 100)
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -236,7 +236,9 @@
 {
   auto harness = CellHarness{};
   harness.AddWorker("w1");
-  harness.Submit(JobWithSteps({ 1 }));
+  auto lasting = JobWithSteps({ 1 });
+  lasting.steps[0].longRunning = true;
+  harness.Submit(lasting);
   const auto starts = harness.StartAll();
   cr_assert_eq(starts.size(), 1);
   auto entry = harness.table.begin()->second;
--- a/cells/tests/crash_test.cpp
+++ b/cells/tests/crash_test.cpp
@@ -28,7 +28,11 @@
   aHarness.cell.OnWorkers(aHarness.now, aHarness.table);
   aHarness.Advance(200ms);
   aHarness.Tick();
-  aHarness.AnswerRenewals();
+  for (const auto& call : aHarness.TakeCallsOfKind(CallKind::Renew)) {
+    if (aHarness.table.contains(call.worker)) {
+      aHarness.Report(call, {}, {});
+    }
+  }
 }
 
 // Starts the only task that waits.
