Cells: a worker that answers again gets the tasks that wait

Callers: a task that becomes ready while its workers can't be reached waits until something else changes in the cell, though they answer again. No round of placement followed the first answer after a silence.

Change: that answer asks for a round.

Test: cell/a_worker_that_answers_again_gets_waiting_tasks, failed before.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -127,6 +127,7 @@
       break;
     case CallKind::Renew:
       slot.pendingRenewals.erase(aAnswer.number);
+      this->planNeeded = this->planNeeded || slot.silent;
       slot.silent = aAnswer.outcome != CallOutcome::Done;
       if (aAnswer.outcome == CallOutcome::Done) {
         this->OnReport(aNow, slot, aAnswer);
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -550,6 +550,24 @@
   cr_expect_eq(renewals[0].leaseEndMs, 0);
 }
 
+// Guards against: a task waits without end for a worker that could not be
+// reached when it became ready, and that answers again.
+Test(cell, a_worker_that_answers_again_gets_waiting_tasks)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.Advance(Millis{ 6000 });
+  harness.Tick();
+  for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+    harness.Answer(call, CallOutcome::Unanswered);
+  }
+  harness.Submit(JobWithSteps({ 1 }));
+  cr_assert_eq(harness.StartAll().size(), 0);
+  harness.Tick();
+  harness.AnswerRenewals();
+  cr_expect_eq(harness.StartAll().size(), 1);
+}
+
 // Guards against: starts that bring a worker over its capacity, which may
 // shrink and grow again while it runs (LIMIT).
 Test(cell, a_worker_that_shrinks_gets_no_more_than_its_capacity)
