Cells: only workers that crashed count against tasks

Callers: a job may be shown as failed although no worker crashed under it. A loss was also counted for a worker that could not be reached for the length of its lease; for runs of an earlier owner that this one never heard of, such as those of a worker that had left as planned; and for a start that may never have reached the worker. Three such losses were enough.

Change: what is lost because a worker is silent makes its recent tasks suspects only, and counts once its machine has started a new worker within 10 s. Runs that the worker has not told this owner of count for nothing; those that an earlier owner started are never recent. The first loss of a task counts only if the worker had confirmed its start or reported it. Losses long after a start count for the last limit (four) only. A host of a version that knows no losses does not clear them. Tasks of advised queues are not made to wait for a worker of their own.

Tests: crash/is_not_what_a_silent_worker_has_done, of_a_worker_that_the_owner_never_heard_counts_against_nobody, counts_no_start_that_may_not_have_arrived, counts_also_if_the_worker_is_back_after_its_lease. Not counted: a task whose worker crashes each time before it answers the start.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -352,6 +352,28 @@
     std::uint32_t earlierLosses = 0;
   };
 
+  // A task that may have crashed its worker.
+  struct Suspect
+  {
+    TaskName task;
+    WorkerId worker;
+    // It had been started there a short time before.
+    bool recent = false;
+    // The only one of these, and the worker had confirmed its start.
+    bool alone = false;
+    // Among the likeliest ones.
+    bool likely = false;
+  };
+
+  // Suspects of a worker whose lease has expired; it may have crashed, or not
+  // be reachable.
+  struct UnsettledLoss
+  {
+    Time at{};
+    std::int64_t workerStartUnixMs = 0;
+    std::vector<Suspect> suspects;
+  };
+
   // State shared by all placements that are decided at one time.
   struct PlacementRound
   {
@@ -586,18 +608,21 @@
   auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
   // Tasks that crash workers (cellcrash.cpp).
-  // Drops the runs of a worker that does not exist any more, and counts it
+  // Drops the runs of a worker that certainly runs them no more, and counts it
   // against the tasks that may have crashed it. aRestarted: a new one was
-  // started in its place.
+  // started in its place; else that is counted once this turns out.
   auto OnWorkerLost(Time aNow,
                     WorkerSlot& aSlot,
                     bool aRestarted,
                     const char* aWhy) -> void;
   auto LostRuns(const WorkerSlot& aSlot) -> std::vector<LostRun>;
-  auto CountLosses(Time aNow,
-                   const WorkerId& aWorker,
-                   bool aRestarted,
-                   const std::vector<LostRun>& aLost) -> void;
+  // Which of the runs may have crashed the worker.
+  auto FindSuspects(const WorkerId& aWorker, const std::vector<LostRun>& aLost)
+    -> std::vector<Suspect>;
+  auto CountLosses(Time aNow, const std::vector<Suspect>& aSuspects) -> void;
+  // The worker has answered. What was lost with the one before it on its
+  // machine was lost by a crash; what was lost because it was silent was not.
+  auto SettleLosses(Time aNow, const WorkerSlot& aSlot) -> void;
   // The run has lasted until aNow.
   auto ClearSuspicion(Time aNow, const TaskContext& aContext, const Run& aRun)
     -> void;
@@ -777,6 +802,7 @@
   // Those of them that belong to this cell and have occurrences.
   std::set<JobId> timedJobs;
   std::map<WorkerId, WorkerSlot> workers;
+  std::map<MachineId, UnsettledLoss> unsettledLosses;
   std::map<std::string, PeerRoom> peers;
   std::uint64_t lastDelegation = 0;
   // Submissions whose id still names a job that this cell hosts.
--- a/cells/src/cellcrash.cpp
+++ b/cells/src/cellcrash.cpp
@@ -31,7 +31,18 @@
   for (const auto& ref : runs) {
     this->DropRun(aNow, ref, aWhy);
   }
-  this->CountLosses(aNow, aSlot.entry.id, aRestarted, lost);
+  auto suspects = this->FindSuspects(aSlot.entry.id, lost);
+  if (aRestarted) {
+    this->CountLosses(aNow, suspects);
+    return;
+  }
+  std::erase_if(suspects,
+                [](const Suspect& aSuspect) { return !aSuspect.recent; });
+  if (!suspects.empty() && !aSlot.entry.machine.Empty()) {
+    this->unsettledLosses[aSlot.entry.machine] = { aNow,
+                                                   aSlot.entry.startUnixMs,
+                                                   std::move(suspects) };
+  }
 }
 
 auto
@@ -40,15 +51,20 @@
   auto lost = std::vector<LostRun>{};
   for (const auto& ref : aSlot.runs) {
     const auto [context, run] = this->FindTaskAndRun(ref);
-    if (run == nullptr || run->phase == RunPhase::Planned || run->neverBegan ||
+    // Nothing is known of a run that the worker has not told this owner of.
+    if (run == nullptr || run->phase == RunPhase::Planned ||
+        run->phase == RunPhase::Inherited || run->neverBegan ||
         context.task->phase != TaskPhase::Open) {
       continue;
     }
-    lost.push_back(
-      { ref,
-        std::max(Micros{ 0 }, Micros{ aSlot.lastAnswerAt - StartOf(*run) }),
-        run->startedAt != Time{},
-        context.task->losses });
+    // An earlier owner knew when an inherited run was started.
+    const auto age = run->inherited
+                       ? Micros::max()
+                       : Micros{ aSlot.lastAnswerAt - StartOf(*run) };
+    lost.push_back({ ref,
+                     std::max(Micros{ 0 }, age),
+                     run->startedAt != Time{} || run->hasReported,
+                     context.task->losses });
   }
   return lost;
 }
@@ -57,10 +73,8 @@
 // are any: the shorter, and the more workers were lost under their task before,
 // the more likely they are.
 auto
-Cell::CountLosses(Time aNow,
-                  const WorkerId& aWorker,
-                  bool aRestarted,
-                  const std::vector<LostRun>& aLost) -> void
+Cell::FindSuspects(const WorkerId& aWorker, const std::vector<LostRun>& aLost)
+  -> std::vector<Suspect>
 {
   const auto youngerThan = [&aLost](Micros aAge) {
     return std::count_if(aLost.begin(), aLost.end(), [aAge](const auto& aRun) {
@@ -80,43 +94,76 @@
       mostLosses = std::max(mostLosses, lost.earlierLosses);
     }
   }
+  auto suspects = std::vector<Suspect>{};
   for (const auto& lost : aLost) {
     const auto context = this->FindTask(lost.ref.task);
-    const auto suspected = lost.age <= kCrashWindow;
-    if (context.task == nullptr || context.task->phase != TaskPhase::Open ||
-        IsFinal(context.job->state) || (!aRestarted && !suspected) ||
-        (!lost.confirmed && someConfirmed)) {
+    // The first loss of a task counts only if the task has certainly run there.
+    if (context.task == nullptr ||
+        (!lost.confirmed && (someConfirmed || lost.earlierLosses == 0))) {
       continue;
     }
-    auto& task = *context.task;
-    ++task.losses;
-    if (suspected) {
-      task.suspected = true;
+    const auto recent = lost.age <= kCrashWindow;
+    suspects.push_back(
+      { lost.ref.task,
+        aWorker,
+        recent,
+        recent && lost.confirmed && candidates == 1,
+        recent && lost.age <= window && lost.earlierLosses == mostLosses });
+    if (recent && context.task->phase == TaskPhase::Open) {
+      context.task->suspected = true;
       this->CountEvent(CellEvent::TaskSuspected);
       this->log.Write("task_suspected",
                       { { "task", ToText(lost.ref.task) },
                         { "worker", aWorker.text },
-                        { "restarted", aRestarted ? "yes" : "no" },
                         { "candidates", std::to_string(candidates) },
-                        { "losses", std::to_string(task.losses) } });
+                        { "losses", std::to_string(lost.earlierLosses) } });
+    }
+  }
+  return suspects;
+}
+
+auto
+Cell::CountLosses(Time aNow, const std::vector<Suspect>& aSuspects) -> void
+{
+  for (const auto& suspect : aSuspects) {
+    const auto context = this->FindTask(suspect.task);
+    if (context.task == nullptr || context.task->phase != TaskPhase::Open ||
+        IsFinal(context.job->state)) {
+      continue;
     }
+    auto& task = *context.task;
+    ++task.losses;
     this->MarkDirty(*context.job, false);
-    const auto alone =
-      aRestarted && lost.confirmed && suspected && candidates == 1;
-    const auto likely = lost.age <= window && lost.earlierLosses == mostLosses;
-    if ((alone && task.losses >= kMaxLossesAlone) ||
-        (likely && task.losses >= kMaxLossesLikely) ||
+    if ((suspect.alone && task.losses >= kMaxLossesAlone) ||
+        (suspect.likely && task.losses >= kMaxLossesLikely) ||
         task.losses >= kMaxLosses) {
       this->CountEvent(CellEvent::TaskGivenUp);
       this->log.Write("task_given_up",
-                      { { "task", ToText(lost.ref.task) },
-                        { "worker", aWorker.text },
+                      { { "task", ToText(suspect.task) },
+                        { "worker", suspect.worker.text },
                         { "losses", std::to_string(task.losses) } });
       this->FailTask(aNow, context);
+      this->StopRuns(aNow, suspect.task, task, StopReason::JobFailed);
     }
   }
 }
 
+auto
+Cell::SettleLosses(Time aNow, const WorkerSlot& aSlot) -> void
+{
+  const auto found = this->unsettledLosses.find(aSlot.entry.machine);
+  if (found == this->unsettledLosses.end() ||
+      found->second.workerStartUnixMs > aSlot.entry.startUnixMs) {
+    return;
+  }
+  const auto loss = std::move(found->second);
+  this->unsettledLosses.erase(found);
+  if (loss.workerStartUnixMs < aSlot.entry.startUnixMs &&
+      aNow < loss.at + kUnsettledLossMaxAge) {
+    this->CountLosses(aNow, loss.suspects);
+  }
+}
+
 auto
 Cell::ClearSuspicion(Time aNow, const TaskContext& aContext, const Run& aRun)
   -> void
--- a/cells/src/celldelegation.cpp
+++ b/cells/src/celldelegation.cpp
@@ -336,9 +336,7 @@
     task.waitingSince.reset();
   }
   task.failures = std::max(task.failures, aReport.failures);
-  if (aReport.lastRunNumber >= task.lastRunNumber) {
-    RestoreLosses(task, aReport.losses);
-  }
+  RestoreLosses(task, std::max(task.losses, aReport.losses));
   task.lastRunNumber = std::max(task.lastRunNumber, aReport.lastRunNumber);
   task.checkpoint = aReport.checkpoint;
   switch (aReport.state) {
--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -160,6 +160,7 @@
   run.worker = &slot;
   run.workerStartUnixMs = aRecord.workerStartUnixMs;
   run.phase = RunPhase::Inherited;
+  run.inherited = true;
   run.phaseSince = this->takeoverAt;
   run.startedAt = this->takeoverAt;
   run.speedUncertain = aContext.spec->bestEffort;
--- a/cells/src/cellplace.cpp
+++ b/cells/src/cellplace.cpp
@@ -231,8 +231,8 @@
       task.waitingSince = aNow;
     }
     query.minPace = this->MinPaceFor(aNow, job, task);
-    query.isolated =
-      task.suspected && aNow < *task.waitingSince + kIsolationMaxWait;
+    query.isolated = task.suspected && !job.row.policy.requiresAdvice &&
+                     aNow < *task.waitingSince + kIsolationMaxWait;
     auto* const slot = this->PickWorker(aRound, query);
     if (slot == nullptr && query.isolated) {
       this->nextPlanAt = std::min({ this->nextPlanAt,
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -268,6 +268,7 @@
       std::max(aSlot.leaseEndMs.value_or(0), aSlot.inheritedLeaseEndMs);
     this->planNeeded = true;
   }
+  this->SettleLosses(aNow, aSlot);
   auto runEnded = false;
   for (const auto& end : aAnswer.ended) {
     if (end.number > aSlot.lastSeenEnd) {
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -112,6 +112,8 @@
   // set.
   int speedPercent = kFullPace;
   Time speedSetAt{};
+  // An earlier owner started it.
+  bool inherited = false;
   // The worker refused the start, since it had been restarted.
   bool neverBegan = false;
   // The last speed order got no answer, so the actual limit is unknown.
@@ -139,7 +141,7 @@
 {
   TaskPhase phase = TaskPhase::Open;
   std::uint32_t failures = 0;
-  // Workers that were lost with a run of the task and may have crashed under
+  // Workers that have crashed with a run of the task and may have done so under
   // it; back to 0 once a run has lasted.
   std::uint32_t losses = 0;
   // The last of them was lost soon after the start of the run.
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -356,6 +356,9 @@
 inline constexpr std::uint32_t kMaxLosses = 4;
 // The losses of a task are forgotten once a run of it has lasted so long.
 inline constexpr Millis kLossMemory{ 30000 };
+// A machine that starts a new worker within this time after the lease of the
+// one before has expired is taken to have lost it by a crash.
+inline constexpr Millis kUnsettledLossMaxAge{ 10000 };
 // A suspected task waits so long for a worker that it can have to itself, and
 // has it for that long. At most one worker in so many is given to them.
 inline constexpr Millis kIsolationMaxWait{ 600 };
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -41,11 +41,11 @@
   // The latest lease end that the worker may have been given, on its own clock;
   // absent if an earlier owner may have given one that is not known.
   std::optional<std::int64_t> leaseEndMs;
+  // The part of it that earlier owners may have granted.
+  std::int64_t inheritedLeaseEndMs = 0;
   // The worker was restarted under this owner: renewals for its earlier process
   // may have reached the new one.
   bool restarted = false;
-  // The part of it that earlier owners may have granted.
-  std::int64_t inheritedLeaseEndMs = 0;
   // Local time after which nothing runs there; holds only while leaseEndMs or
   // the worker's clock is not known.
   Time fallbackLeaseEnd{};
--- a/cells/tests/crash_test.cpp
+++ b/cells/tests/crash_test.cpp
@@ -115,6 +115,103 @@
   cr_expect_eq(StateOf(*harness, job), JobState::Running);
 }
 
+namespace {
+
+// Nothing reaches the workers for longer than their leases.
+auto
+CutOff(CellHarness& aHarness) -> void
+{
+  for (auto round = 0; round < 30; ++round) {
+    aHarness.Advance(250ms);
+    aHarness.Tick();
+    for (const auto& call : aHarness.TakeCallsOfKind(CallKind::Renew)) {
+      aHarness.Answer(call, CallOutcome::Unanswered);
+    }
+  }
+}
+
+} // namespace
+
+// Guards against: a job fails because its workers could not be reached, though
+// none has crashed.
+Test(crash, is_not_what_a_silent_worker_has_done)
+{
+  const auto harness = HarnessWithWorkers(4);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  for (auto round = 0; round < 6; ++round) {
+    StartOne(*harness);
+    CutOff(*harness);
+    for (auto reports = 0; reports < 5; ++reports) {
+      harness->Advance(250ms);
+      harness->cell.OnSilentWorkersWritten({});
+      harness->Tick();
+      harness->AnswerRenewals();
+    }
+  }
+  cr_expect_eq(StateOf(*harness, job), JobState::Running);
+}
+
+// Guards against: a task crashes worker after worker because each comes back
+// later than its lease ends.
+Test(crash, counts_also_if_the_worker_is_back_after_its_lease)
+{
+  const auto harness = HarnessWithWorkers(6);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  for (auto crash = 0; crash < 2; ++crash) {
+    const auto worker = StartOne(*harness).worker;
+    for (auto round = 0; round < 30; ++round) {
+      harness->Advance(250ms);
+      harness->cell.OnSiteUpToDate(harness->now);
+      harness->cell.OnOwnershipConfirmed(harness->now);
+      harness->cell.OnTick(harness->now, 0);
+      harness->CollectCalls();
+      for (const auto& call : harness->TakeCallsOfKind(CallKind::Renew)) {
+        if (call.worker == worker) {
+          harness->Answer(call, CallOutcome::Unanswered);
+        } else {
+          harness->Report(call, {}, {});
+        }
+      }
+    }
+    Crash(*harness, worker);
+  }
+  cr_expect_eq(StateOf(*harness, job), JobState::Failed);
+}
+
+// Guards against: a job fails because the owner changed twice while its workers
+// left, or before its start was sent.
+Test(crash, of_a_worker_that_the_owner_never_heard_counts_against_nobody)
+{
+  const auto first = HarnessWithWorkers(1);
+  const auto job = first->Submit(JobWithSteps({ 1 }));
+  StartOne(*first);
+  auto record = MakeJobRecord(*first->cell.FindJob(job));
+  record.tasks.at(0).losses = 1;
+  auto takeover = CellTakeover{ 2 };
+  takeover.jobs.emplace_back(first->cell.FindJob(job)->row, record);
+  auto second = CellHarness{ {}, takeover };
+  second.table = first->table;
+  second.workerStarts = first->workerStarts;
+  Crash(second, { "w0" });
+  cr_expect_eq(StateOf(second, job), JobState::Running);
+}
+
+// Guards against: a job fails by one crash and a start that never arrived.
+Test(crash, counts_no_start_that_may_not_have_arrived)
+{
+  const auto harness = HarnessWithWorkers(4);
+  const auto job = harness->Submit(JobWithSteps({ 1 }));
+  harness->Advance(20ms);
+  harness->Tick();
+  harness->RecordAll();
+  const auto starts = harness->TakeCallsOfKind(CallKind::Start);
+  cr_assert_eq(starts.size(), 1);
+  harness->Answer(starts[0], CallOutcome::Unanswered);
+  Crash(*harness, starts[0].worker);
+  Crash(*harness, StartOne(*harness).worker);
+  cr_expect_eq(StateOf(*harness, job), JobState::Running);
+}
+
 // Guards against: tasks that were lost with one worker go to the next one
 // together, so that the one that crashes workers is never found out.
 Test(crash, suspected_tasks_start_apart)
--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -106,12 +106,12 @@
   auto OnCrash(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnGone(const JobEvent& aEvent) -> void;
   auto TasksOf(const JobFacts& aJob) const -> std::size_t;
-  // Whether all steps before this one are done.
-  // Whether a task of the job may be given up, since two workers have crashed
-  // under it.
+  // Whether a task of the job crashes workers and may be given up: two were
+  // lost under it.
   static auto MayBeGivenUp(const JobFacts& aJob) -> bool;
   // Whether a task of the job has had all its attempts.
   static auto HasFailed(const JobFacts& aJob) -> bool;
+  // Whether all steps before this one are done.
   static auto IsReady(const JobFacts& aJob, const cells::StepSpec& aStep)
     -> bool;
 
