Cells: a restarted worker is remembered until its lease is over

Callers: a task may run twice.

Change: until it has answered, its lease counts as the longest that workers accept, from the restart on.

Test: lease/of_a_restarted_worker_counts_also_while_it_is_not_listed, failed before.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -528,6 +528,8 @@
   aSlot.leaseEndMs.reset();
   aSlot.inheritedLeaseEndMs = 0;
   aSlot.restarted = true;
+  aSlot.fallbackLeaseEnd =
+    aNow + WithWorkerDrift(this->options.maxLease + kClockMargin);
   aSlot.lastReportClockMs = 0;
   aSlot.reconciled = false;
   aSlot.nextRenewalAt = aNow;
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -294,3 +294,28 @@
   cr_assert_eq(silent.size(), 1);
   cr_expect_eq(silent.begin()->first.text, kWorker);
 }
+
+// The same if the worker is not listed before it has answered.
+Test(lease, of_a_restarted_worker_counts_also_while_it_is_not_listed)
+{
+  auto options = CellOptions{};
+  options.maxLease = 10s;
+  auto harness = CellHarness{ options, {} };
+  harness.AddWorker(kWorker);
+  harness.Advance(30s);
+  harness.Tick();
+  harness.AnswerRenewals();
+  harness.table.at(WorkerId{ kWorker }).startUnixMs = 2000;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  const auto restartedAt = harness.now;
+  harness.cell.OnWorkers(harness.now, {});
+  harness.Advance(200ms);
+  harness.Tick();
+  for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+    harness.Answer(call, CallOutcome::Unanswered);
+  }
+  harness.Tick();
+  cr_assert_eq(harness.cell.Workers().size(), 1);
+  const auto& slot = harness.cell.Workers().at(WorkerId{ kWorker });
+  cr_expect_geq(ToMillis(slot.LeaseOverBy() - restartedAt).count(), 10'000);
+}
