Cells: a refused release leaves the leases of leaving workers alone

Callers: tasks on a worker that leaves end after 5 s, while it could have kept them, where the store refuses the release of their cell. Telling of such a worker for a release marked it as listed in the owner's row, and a listed worker gets no lease; only a written row took the mark back.

Change: the mark follows what was written. Until the outcome of a release is known, no lease is granted anyway.

Tests: lease/of_a_leaving_worker_is_extended_again_after_a_release_that_failed and is_not_extended_while_the_row_tells_its_end, both failed before.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -322,7 +322,8 @@
     const auto leaves = this->releasing && (!slot.listed || slot.entry.leaving);
     if ((slot.silent || unheard || leaves) && !slot.runs.empty()) {
       silent.emplace(id, slot.LeaseOverBy());
-      slot.silentInOwnerRow = true;
+      // No lease is granted before a release is known to have failed.
+      slot.silentInOwnerRow = slot.silentInOwnerRow || slot.silent;
     }
   }
   return silent;
@@ -333,7 +334,7 @@
   -> void
 {
   for (auto& [id, slot] : this->workers) {
-    slot.silentInOwnerRow = slot.silentInOwnerRow && aSilent.contains(id.text);
+    slot.silentInOwnerRow = aSilent.contains(id.text);
   }
 }
 
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -319,3 +319,39 @@
   const auto& slot = harness.cell.Workers().at(WorkerId{ kWorker });
   cr_expect_geq(ToMillis(slot.LeaseOverBy() - restartedAt).count(), 10'000);
 }
+
+// Guards against: the leases of workers that leave end because they were told
+// of with a release that the store refused.
+Test(lease, of_a_leaving_worker_is_extended_again_after_a_release_that_failed)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker(kWorker);
+  harness.Submit(JobWithSteps({ 1 }));
+  cr_assert_eq(harness.StartAll().size(), 1);
+  harness.table.at(WorkerId{ kWorker }).leaving = true;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  harness.cell.SetReleasing(true);
+  cr_assert_eq(harness.cell.SilentWorkers().size(), 1);
+  harness.cell.SetReleasing(false);
+  harness.Advance(200ms);
+  harness.Tick();
+  const auto renewals = harness.TakeCallsOfKind(CallKind::Renew);
+  cr_assert_eq(renewals.size(), 1);
+  cr_expect_gt(renewals[0].leaseEndMs, harness.ClockMs());
+}
+
+// Guards against: a task runs twice because the lease of its worker is extended
+// while the owner's row tells an earlier end of it.
+Test(lease, is_not_extended_while_the_row_tells_its_end)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker(kWorker);
+  harness.Submit(JobWithSteps({ 1 }));
+  cr_assert_eq(harness.StartAll().size(), 1);
+  harness.cell.OnSilentWorkersWritten({ { kWorker, 1 } });
+  harness.Advance(200ms);
+  harness.Tick();
+  const auto renewals = harness.TakeCallsOfKind(CallKind::Renew);
+  cr_assert_eq(renewals.size(), 1);
+  cr_expect_eq(renewals[0].leaseEndMs, 0);
+}
