Cells: the owner's row tells that a restarted worker may have a longer lease

Callers: a task may run twice. A worker that was restarted under its own key may have the longest lease that workers accept, but only the owner that saw the restart counted on it; the next one counted on what owners grant.

Change: for as long as such a lease may hold, the row tells the longest one. Found by review. A worker that is started anew under a new key is not concerned.

Test: lease/of_a_restarted_worker_is_told_to_the_next_owner, failed before.

--- a/cells/src/celljobs.cpp
+++ b/cells/src/celljobs.cpp
@@ -196,8 +196,13 @@
 auto
 Cell::LongestLease(Time aNow) const -> Millis
 {
-  return aNow > this->previousLeasesOverBy ? this->options.lease
-                                           : this->previousLease;
+  const auto restarted = std::any_of(
+    this->workers.begin(), this->workers.end(), [&](const auto& aItem) {
+      return aItem.second.restarted && aNow <= aItem.second.fallbackLeaseEnd;
+    });
+  const auto longest = aNow > this->previousLeasesOverBy ? this->options.lease
+                                                         : this->previousLease;
+  return restarted ? std::max(longest, this->options.maxLease) : longest;
 }
 
 // The paces are assumed to hold until calls of this owner are answered.
--- a/cells/tests/lease_test.cpp
+++ b/cells/tests/lease_test.cpp
@@ -355,3 +355,21 @@
   cr_assert_eq(renewals.size(), 1);
   cr_expect_eq(renewals[0].leaseEndMs, 0);
 }
+
+// Guards against: a task runs twice because the next owner does not know that a
+// worker was restarted, and may have the longest lease that it accepts.
+Test(lease, of_a_restarted_worker_is_told_to_the_next_owner)
+{
+  auto options = CellOptions{};
+  options.maxLease = 10s;
+  auto harness = CellHarness{ options, {} };
+  harness.AddWorker(kWorker);
+  harness.Advance(30s);
+  harness.Tick();
+  cr_expect_eq(harness.cell.LongestLease(harness.now), options.lease);
+  harness.workerStarts[WorkerId{ kWorker }] = 2000;
+  harness.AnswerRenewals();
+  cr_expect_eq(harness.cell.LongestLease(harness.now), options.maxLease);
+  harness.Advance(11s);
+  cr_expect_eq(harness.cell.LongestLease(harness.now), options.lease);
+}
