--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -1274,12 +1274,12 @@
     }
     box->worker->Advance(now);
     if (box->worker->HasCrashed()) {
-      constexpr std::int64_t kBackAfter = 2000;
-      constexpr std::int64_t kBackBy = 5000;
+      constexpr std::int64_t kMinRestartMs = 2000;
+      constexpr std::int64_t kMaxRestartMs = 5000;
       this->KillWorker(number,
                        true,
                        Millis{ std::uniform_int_distribution<std::int64_t>{
-                         kBackAfter, kBackBy }(this->random) });
+                         kMinRestartMs, kMaxRestartMs }(this->random) });
       continue;
     }
     auto waiting = std::exchange(box->waiting, {});
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -144,7 +144,7 @@
   // Workers that have crashed with a run of the task and may have done so under
   // it; back to 0 once a run has lasted.
   std::uint32_t losses = 0;
-  // The last of them was lost soon after the start of the run.
+  // The last worker that ran it was lost, or fell silent, soon after the start.
   bool suspected = false;
   std::uint32_t lastRunNumber = 0;
   // The newest checkpoint that a run reported.
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -95,6 +95,7 @@
   // A task that may crash the worker was started there: until this time, or the
   // end of that run, the worker gets no other.
   Time isolatedUntil{};
+  // That run; meaningless once the time has passed.
   RunRef isolatedRun;
   // The worker fails or is slow: until this time it gets only long-running
   // tasks that find no other worker.
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -159,9 +159,10 @@
     this->Break(aEvent.at, "run number did not grow", name);
   }
   task.newestRun = std::max(task.newestRun, aEvent.run);
-  constexpr std::uint32_t kCrashes = 3;
-  constexpr std::uint32_t kStartsAfter = 3;
-  if (task.crashes >= kCrashes && ++task.startsTooMany == kStartsAfter) {
+  constexpr std::uint32_t kMostCrashes = 3;
+  constexpr std::uint32_t kOneStartTooMany = 3;
+  if (task.crashes >= kMostCrashes &&
+      ++task.startsAfterCrashes == kOneStartTooMany) {
     this->Break(aEvent.at, "crashes worker after worker", name);
   }
   if (!step.longRunning && task.failedNoted >= aJob.row.policy.maxAttempts) {
--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -83,8 +83,8 @@
     // Workers that it crashed, and those that were lost while it ran there.
     std::uint32_t crashes = 0;
     std::uint32_t lostWorkers = 0;
-    // Starts after the last crash that is allowed.
-    std::uint32_t startsTooMany = 0;
+    // Starts after the third crash.
+    std::uint32_t startsAfterCrashes = 0;
   };
 
   struct JobFacts
--- a/fakes/src/jobworker.h
+++ b/fakes/src/jobworker.h
@@ -103,7 +103,7 @@
   auto SetFailing(bool aFailing) -> void;
   // Work takes so many times as long; 0: it stands still.
   auto SetSlowness(double aTimes) -> void;
-  // A task has crashed the worker; it must die.
+  // A task has crashed the worker; the caller has to let it Die().
   auto HasCrashed() const -> bool;
   auto Running() const -> std::size_t;
   // What is not reserved by running tasks.
