Cells: suspects of machines that never return are forgotten; files split

Suspects of a worker whose lease expired were kept until its machine started a new one, so without end for machines that are gone. A worker that stays silent asked for a round of placement with each answer that it did not give, since; only its first answer does now. Both found by reading; neither changes what is placed.

--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -322,7 +322,8 @@
     const auto leaves = this->releasing && (!slot.listed || slot.entry.leaving);
     if ((slot.silent || unheard || leaves) && !slot.runs.empty()) {
       silent.emplace(id, slot.LeaseOverBy());
-      // No lease is granted before a release is known to have failed.
+      // Those that are told only for a release are marked once the row is
+      // written: no lease is granted before the outcome is known.
       slot.silentInOwnerRow = slot.silentInOwnerRow || slot.silent;
     }
   }
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -562,7 +562,16 @@
                          std::uint64_t aNumber,
                          const DelegatedTasks& aTasks) -> DelegationReport;
 
-  // Runs and workers (cellruns.cpp).
+  // Workers (cellworkers.cpp).
+  auto OnWorkerRestart(Time aNow, WorkerSlot& aSlot, std::int64_t aBornUnixMs)
+    -> void;
+  auto RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void;
+  // The longest lease that the worker may have when it first answers.
+  auto InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis;
+  auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
+  auto ExpireLeases(Time aNow) -> void;
+
+  // Runs (cellruns.cpp).
   auto OnStartAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
     -> void;
   auto OnStopAnswer(Time aNow, const RunRef& aRef, const WorkerAnswer& aAnswer)
@@ -594,18 +603,11 @@
                      WorkerSlot& aSlot,
                      const std::set<RunRef>& aSeen,
                      std::int64_t aClockMs) -> void;
-  auto OnWorkerRestart(Time aNow, WorkerSlot& aSlot, std::int64_t aBornUnixMs)
-    -> void;
   // Removes a run that certainly does not exist any more; its task may start
   // again. aWhy goes to the log.
   auto DropRun(Time aNow, const RunRef& aRef, const char* aWhy) -> void;
   auto RemoveRun(Time aNow, const TaskContext& aContext, const RunRef& aRef)
     -> void;
-  auto ExpireLeases(Time aNow) -> void;
-  auto RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void;
-  // The longest lease that the worker may have when it first answers.
-  auto InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis;
-  auto SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void;
 
   // Tasks that crash workers (cellcrash.cpp).
   // Drops the runs of a worker that certainly runs them no more, and counts it
@@ -620,8 +622,8 @@
   auto FindSuspects(const WorkerId& aWorker, const std::vector<LostRun>& aLost)
     -> std::vector<Suspect>;
   auto CountLosses(Time aNow, const std::vector<Suspect>& aSuspects) -> void;
-  // The worker has answered. What was lost with the one before it on its
-  // machine was lost by a crash; what was lost because it was silent was not.
+  // The worker has answered. If it is a later one of its machine, the one
+  // before has crashed; if it is the one that was silent, no worker has.
   auto SettleLosses(Time aNow, const WorkerSlot& aSlot) -> void;
   // The run has lasted until aNow.
   auto ClearSuspicion(Time aNow, const TaskContext& aContext, const Run& aRun)
@@ -631,6 +633,10 @@
   auto Isolate(PlacementRound& aRound, WorkerSlot& aSlot, const RunRef& aRun)
     -> void;
 
+  // Which jobs will end in time (cellprospects.cpp).
+  auto UpdateProspects(Time aNow) -> void;
+  auto UpdateGroupProspects(Time aNow, bool aFillsIdle) -> std::int64_t;
+
   // Placement (cellplace.cpp).
   auto PlanStarts(Time aNow) -> void;
   auto ReadySteps(Time aNow) -> std::vector<ReadyStep>;
@@ -640,8 +646,6 @@
                 std::uint32_t aStep) const -> ReadyStep;
   auto PlanStep(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
     -> void;
-  auto UpdateProspects(Time aNow) -> void;
-  auto UpdateGroupProspects(Time aNow, bool aFillsIdle) -> std::int64_t;
   auto NewPlacementRound(Time aNow) -> PlacementRound;
   auto ImagePairOf(PlacementRound& aRound, ImageId aServing, ImageId aFilling)
     -> ImagePairState&;
@@ -802,6 +806,7 @@
   // Those of them that belong to this cell and have occurrences.
   std::set<JobId> timedJobs;
   std::map<WorkerId, WorkerSlot> workers;
+  // The last one of each machine.
   std::map<MachineId, UnsettledLoss> unsettledLosses;
   std::map<std::string, PeerRoom> peers;
   std::uint64_t lastDelegation = 0;
--- a/cells/src/cellcrash.cpp
+++ b/cells/src/cellcrash.cpp
@@ -38,6 +38,9 @@
   }
   std::erase_if(suspects,
                 [](const Suspect& aSuspect) { return !aSuspect.recent; });
+  std::erase_if(this->unsettledLosses, [aNow](const auto& aItem) {
+    return aNow >= aItem.second.at + kUnsettledLossMaxAge;
+  });
   if (!suspects.empty() && !aSlot.entry.machine.Empty()) {
     this->unsettledLosses[aSlot.entry.machine] = { aNow,
                                                    aSlot.entry.startUnixMs,
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -19,75 +19,6 @@
 
 } // namespace
 
-auto
-Cell::OnWorkers(Time aNow, const WorkerTable& aWorkers) -> void
-{
-  for (auto& [id, slot] : this->workers) {
-    slot.listed = slot.listed && aWorkers.contains(id);
-    slot.superseded = false;
-  }
-  for (const auto& [id, entry] : aWorkers) {
-    auto [item, added] = this->workers.try_emplace(id);
-    auto& slot = item->second;
-    const auto previousStart = slot.entry.startUnixMs;
-    const auto hasPreviousStart = !added && previousStart != 0;
-    if (added || slot.entry.address.empty()) {
-      slot.nextRenewalAt = aNow;
-    }
-    if (!added && (slot.entry.leaving != entry.leaving ||
-                   slot.entry.capacity != entry.capacity)) {
-      this->planNeeded = true;
-    }
-    slot.entry = entry;
-    if (hasPreviousStart) {
-      slot.entry.startUnixMs = previousStart;
-    }
-    if (hasPreviousStart && entry.startUnixMs > previousStart) {
-      this->OnWorkerRestart(aNow, slot, entry.startUnixMs);
-    }
-    slot.listed = true;
-    if (slot.reconciled) {
-      this->RetireEarlierWorkers(aNow, slot);
-    }
-    if (!slot.clockSample && entry.startUnixMs == slot.entry.startUnixMs) {
-      slot.clockSample = ClockSample{ entry.clockMs, aNow };
-    }
-    if (this->config) {
-      const auto service = this->config->services.find(entry.service);
-      slot.enforcesCapacity = service == this->config->services.end() ||
-                              service->second.enforcesCapacity;
-    }
-    this->planNeeded = this->planNeeded || added;
-  }
-}
-
-// A machine runs one worker at a time: once a later one is listed and has
-// answered, the runs of the earlier ones no longer exist. The entry alone
-// proves nothing: anybody can write one.
-auto
-Cell::RetireEarlierWorkers(Time aNow, const WorkerSlot& aSlot) -> void
-{
-  if (aSlot.entry.machine.Empty()) {
-    return;
-  }
-  for (auto& [id, other] : this->workers) {
-    if (&other == &aSlot || other.entry.machine != aSlot.entry.machine ||
-        other.entry.startUnixMs >= aSlot.entry.startUnixMs) {
-      continue;
-    }
-    other.superseded = true;
-    if (other.runs.empty()) {
-      continue;
-    }
-    this->log.Write("machine_lives_anew",
-                    { { "machine", aSlot.entry.machine.text },
-                      { "worker", id.text },
-                      { "now", aSlot.entry.id.text },
-                      { "runs", std::to_string(other.runs.size()) } });
-    this->OnWorkerLost(aNow, other, true, "its machine started a new worker");
-  }
-}
-
 auto
 Cell::OnWorkerAnswer(Time aNow, const WorkerAnswer& aAnswer) -> void
 {
@@ -127,11 +58,12 @@
       break;
     case CallKind::Renew:
       slot.pendingRenewals.erase(aAnswer.number);
-      this->planNeeded = this->planNeeded || slot.silent;
-      slot.silent = aAnswer.outcome != CallOutcome::Done;
       if (aAnswer.outcome == CallOutcome::Done) {
+        this->planNeeded = this->planNeeded || slot.silent;
+        slot.silent = false;
         this->OnReport(aNow, slot, aAnswer);
       } else {
+        slot.silent = true;
         slot.nextRenewalAt =
           std::max(slot.nextRenewalAt, aNow + kRenewRetryDelay);
       }
@@ -509,53 +441,6 @@
   }
 }
 
-auto
-Cell::OnWorkerRestart(Time aNow, WorkerSlot& aSlot, std::int64_t aBornUnixMs)
-  -> void
-{
-  this->log.Write("worker_new_life",
-                  { { "worker", aSlot.entry.id.text },
-                    { "born", std::to_string(aBornUnixMs) },
-                    { "before", std::to_string(aSlot.entry.startUnixMs) },
-                    { "runs", std::to_string(aSlot.runs.size()) } });
-  this->OnWorkerLost(aNow, aSlot, true, "worker was restarted");
-  aSlot.silent = false;
-  aSlot.entry.startUnixMs = aBornUnixMs;
-  aSlot.orphanRuns.clear();
-  aSlot.lastSeenEnd = 0;
-  aSlot.unrecordedEnds.clear();
-  aSlot.clockSample.reset();
-  aSlot.leaseEndMs.reset();
-  aSlot.inheritedLeaseEndMs = 0;
-  aSlot.restarted = true;
-  aSlot.fallbackLeaseEnd =
-    aNow + WithWorkerDrift(this->options.maxLease + kClockMargin);
-  aSlot.lastReportClockMs = 0;
-  aSlot.reconciled = false;
-  aSlot.nextRenewalAt = aNow;
-}
-
-auto
-Cell::InheritedLease(Time aNow, const WorkerSlot& aSlot) const -> Millis
-{
-  if (aSlot.restarted) {
-    // The lease in a renewal is on the clock of the earlier process; the new
-    // one limits it by the longest that it accepts.
-    return std::max(this->options.maxLease, this->previousLease);
-  }
-  // An earlier owner may have granted a lease just before; the worker refuses
-  // its calls from now on.
-  return aNow > std::max(this->previousLeasesOverBy, aSlot.fallbackLeaseEnd)
-           ? Millis{ 0 }
-           : this->previousLease;
-}
-
-auto
-Cell::SetWorkerStart(WorkerSlot& aSlot, std::int64_t aBornUnixMs) -> void
-{
-  aSlot.entry.startUnixMs = aBornUnixMs;
-}
-
 auto
 Cell::DropRun(Time aNow, const RunRef& aRef, const char* aWhy) -> void
 {
@@ -604,32 +489,4 @@
   aContext.step->Reopen(aRef.task.index);
 }
 
-auto
-Cell::ExpireLeases(Time aNow) -> void
-{
-  for (auto item = this->workers.begin(); item != this->workers.end();) {
-    auto& slot = item->second;
-    const auto silent = !slot.listed || slot.silent || !slot.reconciled;
-    if (silent && !slot.runs.empty() && aNow > slot.LeaseOverBy()) {
-      const auto unheardSince = std::max(slot.lastAnswerAt, this->takeoverAt);
-      this->log.Write(
-        "worker_lapsed",
-        { { "worker", slot.entry.id.text },
-          { "listed", slot.listed ? "yes" : "no" },
-          { "lease", slot.LeaseBasis() },
-          { "unheard_ms",
-            std::to_string(ToMillis(aNow - unheardSince).count()) },
-          { "runs", std::to_string(slot.runs.size()) } });
-      this->OnWorkerLost(aNow, slot, false, "lease expired");
-    }
-    // Until its lease is over, it counts if the worker is listed again.
-    if (!slot.listed && slot.runs.empty() && slot.pendingRenewals.empty() &&
-        aNow > slot.LeaseOverBy()) {
-      item = this->workers.erase(item);
-    } else {
-      ++item;
-    }
-  }
-}
-
 } // namespace gooseberry::cells
