Delegation tests: the second report names the tasks of its own delegation

losses_come_back_from_the_host read the index of a second task from a delegation that has one task by then. The address sanitizer stopped the test there, which failed scripts/test; without the sanitizer the report named whatever lay behind the row.

The report now lists the tasks of the delegation that it answers. What is expected is unchanged. Ruled out: a fault of the cell; the row that is read is the test's own.

The test still fails if the count of the host is not taken, and if it replaces a higher one.

--- a/cells/tests/delegation_test.cpp
+++ b/cells/tests/delegation_test.cpp
@@ -397,10 +397,15 @@
   const auto index = cell.delegation.tasks[0].index;
   const auto returnWith = [&](std::uint32_t aLosses) {
     auto report = DelegationReport{ cell.delegation.number, cell.job, true };
-    report.tasks = {
-      { index, DelegatedTaskState::Returned, 1, 4, "c", {}, aLosses },
-      { cell.delegation.tasks[1].index }
-    };
+    for (const auto& task : cell.delegation.tasks) {
+      report.tasks.push_back({ task.index });
+    }
+    auto& returned = report.tasks.at(0);
+    returned.state = DelegatedTaskState::Returned;
+    returned.failures = 1;
+    returned.lastRunNumber = 4;
+    returned.checkpoint = "c";
+    returned.losses = aLosses;
     cell.harness.cell.OnDelegationReport(cell.harness.now, kHostCell, report);
   };
   const auto lossesAtHome = [&] {
