Event loop tests: the release of a timer is due before the timer

released_timer_does_not_fire failed once in 60 runs with the sanitizers beside load. The timer of 5 ms was started before the one of 1 ms that releases it, so a thread that was held up for 4 ms between the two calls made the timer due first, and then it may fire.

The release is started first now and so is due first whatever happens between. The loop also runs a second time after both have expired: that covers a timer whose completion is queued, which the old test could not tell apart. Without the check of the handle the old test passed and this one fails; with a wait that keeps the timer it fails too. Ruled out: a fault of the loop.

--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -299,13 +299,20 @@
   cr_expect_lt(turns, 100);
 }
 
+// The release is due before the timer, so it comes first at any speed; after
+// the delay both have expired before the loop takes either.
 Test(loop, released_timer_does_not_fire)
 {
-  auto loop = EventLoop{};
-  auto fired = 0;
-  auto timer = loop.After(Millis{ 5 }, [&] { ++fired; });
-  auto releaseTimer = loop.After(Millis{ 1 }, [&] { timer.reset(); });
-  auto stopTimer = loop.After(Millis{ 20 }, [&] { loop.Stop(); });
-  loop.Run();
-  cr_expect_eq(fired, 0);
+  for (const auto delay : { Millis{ 0 }, Millis{ 10 } }) {
+    auto loop = EventLoop{};
+    auto fired = 0;
+    auto timer = TimerHandle{};
+    auto releaseTimer = loop.After(Millis{ 1 }, [&] { timer.reset(); });
+    timer = loop.After(Millis{ 5 }, [&] { ++fired; });
+    auto stopTimer = loop.After(Millis{ 20 }, [&] { loop.Stop(); });
+    std::this_thread::sleep_for(delay);
+    loop.Run();
+    cr_expect_eq(fired, 0);
+    cr_expect_null(timer.get());
+  }
 }
