--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -303,8 +303,9 @@
   cr_expect_lt(turns, 100);
 }
 
-// The release is due before the timer, so it comes first at any speed; after
-// the delay both have expired before the loop takes either.
+// The release expires before the timer, however late the loop is. With the
+// longer delay both have expired when the loop starts, so the completion of the
+// timer is already queued when the timer is released.
 Test(loop, released_timer_does_not_fire)
 {
   for (const auto delay : { Millis{ 0 }, Millis{ 10 } }) {
