--- a/review/tests/trial.cpp
+++ b/review/tests/trial.cpp
@@ -23,6 +23,7 @@
 #include <boost/asio/write.hpp>
 #include <nlohmann/json.hpp>
 
+#include "../../standins/src/storeserver.h"
 #include "callermessages.h"
 #include "eventloop.h"
 #include "hostport.h"
@@ -34,7 +35,6 @@
 #include "recorder.h"
 #include "rowtable.h"
 #include "siterows.h"
-#include "../../standins/src/storeserver.h"
 
 namespace gooseberry::review {
 
