review: orders that were never carried out count against a lasting job

An order to start that a dark worker never carried out counts as a loss as well, so one lost run is enough.

Change: review/5 loses power on one worker of eight three times: once under the task, twice as the order to start it arrives. review/tests has machines without power.

--- a/review/tests/trial.cpp
+++ b/review/tests/trial.cpp
@@ -63,8 +63,8 @@
 constexpr std::int64_t kMemoryMb = 256000;
 constexpr Millis kHeartbeat{ 1500 };
 constexpr Millis kRegistersAfter{ 400 };
-// In the case of crashing workers.
-constexpr int kCrashes = 2;
+// Workers that lose power in the case of the lasting job.
+constexpr int kLosses = 3;
 constexpr Millis kStopTakes{ 300 };
 constexpr Millis kCheckpointEvery{ 1000 };
 constexpr Millis kTick{ 10 };
@@ -121,6 +121,8 @@
   {
     const auto here =
       tcp::endpoint{ boost::asio::ip::address_v4::loopback(), this->port };
+    this->Crash();
+    this->dark = std::make_shared<bool>(false);
     this->acceptor = tcp::acceptor{ this->context };
     this->acceptor.open(here.protocol());
     this->acceptor.set_option(tcp::acceptor::reuse_address{ true });
@@ -130,6 +132,9 @@
     this->Accept();
   }
 
+  // The machine lost power: nothing passes, and no connection is reset.
+  auto GoDark() -> void { *this->dark = true; }
+
   // Nobody listens any more, and all connections are reset.
   auto Crash() -> void
   {
@@ -142,6 +147,7 @@
         link->far.close(ignored);
       }
     }
+    this->unanswered.clear();
   }
 
 private:
@@ -149,8 +155,9 @@
 
   struct Link : std::enable_shared_from_this<Link>
   {
-    explicit Link(boost::asio::io_context& aContext)
-      : near(aContext)
+    Link(boost::asio::io_context& aContext, std::shared_ptr<bool> aDark)
+      : dark(std::move(aDark))
+      , near(aContext)
       , far(aContext)
       , up(kBytes)
       , down(kBytes)
@@ -164,6 +171,9 @@
         boost::asio::buffer(aBytes),
         [self = this->shared_from_this(), &aFrom, &aTo, &aBytes](
           const boost::system::error_code& aError, std::size_t aSize) {
+          if (*self->dark) {
+            return;
+          }
           if (aError) {
             self->End();
             return;
@@ -189,6 +199,7 @@
       this->far.close(ignored);
     }
 
+    const std::shared_ptr<bool> dark;
     tcp::socket near;
     tcp::socket far;
     std::vector<char> up;
@@ -197,7 +208,7 @@
 
   auto Accept() -> void
   {
-    const auto link = std::make_shared<Link>(this->context);
+    const auto link = std::make_shared<Link>(this->context, this->dark);
     this->acceptor.async_accept(
       link->near,
       [self = this->shared_from_this(),
@@ -208,6 +219,11 @@
         auto ignored = boost::system::error_code{};
         link->near.set_option(tcp::no_delay{ true }, ignored);
         self->links.push_back(link);
+        if (*link->dark) {
+          self->unanswered.push_back(link);
+          self->Accept();
+          return;
+        }
         link->far.async_connect(
           self->target, [link](const boost::system::error_code& aFault) {
             if (aFault) {
@@ -228,6 +244,9 @@
   tcp::acceptor acceptor;
   std::uint16_t port = 0;
   std::list<std::weak_ptr<Link>> links;
+  // Connections to a machine without power.
+  std::list<std::shared_ptr<Link>> unanswered;
+  std::shared_ptr<bool> dark = std::make_shared<bool>(false);
 };
 
 // A worker's process as the platform lets schedulers reach it.
@@ -257,6 +276,11 @@
     this->worker = std::move(aWorker);
     this->ends = 0;
   }
+  // Called with each order to start, before it is carried out; true: it is not.
+  auto SetOnOrder(std::function<bool(const TaskName&)> aOnOrder) -> void
+  {
+    this->onOrder = std::move(aOnOrder);
+  }
   // An end was added to the worker's list.
   auto CountEnd() -> void { ++this->ends; }
 
@@ -322,6 +346,11 @@
       named.empty() ? this->worker->Entry(now).id : WorkerId{ named };
     // Ends that this life has not listed yet can't be forgotten.
     call.lastRecordedEnd = std::min(call.lastRecordedEnd, this->ends);
+    if (call.kind == CallKind::Start && this->onOrder &&
+        this->onOrder(call.task)) {
+      // The machine loses power before it carries the order out.
+      return;
+    }
     const auto answer =
       this->worker->Handle(now, call, call.maxWait.count() > 0);
     if (answer) {
@@ -426,6 +455,7 @@
   EventLoop& loop;
   std::shared_ptr<HttpServer> server;
   std::unique_ptr<fakes::JobWorker> worker;
+  std::function<bool(const TaskName&)> onOrder;
   // Ends of this life so far.
   std::uint64_t ends = 0;
   std::list<Waiting> waiting;
@@ -1174,11 +1204,12 @@
   }
 
   // A lasting job with one task on each of six workers. The worker of its first
-  // task crashes 0.5 s after the task was started there, twice; another worker
-  // comes on its machine a second later.
+  // task loses power 0.5 s after the task was started there. Two further
+  // workers lose power as the order to start that task arrives, so that it
+  // never runs there. Another worker comes on each machine a second later.
   auto PlanCrash() -> void
   {
-    constexpr Millis kUntil{ 30000 };
+    constexpr Millis kUntil{ 40000 };
     constexpr Millis kRunsBefore{ 500 };
     constexpr Millis kStartup{ 500 };
     constexpr std::uint32_t kTasks = 6;
@@ -1191,32 +1222,41 @@
       spec.steps.front().maxPerWorker = 1;
       this->Submit(spec, kStartup);
     });
-    if (this->options.trouble) {
-      this->onStart = [this, kRunsBefore](const TaskName& aTask,
-                                          const WorkerId& aWorker) {
-        if (aTask.index == 0 && this->crashes < kCrashes) {
-          ++this->crashes;
-          this->After(kRunsBefore,
-                      [this, aWorker] { this->CrashById(aWorker); });
-        }
-      };
+    for (auto machine = 0; machine < kMachines && this->options.trouble;
+         ++machine) {
+      this->machines.at(static_cast<std::size_t>(machine))
+        ->server->SetOnOrder(
+          [this, machine, kRunsBefore](const TaskName& aTask) {
+            if (aTask.index != 0 || this->losses == kLosses) {
+              return false;
+            }
+            ++this->losses;
+            if (this->losses == 1) {
+              this->After(kRunsBefore,
+                          [this, machine] { this->LosePower(machine); });
+              return false;
+            }
+            this->Note("an order to start " + ToText(aTask) +
+                       " is not carried out");
+            this->LosePower(machine);
+            return true;
+          });
     }
     this->AskStates();
     this->After(kUntil, [this] { this->JudgeRest(); });
   }
 
-  auto CrashById(const WorkerId& aWorker) -> void
+  auto LosePower(int aMachine) -> void
   {
-    for (auto machine = 0; machine < kMachines; ++machine) {
-      const auto& found = *this->machines.at(static_cast<std::size_t>(machine));
-      if (found.up && found.entry.id == aWorker) {
-        this->RemoveEntryLater(aWorker);
-        this->CrashWorker(machine);
-        constexpr Millis kDown{ 1000 };
-        this->After(kDown,
-                    [this, machine] { this->StartWorker(machine, true); });
-      }
-    }
+    auto& machine = *this->machines.at(static_cast<std::size_t>(aMachine));
+    this->Note("worker " + machine.entry.id.text + " loses power");
+    this->RemoveEntryLater(machine.entry.id);
+    machine.up = false;
+    machine.gate->GoDark();
+    // Not at once: the worker handles an order.
+    this->After(Millis{ 0 }, [&machine] { machine.server->Die(); });
+    constexpr Millis kDown{ 1000 };
+    this->After(kDown, [this, aMachine] { this->StartWorker(aMachine, true); });
   }
 
   // A timed job on a full site: large jobs hold all workers but for the room
@@ -1299,7 +1339,7 @@
   bool stopped = false;
   std::vector<std::string> broken;
   std::function<void(const TaskName&, const WorkerId&)> onStart;
-  int crashes = 0;
+  int losses = 0;
   std::list<TimerHandle> timers;
 };
 
