Log: why the owner gave a run up that it finds again

run_forgotten is written for all jobs now if the run may have begun; that is as rare as lost runs are. orphan_found tells why and how long ago the run was given up, and how many runs the owner knows of the task. A refused start counts as never begun.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -632,6 +632,9 @@
                    WorkerSlot& aSlot,
                    const RunReport& aReport,
                    std::set<RunRef>& aSeen) -> void;
+  // aRef: a run that the worker lists and the cell does not know.
+  auto LogOrphan(Time aNow, const WorkerSlot& aSlot, const RunRef& aRef)
+    -> void;
   auto OnEndReport(Time aNow, WorkerSlot& aSlot, const EndReport& aEnd) -> void;
   // Updates the health of the run's worker and the figures of its step by how
   // the run ended (cellhealth.cpp).
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -165,6 +165,7 @@
       if (aAnswer.outcome == CallOutcome::InvalidTicket) {
         this->OnTicketRefused(aRef.task, slot);
       }
+      run->neverBegan = true;
       this->DropRun(aNow, aRef, ToText(aAnswer.outcome));
       return;
   }
@@ -287,10 +288,7 @@
   if (run == nullptr || run->worker != &aSlot) {
     if (aSlot.orphanRuns.insert(ref).second) {
       this->CountEvent(CellEvent::OrphanRun);
-      this->log.Write("orphan_found",
-                      { { "task", ToText(ref.task) },
-                        { "run", std::to_string(ref.run) },
-                        { "worker", aSlot.entry.id.text } });
+      this->LogOrphan(aNow, aSlot, ref);
     }
     this->SendStop(aNow, aSlot, ref);
     return;
@@ -339,6 +337,29 @@
   }
 }
 
+auto
+Cell::LogOrphan(Time aNow, const WorkerSlot& aSlot, const RunRef& aRef) -> void
+{
+  auto why = std::string{};
+  auto forgottenMs = std::string{};
+  auto runs = std::string{};
+  if (const auto* const task = this->FindTask(aRef.task).task) {
+    runs = std::to_string(task->runs.size());
+    if (task->forgotten && task->forgotten->number == aRef.run) {
+      why = task->forgotten->why;
+      forgottenMs =
+        std::to_string(ToMillis(aNow - task->forgotten->at).count());
+    }
+  }
+  this->log.Write("orphan_found",
+                  { { "task", ToText(aRef.task) },
+                    { "run", std::to_string(aRef.run) },
+                    { "worker", aSlot.entry.id.text },
+                    { "why", why },
+                    { "forgotten_ms", forgottenMs },
+                    { "runs", runs } });
+}
+
 auto
 Cell::OnEndReport(Time aNow, WorkerSlot& aSlot, const EndReport& aEnd) -> void
 {
@@ -511,7 +532,9 @@
   if (run == nullptr) {
     return;
   }
-  if (this->log.IsSampled(aRef.task.job)) {
+  const auto mayHaveStarted =
+    run->phase != RunPhase::Planned && !run->neverBegan;
+  if (mayHaveStarted || this->log.IsSampled(aRef.task.job)) {
     this->log.Write("run_forgotten",
                     { { "task", ToText(aRef.task) },
                       { "run", std::to_string(aRef.run) },
@@ -519,6 +542,9 @@
                       { "phase", ToText(run->phase) },
                       { "why", aWhy } });
   }
+  if (mayHaveStarted) {
+    context.task->forgotten = ForgottenRun{ aRef.run, aWhy, aNow };
+  }
   if (run->phase == RunPhase::Running || run->phase == RunPhase::Inherited) {
     this->CountEvent(CellEvent::RunLost);
   }
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -118,7 +118,7 @@
   Time speedSetAt{};
   // An earlier owner started it.
   bool inherited = false;
-  // The worker refused the start, since it had been restarted.
+  // The worker refused the start.
   bool neverBegan = false;
   // The last speed order got no answer, so the actual limit is unknown.
   bool speedUncertain = false;
@@ -141,6 +141,14 @@
 auto
 ThrottledTimeOf(const Run& aRun, Time aNow) -> Micros;
 
+// A run that was dropped although no report told its end.
+struct ForgottenRun
+{
+  std::uint32_t number = 0;
+  const char* why = "";
+  Time at{};
+};
+
 struct Task
 {
   TaskPhase phase = TaskPhase::Open;
@@ -155,6 +163,9 @@
   std::string checkpoint;
   // Runs that may exist on some worker.
   std::vector<Run> runs;
+  // The last one of the others that an order to start was sent for; for the
+  // log.
+  std::optional<ForgottenRun> forgotten;
   // The task is not started before this time.
   Time earliestStart{};
   // How often the task was moved off a slow worker.
--- a/cells/tests/cellharness.h
+++ b/cells/tests/cellharness.h
@@ -4,16 +4,54 @@
 // Drives one cell under manual control: the test advances the time, answers
 // calls for the workers and completes writes to the store.
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
 
+#include <criterion/criterion.h>
+
 #include "cell.h"
 
 namespace gooseberry::cells::test {
 
 inline constexpr const char* kServiceName = "pool";
 
+// Keeps the lines that are written whatever the share of jobs.
+class RecordedLog : public DecisionLog
+{
+public:
+  struct Line
+  {
+    std::string event;
+    std::map<std::string, std::string> fields;
+  };
+
+  auto IsSampled(const JobId& /*aJob*/) const -> bool override { return false; }
+  auto Write(const char* aEvent, std::initializer_list<DecisionField> aFields)
+    -> void override
+  {
+    auto line = Line{ aEvent, {} };
+    for (const auto& field : aFields) {
+      line.fields[field.key] = field.value;
+    }
+    this->lines.push_back(std::move(line));
+  }
+  // The last line of this event; fails the test if there is none.
+  auto Last(const std::string& aEvent) const -> Line
+  {
+    const auto found =
+      std::find_if(this->lines.rbegin(),
+                   this->lines.rend(),
+                   [&](const Line& aLine) { return aLine.event == aEvent; });
+    cr_assert(found != this->lines.rend(), "no %s", aEvent.c_str());
+    return *found;
+  }
+
+private:
+  std::vector<Line> lines;
+};
+
 class CellHarness
 {
 public:
@@ -177,7 +215,7 @@
     return aTakeover;
   }
 
-  NullDecisionLog log;
+  RecordedLog log;
   Time now{ Micros{ 1'000'000'000 } };
   WorkerTable table;
   std::map<WorkerId, std::int64_t> workerStarts;
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -62,6 +62,24 @@
     AnswerFor(this->harness, this->start.worker, aRunning);
   }
 
+  // Lets time pass until the worker with the task is asked for a report; the
+  // other one answers with an empty one.
+  auto NextRenewal() -> WorkerCall
+  {
+    for (auto round = 0; round < 100; ++round) {
+      this->harness.Advance(Millis{ 100 });
+      this->harness.Tick();
+      for (const auto& call : this->harness.TakeCallsOfKind(CallKind::Renew)) {
+        if (call.worker == this->start.worker) {
+          return call;
+        }
+        this->harness.Report(call, {}, {});
+      }
+    }
+    cr_assert_fail("no renewal");
+    return {};
+  }
+
   static auto AnswerFor(CellHarness& aHarness,
                         const WorkerId& aWorker,
                         const std::vector<RunReport>& aRunning) -> void
@@ -290,34 +308,41 @@
 {
   auto started = StartedTask{};
   auto& harness = started.harness;
-  const auto nextRenewal = [&] {
-    for (auto round = 0; round < 100; ++round) {
-      harness.Advance(Millis{ 100 });
-      harness.Tick();
-      for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
-        if (call.worker == started.start.worker) {
-          return call;
-        }
-        harness.Report(call, {}, {});
-      }
-    }
-    cr_assert_fail("no renewal");
-    return WorkerCall{};
-  };
-  harness.Report(
-    nextRenewal(), {}, { EndReportOf(started.start, 1, RunOutcome::Done) });
+  harness.Report(started.NextRenewal(),
+                 {},
+                 { EndReportOf(started.start, 1, RunOutcome::Done) });
   harness.RecordAll();
-  auto acknowledgement = nextRenewal();
+  auto acknowledgement = started.NextRenewal();
   cr_expect_eq(acknowledgement.lastRecordedEnd, 1);
   // A worker that did not answer may be restarted by the next call.
   harness.Answer(acknowledgement, CallOutcome::Unanswered);
-  auto probe = nextRenewal();
+  auto probe = started.NextRenewal();
   cr_expect_eq(probe.lastRecordedEnd, 0);
   harness.Report(probe, {}, {});
-  acknowledgement = nextRenewal();
+  acknowledgement = started.NextRenewal();
   cr_expect_eq(acknowledgement.lastRecordedEnd, 1);
   harness.Report(acknowledgement, {}, {});
-  cr_expect_eq(nextRenewal().lastRecordedEnd, 0);
+  cr_expect_eq(started.NextRenewal().lastRecordedEnd, 0);
+}
+
+Test(cell, a_run_that_is_found_again_tells_why_it_was_given_up)
+{
+  auto started = StartedTask{};
+  auto& harness = started.harness;
+  auto renewal = WorkerCall{};
+  for (auto second = 0; second < 12; ++second) {
+    renewal = started.NextRenewal();
+    harness.Answer(renewal, CallOutcome::Unanswered);
+    harness.Advance(Millis{ 1000 });
+    harness.Tick();
+  }
+  const auto forgotten = harness.log.Last("run_forgotten");
+  cr_expect_eq(forgotten.fields.at("task"), ToText(started.start.task));
+  harness.Report(started.NextRenewal(), { RunReportOf(started.start) }, {});
+  const auto orphan = harness.log.Last("orphan_found");
+  cr_expect_eq(orphan.fields.at("task"), ToText(started.start.task));
+  cr_expect_eq(orphan.fields.at("why"), std::string{ "lease expired" });
+  cr_expect_neq(orphan.fields.at("forgotten_ms"), std::string{});
 }
 
 Test(cell, a_machines_new_worker_ends_the_runs_of_its_earlier_one)
