Soak: sites, chosen faults again and again, workers restarted under their id

Cause: the soak had no worker that comes back under its id with a new process, no reset connections and no throttled instances, and knew one small site.

The judge also counts a start between an end as done and the note of that end, and prints the events of broken tasks.

A process that a test starts does not inherit the test's sockets any more: a worker's port stayed open in the instances after the worker had closed it.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -1137,20 +1137,36 @@
 }
 
 auto
-FleetWorld::RestartWorker(int aWorker, Millis aListedAfter) -> void
+FleetWorld::RestartWorker(int aWorker, Millis aDown, Millis aListedAfter)
+  -> void
 {
   auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  if (!box.alive) {
+    return;
+  }
+  box.alive = false;
   box.worker->Die(this->queue.Now());
   for (const auto& call : std::exchange(box.waiting, {})) {
     this->LoseAnswer(call);
   }
-  this->StartWorkerProcess(box);
-  this->queue.After(aListedAfter, [this, aWorker, life = box.life] {
-    const auto& later = *this->workers.at(static_cast<std::size_t>(aWorker));
-    if (later.alive && later.life == life) {
-      this->ListWorker(aWorker, true);
+  const auto start = [this, aWorker, aListedAfter, life = box.life] {
+    auto& later = *this->workers.at(static_cast<std::size_t>(aWorker));
+    if (later.life != life) {
+      return;
     }
-  });
+    this->StartWorkerProcess(later);
+    this->queue.After(aListedAfter, [this, aWorker, life] {
+      const auto& listed = *this->workers.at(static_cast<std::size_t>(aWorker));
+      if (listed.alive && listed.life == life) {
+        this->ListWorker(aWorker, true);
+      }
+    });
+  };
+  if (aDown > Millis{ 0 }) {
+    this->queue.After(aDown, start);
+  } else {
+    start();
+  }
 }
 
 auto
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -130,9 +130,8 @@
   auto RejectRecordsOf(const cells::JobId& aJob) -> void;
   // Transactions that the store rejected, for that or beyond its limits.
   auto RejectedCommits() const -> std::size_t;
-  // Replaces the worker's process by one with its id and address, which writes
-  // its entry so much later.
-  auto RestartWorker(int aWorker, Millis aListedAfter) -> void;
+  auto RestartWorker(int aWorker, Millis aDown, Millis aListedAfter)
+    -> void override;
   auto CutWorker(int aWorker, bool aCut) -> void override;
   auto FailWorker(int aWorker, bool aFails) -> void override;
   auto SlowWorker(int aWorker, double aTimes) -> void override;
--- a/bench/tests/restart_test.cpp
+++ b/bench/tests/restart_test.cpp
@@ -49,7 +49,7 @@
 RestartWorkers(FleetWorld& aWorld) -> void
 {
   for (auto round = 0; round < 32; ++round) {
-    aWorld.RestartWorker(round % aWorld.Workers(), 400ms);
+    aWorld.RestartWorker(round % aWorld.Workers(), 0ms, 400ms);
     SubmitShortJobs(aWorld, 8);
   }
   aWorld.RunFor(20s);
@@ -75,7 +75,7 @@
   for (auto seed = std::uint64_t{ 1 }; seed <= kSeeds; ++seed) {
     const auto world = World(seed);
     for (auto round = 0; round < 8; ++round) {
-      world->RestartWorker(round, 900ms);
+      world->RestartWorker(round, 0ms, 900ms);
       world->Submit({ "payload", { { 24, { 2000, 1000, 0 }, 5s } } }, { 5s });
       world->RunFor(40ms);
       const auto owner = world->Owner();
--- a/eventio/src/httpserver.cpp
+++ b/eventio/src/httpserver.cpp
@@ -72,6 +72,8 @@
     }
   }
 
+  auto Abort() -> void { this->Close(); }
+
   auto Send(int aStatus, std::string aBody, const HttpFields& aFields) -> void
   {
     const auto owner = this->server.lock();
@@ -407,6 +409,15 @@
   }
 }
 
+auto
+HttpServer::CloseAll() -> void
+{
+  const auto openSessions = this->sessions;
+  for (const auto& session : openSessions) {
+    session->Abort();
+  }
+}
+
 auto
 HttpServer::StopListening() -> void
 {
--- a/eventio/src/httpserver.h
+++ b/eventio/src/httpserver.h
@@ -72,6 +72,8 @@
   auto Drain() -> void;
   // Closes the connections that wait for the first byte of a request.
   auto CloseIdle() -> void;
+  // Closes all connections; pending requests get no response.
+  auto CloseAll() -> void;
   auto StopListening() -> void;
   // Number of requests that were received and not answered yet.
   auto PendingRequests() const -> std::size_t;
--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -182,6 +182,26 @@
   unansweredExchanges.clear();
 }
 
+Test(http, close_all_ends_idle_and_pending_connections)
+{
+  auto unanswered = std::shared_ptr<HttpExchange>{};
+  HttpServer* server = nullptr;
+  auto pair = ClientServerPair{ [&](std::shared_ptr<HttpExchange> aExchange) {
+    if (aExchange->Request().target == "/unanswered") {
+      unanswered = std::move(aExchange);
+      server->CloseAll();
+    } else {
+      aExchange->Respond(kOk, "", {});
+    }
+  } };
+  server = pair.server.get();
+  cr_assert_eq(pair.Call({ "GET", "/", {}, "" }).status, kOk);
+  cr_expect_eq(pair.Call({ "GET", "/unanswered", {}, "" }).outcome,
+               HttpOutcome::Unknown);
+  cr_expect_eq(pair.server->ConnectionCount(), 0);
+  unanswered.reset();
+}
+
 Test(http, refused_connection_reports_not_sent)
 {
   auto loop = EventLoop{};
--- a/fakes/src/faultyfleet.h
+++ b/fakes/src/faultyfleet.h
@@ -63,6 +63,10 @@
   virtual auto Workers() const -> int = 0;
   virtual auto KillWorker(int aWorker, bool aComesBack, Millis aAfter)
     -> void = 0;
+  // Ends the worker's process and starts another after aDown, under the same id
+  // and at the same address, which writes its entry so much later.
+  virtual auto RestartWorker(int aWorker, Millis aDown, Millis aListedAfter)
+    -> void = 0;
   virtual auto CutWorker(int aWorker, bool aCut) -> void = 0;
   virtual auto FailWorker(int aWorker, bool aFails) -> void = 0;
   virtual auto SlowWorker(int aWorker, double aTimes) -> void = 0;
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -18,6 +18,47 @@
 {
   this->violations.push_back(std::to_string(SteadyMillis(aNow)) + " " + aRule +
                              " " + ToText(aTask));
+  this->brokenTasks.insert(aTask);
+}
+
+auto
+JobJudge::BreakDoubled(Time aNow,
+                       const std::string& aRule,
+                       const TaskName& aTask) -> void
+{
+  ++this->doubled;
+  this->Break(aNow, aRule, aTask);
+}
+
+auto
+JobJudge::Doubled() const -> std::size_t
+{
+  return this->doubled;
+}
+
+auto
+JobJudge::Timelines() const -> std::vector<std::string>
+{
+  auto lines = std::vector<std::string>{};
+  for (const auto& name : this->brokenTasks) {
+    const auto job = this->jobs.find(name.job);
+    if (job == this->jobs.end()) {
+      continue;
+    }
+    const auto task = job->second.tasks.find(name);
+    if (task == job->second.tasks.end()) {
+      continue;
+    }
+    for (const auto& event : task->second.events) {
+      lines.push_back(std::to_string(SteadyMillis(event.at)) + " " +
+                      ToText(name) + " run " + std::to_string(event.run) +
+                      " on " + event.worker.text + " " + event.what +
+                      (event.fencingToken == 0
+                         ? std::string{}
+                         : ", token " + std::to_string(event.fencingToken)));
+    }
+  }
+  return lines;
 }
 
 auto
@@ -149,11 +190,14 @@
   }
   const auto& step = steps[name.step];
   auto& task = aJob.tasks[name];
+  task.events.push_back(
+    { aEvent.at, "starts", aEvent.run, aEvent.worker, aEvent.fencingToken });
+  ++task.starts;
   if (!step.speculative && !task.live.empty()) {
-    this->Break(aEvent.at, "twice", name);
+    this->BreakDoubled(aEvent.at, "twice", name);
   }
   if (task.doneNoted && !step.speculative) {
-    this->Break(aEvent.at, "started after its noted end", name);
+    this->BreakDoubled(aEvent.at, "started after its noted end", name);
   }
   if (aEvent.run <= task.newestRun) {
     this->Break(aEvent.at, "run number did not grow", name);
@@ -222,6 +266,11 @@
 {
   auto& task = aJob.tasks[aEvent.task];
   task.live.erase({ aEvent.run, aEvent.worker });
+  task.events.push_back(
+    { aEvent.at, cells::ToText(aEvent.how), aEvent.run, aEvent.worker });
+  if (aEvent.how == RunOutcome::Done) {
+    task.unnoted[{ aEvent.run, aEvent.worker }] = task.starts;
+  }
   if (aEvent.how == RunOutcome::Done && !task.done) {
     task.done = true;
     ++aJob.done;
@@ -237,6 +286,16 @@
     return;
   }
   auto& task = aJob.tasks[aEvent.task];
+  task.events.push_back({ aEvent.at, "noted", aEvent.run, aEvent.worker });
+  const auto ended = task.unnoted.find({ aEvent.run, aEvent.worker });
+  if (ended != task.unnoted.end()) {
+    const auto& step = aJob.row.spec.steps.at(aEvent.task.step);
+    if (task.starts > ended->second && !step.speculative && !step.longRunning) {
+      this->BreakDoubled(
+        aEvent.at, "started after an end that was noted later", aEvent.task);
+    }
+    task.unnoted.erase(ended);
+  }
   task.doneNoted = task.doneNoted || aEvent.how == RunOutcome::Done;
   task.failedNoted += aEvent.how == RunOutcome::Failed ? 1 : 0;
 }
@@ -253,6 +312,15 @@
   for (auto& [id, job] : this->jobs) {
     for (auto& [name, task] : job.tasks) {
       const auto lost = std::erase_if(task.live, [&](const auto& aItem) {
+        if (aItem.first.second != aEvent.worker) {
+          return false;
+        }
+        task.events.push_back(
+          { aEvent.at, "lost", aItem.first.first, aEvent.worker });
+        return true;
+      });
+      // Nobody can note these ends any more.
+      std::erase_if(task.unnoted, [&](const auto& aItem) {
         return aItem.first.second == aEvent.worker;
       });
       task.lostWorkers += lost > 0 ? 1 : 0;
--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -64,18 +64,35 @@
   auto WaitingTasks() const -> std::vector<WaitingTask>;
 
   auto Violations() const -> const std::vector<std::string>&;
+  // How many of them are about work that is done twice.
+  auto Doubled() const -> std::size_t;
+  // What workers told of the tasks that broke a promise, a line for each event.
+  auto Timelines() const -> std::vector<std::string>;
   auto Starts() const -> std::size_t;
   auto Done() const -> std::size_t;
   // Accepted jobs of which all tasks are done.
   auto CompletedJobs() const -> std::size_t;
 
 private:
+  struct RunEvent
+  {
+    Time at{};
+    const char* what = "";
+    std::uint32_t run = 0;
+    WorkerId worker;
+    std::uint64_t fencingToken = 0;
+  };
+
   struct TaskFacts
   {
     // Runs that are alive, by worker.
     std::map<std::pair<std::uint32_t, WorkerId>, bool> live;
     bool done = false;
     bool doneNoted = false;
+    // Runs that ended as done and are not noted, with the starts up to then.
+    std::map<std::pair<std::uint32_t, WorkerId>, std::size_t> unnoted;
+    std::size_t starts = 0;
+    std::vector<RunEvent> events;
     // Runs that ended as failed, and of these the noted ones.
     std::uint32_t failed = 0;
     std::uint32_t failedNoted = 0;
@@ -100,6 +117,8 @@
 
   auto Break(Time aNow, const std::string& aRule, const TaskName& aTask)
     -> void;
+  auto BreakDoubled(Time aNow, const std::string& aRule, const TaskName& aTask)
+    -> void;
   auto OnStart(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnEnd(JobFacts& aJob, const JobEvent& aEvent) -> void;
   auto OnNoted(JobFacts& aJob, const JobEvent& aEvent) -> void;
@@ -121,6 +140,8 @@
   std::map<DomainId, Time> evacuated;
   std::map<WorkerId, Time> leaving;
   std::vector<std::string> violations;
+  std::size_t doubled = 0;
+  std::set<TaskName> brokenTasks;
   std::size_t starts = 0;
   std::size_t done = 0;
 };
--- a/soak/src/main.cpp
+++ b/soak/src/main.cpp
@@ -12,19 +12,18 @@
 #include "drawnfaults.h"
 #include "poolload.h"
 #include "realfleet.h"
+#include "repeatedfaults.h"
 
 namespace {
 
 using namespace gooseberry;
 using namespace gooseberry::soak;
+using fakes::JobDensity;
 
 constexpr int kExitUsage = 2;
 
 // Instances find each other, plan the cells and take them over.
 constexpr Millis kSettle{ 9000 };
-// Leases of lost workers, orders that are carried out late and the longest task
-// end within this, many times over.
-constexpr Millis kPatience{ 90000 };
 constexpr Millis kLook{ 250 };
 
 constexpr const char* kUsageText =
@@ -35,6 +34,14 @@
   -n, --seeds N           how many (1)
   -f, --fault-seconds N   how long faults strike (30)
   -b, --bounds on|off     judge the bounds on time as well (on)
+  -j, --judge all|once    by all promises, or only that nothing runs twice (all)
+  -S, --site NAME         small, rse-tray or cargavoz-quito (small): instances,
+                          workers and settings
+  -r, --repeat NAMES      instead of the drawn faults, these again and again;
+                          all of them, in a mix, with "all"
+  -e, --every MS          the time between two of these (700)
+  -p, --program FILE      the instances' program (that of this build)
+  -P, --patience SECONDS  how long the work may take to finish after the faults (90)
   -l, --load SECONDS      no faults: the load of a large site for this long, and
                           what each instance spends on it
   -w, --workers N         how many workers, with --load (360)
@@ -51,22 +58,128 @@
   std::uint64_t seeds = 1;
   Millis faults{ 30000 };
   bool bounds = true;
+  bool onlyOnce = false;
+  RealFleetOptions site;
+  JobDensity jobs;
+  std::vector<RepeatedFault> repeated;
+  Millis every{ 700 };
+  // Leases of lost workers, orders that are carried out late and the longest
+  // task end within this, many times over.
+  Millis patience{ 90000 };
+  std::string program = GOOSEBERRY_DAEMON_PATH;
   Millis load{ 0 };
   int workers = 360;
   double times = 1.0;
   std::string directory = "soak-logs";
 };
 
+struct Site
+{
+  const char* name;
+  int instances;
+  int domains;
+  int workers;
+  int rackWorkers;
+  Resources capacity;
+  double processorShare;
+  Millis leaseMax;
+  Millis stop;
+  Millis longestGap;
+  int lastingJobs;
+};
+
+constexpr std::array<Site, 3> kSites{ {
+  { "small",
+    3,
+    3,
+    12,
+    0,
+    { 16000, 64000, 0 },
+    0.5,
+    Millis{ 6000 },
+    Millis{ 400 },
+    Millis{ 700 },
+    4 },
+  { "rse-tray",
+    6,
+    3,
+    48,
+    8,
+    { 64000, 250000, 0 },
+    0.25,
+    Millis{ 6000 },
+    Millis{ 400 },
+    Millis{ 150 },
+    8 },
+  { "cargavoz-quito",
+    8,
+    4,
+    48,
+    6,
+    { 16000, 62500, 0 },
+    0.1,
+    Millis{ 10000 },
+    Millis{ 200 },
+    Millis{ 150 },
+    8 },
+} };
+
+// False if there is no site of this name.
+auto
+ReadSite(const std::string& aName, SoakOptions& aOptions) -> bool
+{
+  const auto* const site =
+    std::find_if(kSites.begin(), kSites.end(), [&](const Site& aSite) {
+      return aName == aSite.name;
+    });
+  if (site == kSites.end()) {
+    std::cerr << "gooseberry-soak: there is no site '" << aName
+              << "'; known are small, rse-tray and cargavoz-quito\n";
+    return false;
+  }
+  aOptions.site.instances = site->instances;
+  aOptions.site.domains = site->domains;
+  aOptions.site.workers = site->workers;
+  aOptions.site.rackWorkers = site->rackWorkers;
+  aOptions.site.capacity = site->capacity;
+  aOptions.site.processorShare = site->processorShare;
+  aOptions.site.leaseMax = site->leaseMax;
+  aOptions.site.stop = site->stop;
+  aOptions.jobs.longestGap = site->longestGap;
+  aOptions.jobs.lastingJobs = site->lastingJobs;
+  return true;
+}
+
+// False if one of the names is not known.
+auto
+ReadRepeated(const std::string& aNames, SoakOptions& aOptions) -> bool
+{
+  auto reason = std::string{};
+  const auto faults = ParseRepeatedFaults(aNames, reason);
+  if (!faults) {
+    std::cerr << "gooseberry-soak: " << reason << '\n';
+    return false;
+  }
+  aOptions.repeated = *faults;
+  return true;
+}
+
 // Nothing with a text for the user if the command line is wrong or settles all.
 auto
 ReadOptions(int aCount, char** aArguments, int& aStatus)
   -> std::optional<SoakOptions>
 {
-  constexpr std::array<option, 10> kOptions{
+  constexpr std::array<option, 16> kOptions{
     { { "seed", required_argument, nullptr, 's' },
       { "seeds", required_argument, nullptr, 'n' },
       { "fault-seconds", required_argument, nullptr, 'f' },
       { "bounds", required_argument, nullptr, 'b' },
+      { "judge", required_argument, nullptr, 'j' },
+      { "site", required_argument, nullptr, 'S' },
+      { "repeat", required_argument, nullptr, 'r' },
+      { "every", required_argument, nullptr, 'e' },
+      { "program", required_argument, nullptr, 'p' },
+      { "patience", required_argument, nullptr, 'P' },
       { "load", required_argument, nullptr, 'l' },
       { "workers", required_argument, nullptr, 'w' },
       { "times", required_argument, nullptr, 'x' },
@@ -78,8 +191,11 @@
   aStatus = kExitUsage;
   try {
     for (;;) {
-      switch (getopt_long(
-        aCount, aArguments, "s:n:f:b:l:w:x:d:h", kOptions.data(), nullptr)) {
+      switch (getopt_long(aCount,
+                          aArguments,
+                          "s:n:f:b:j:S:r:e:p:P:l:w:x:d:h",
+                          kOptions.data(),
+                          nullptr)) {
         case -1:
           return options;
         case 's':
@@ -94,6 +210,33 @@
         case 'b':
           options.bounds = std::string{ optarg } != "off";
           break;
+        case 'j':
+          options.onlyOnce = std::string{ optarg } == "once";
+          if (!options.onlyOnce && std::string{ optarg } != "all") {
+            std::cerr << "gooseberry-soak: --judge is all or once, not '"
+                      << optarg << "'\n";
+            return std::nullopt;
+          }
+          break;
+        case 'S':
+          if (!ReadSite(optarg, options)) {
+            return std::nullopt;
+          }
+          break;
+        case 'r':
+          if (!ReadRepeated(optarg, options)) {
+            return std::nullopt;
+          }
+          break;
+        case 'e':
+          options.every = Millis{ std::max(1, std::stoi(optarg)) };
+          break;
+        case 'P':
+          options.patience = std::chrono::seconds{ std::stoi(optarg) };
+          break;
+        case 'p':
+          options.program = optarg;
+          break;
         case 'l':
           options.load = std::chrono::seconds{ std::stoi(optarg) };
           break;
@@ -145,6 +288,7 @@
 public:
   Day(const SoakOptions& aOptions, std::uint64_t aSeed)
     : options(aOptions)
+    , seed(aSeed)
     , fleet(this->loop, FleetOptionsOf(aOptions, aSeed))
   {
   }
@@ -152,13 +296,18 @@
   auto Play() -> void
   {
     this->fleet.After(kSettle, [this] {
-      fakes::DrawJobs(this->fleet, this->options.faults);
-      this->faults = fakes::DrawFaults(this->fleet, this->options.faults);
-      for (auto& text : DrawRestarts(this->fleet, this->options.faults)) {
-        this->faults.push_back(std::move(text));
+      fakes::DrawJobs(this->fleet, this->options.faults, this->options.jobs);
+      if (this->options.repeated.empty()) {
+        this->DrawOnce();
+      } else {
+        RepeatFaults(this->fleet,
+                     this->options.repeated,
+                     this->seed,
+                     this->options.every,
+                     this->options.faults);
       }
       this->fleet.After(this->options.faults, [this] {
-        this->deadline = this->fleet.Now() + kPatience;
+        this->deadline = this->fleet.Now() + this->options.patience;
         this->Look();
       });
     });
@@ -180,16 +329,28 @@
     for (const auto& violation : violations) {
       std::cout << "  BROKEN " << violation << '\n';
     }
+    for (const auto& line : judge.Timelines()) {
+      std::cout << "  " << line << '\n';
+    }
     std::cout << std::flush;
-    return violations.size();
+    return this->options.onlyOnce ? judge.Doubled() : violations.size();
   }
 
 private:
+  auto DrawOnce() -> void
+  {
+    this->faults = fakes::DrawFaults(this->fleet, this->options.faults);
+    for (auto& text : DrawRestarts(this->fleet, this->options.faults)) {
+      this->faults.push_back(std::move(text));
+    }
+  }
+
   static auto FleetOptionsOf(const SoakOptions& aOptions, std::uint64_t aSeed)
     -> RealFleetOptions
   {
-    auto options = RealFleetOptions{};
+    auto options = aOptions.site;
     options.seed = aSeed;
+    options.daemon = aOptions.program;
     options.directory = aOptions.directory + "/" + std::to_string(aSeed);
     if (!aOptions.bounds) {
       constexpr Millis kNone = std::chrono::hours{ 1 };
@@ -211,6 +372,7 @@
   }
 
   const SoakOptions& options;
+  const std::uint64_t seed;
   EventLoop loop;
   RealFleet fleet;
   std::vector<std::string> faults;
@@ -226,6 +388,7 @@
   constexpr double kMillisPerCore = 1000.0;
   auto fleetOptions = RealFleetOptions{};
   fleetOptions.seed = aOptions.seed;
+  fleetOptions.daemon = aOptions.program;
   fleetOptions.directory = aOptions.directory + "/load";
   fleetOptions.workers = aOptions.workers;
   fleetOptions.capacity = fakes::kPoolWorkerCapacity;
--- a/soak/src/realfleet.cpp
+++ b/soak/src/realfleet.cpp
@@ -102,7 +102,7 @@
        << "callers: \"" << Loopback(aInstance.callersPort) << "\"\n"
        << "ready: \"" << Loopback(test::FreePort()) << "\"\n"
        << "metrics: \"" << Loopback(test::FreePort()) << "\"\n"
-       << "processor_share: 0.5\n"
+       << "processor_share: " << this->options.processorShare << '\n'
        << "cell_workers: " << this->options.cellWorkers << '\n'
        << "memory_mb: 260\n"
        << "max_descriptors: " << this->options.maxDescriptors << '\n'
@@ -111,8 +111,8 @@
        << "  writes_per_second: 600\n"
        << "  reads_per_second: 2000\n"
        << "bounds:\n"
-       << "  lease_max: 6000ms\n"
-       << "  stop: 400ms\n"
+       << "  lease_max: " << this->options.leaseMax.count() << "ms\n"
+       << "  stop: " << this->options.stop.count() << "ms\n"
        << "  keep_ended: 20s\n"
        << "  grace: 6s\n"
        << "  remote_factor: 3\n";
@@ -168,7 +168,7 @@
   instance.paused = false;
   instance.process = std::make_unique<test::Process>(
     std::vector<std::string>{
-      GOOSEBERRY_DAEMON_PATH, "--config", instance.settingsFile },
+      this->options.daemon, "--config", instance.settingsFile },
     std::vector<std::string>{},
     instance.logFile);
   instance.callers = std::make_shared<HttpClient>(
@@ -240,6 +240,50 @@
   this->table.Compact();
 }
 
+auto
+RealFleet::ResetStoreConnections(int aInstance) -> void
+{
+  this->instances.at(static_cast<std::size_t>(aInstance))
+    ->store->ResetConnections();
+}
+
+auto
+RealFleet::ResetWorkerConnections(int aWorker) -> void
+{
+  this->machines.at(static_cast<std::size_t>(aWorker))
+    ->server->ResetConnections();
+}
+
+auto
+RealFleet::Throttle(int aInstance, double aShare, Millis aTime) -> void
+{
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (instance.process && !instance.paused) {
+    this->ThrottleUntil(
+      aInstance, instance.life, aShare, this->loop.Now() + aTime);
+  }
+}
+
+auto
+RealFleet::ThrottleUntil(int aInstance, int aLife, double aShare, Time aUntil)
+  -> void
+{
+  constexpr Millis kPeriod{ 100 };
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  if (instance.life != aLife || !instance.process) {
+    return;
+  }
+  if (this->loop.Now() >= aUntil) {
+    return;
+  }
+  const auto rest = std::chrono::duration_cast<Millis>(
+    std::chrono::duration<double, std::milli>(kPeriod) * (1.0 - aShare));
+  this->Pause(aInstance, rest);
+  this->After(kPeriod, [this, aInstance, aLife, aShare, aUntil] {
+    this->ThrottleUntil(aInstance, aLife, aShare, aUntil);
+  });
+}
+
 auto
 RealFleet::Owner() const -> int
 {
@@ -293,22 +337,83 @@
   machine.entry =
     fakes::EntryOfMachine(aWorker, machine.life, this->options.domains);
   machine.entry.capacity = this->options.capacity;
+  if (this->options.rackWorkers > 0) {
+    const auto rack = aWorker / this->options.rackWorkers;
+    machine.entry.domain = { "zone-" +
+                             std::to_string(rack % this->options.domains) };
+    machine.entry.labels = { "a", "r-" + std::to_string(rack) };
+  }
   machine.entry.address = Loopback(machine.server->Port());
+  machine.server->SetWorker(this->NewProcess(aWorker));
+  this->ListWorker(aWorker, true);
+}
+
+auto
+RealFleet::NewProcess(int aWorker) -> std::unique_ptr<fakes::JobWorker>
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
   machine.entry.startUnixMs = this->loop.UnixMillis();
   auto options = fakes::JobWorkerOptions{};
+  options.leaseMax = this->options.leaseMax;
   // Up to 2% slow.
   constexpr std::int64_t kSlowest = 980;
   options.clockRate = kSlowest + (aWorker + machine.life) % 21;
-  machine.server->SetWorker(std::make_unique<fakes::JobWorker>(
+  this->judge.OnWorker(machine.entry);
+  return std::make_unique<fakes::JobWorker>(
     machine.entry,
     options,
     this->loop.Now(),
     [this](const cells::TaskName& aTask, std::uint32_t aRun) {
       return this->PlanOf(aTask, aRun);
     },
-    [this](const fakes::JobEvent& aEvent) { this->judge.OnEvent(aEvent); }));
-  this->judge.OnWorker(machine.entry);
-  this->ListWorker(aWorker, true);
+    [this](const fakes::JobEvent& aEvent) { this->judge.OnEvent(aEvent); });
+}
+
+auto
+RealFleet::RestartWorker(int aWorker, Millis aDown, Millis aListedAfter) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  if (machine.server->Worker() == nullptr) {
+    return;
+  }
+  machine.server->EndProcess();
+  this->After(aDown, [this, aWorker, aListedAfter] {
+    this->StartProcess(aWorker, aListedAfter);
+  });
+}
+
+auto
+RealFleet::PowerCycleWorker(int aWorker, Millis aDown, Millis aListedAfter)
+  -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  if (machine.server->Worker() == nullptr) {
+    return;
+  }
+  machine.server->Die();
+  this->After(aDown, [this, aWorker, aListedAfter, life = machine.life] {
+    auto& later = *this->machines.at(static_cast<std::size_t>(aWorker));
+    if (later.life == life && later.server->Worker() == nullptr) {
+      later.server->EndProcess();
+      this->StartProcess(aWorker, aListedAfter);
+    }
+  });
+}
+
+auto
+RealFleet::StartProcess(int aWorker, Millis aListedAfter) -> void
+{
+  auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+  auto reason = std::string{};
+  if (!machine.server->StartProcess(this->NewProcess(aWorker), reason)) {
+    throw std::runtime_error("a worker can't listen again: " + reason);
+  }
+  this->After(aListedAfter, [this, aWorker, life = machine.life] {
+    const auto& later = *this->machines.at(static_cast<std::size_t>(aWorker));
+    if (later.server->Worker() != nullptr && later.life == life) {
+      this->ListWorker(aWorker, true);
+    }
+  });
 }
 
 auto
--- a/soak/src/realfleet.h
+++ b/soak/src/realfleet.h
@@ -26,9 +26,18 @@
   int instances = 3;
   int workers = 12;
   int domains = 3;
+  // Workers of a rack; 0: those of a failure domain form one.
+  int rackWorkers = 0;
   Resources capacity{ 16000, 64000, 0 };
+  // Of one instance, as a part of a core; what its settings tell.
+  double processorShare = 0.5;
   int maxDescriptors = 1000;
   int cellWorkers = 400;
+  // The longest lease that workers accept, and how long a stop takes at most.
+  Millis leaseMax{ 6000 };
+  Millis stop{ 400 };
+  // Program of the instances.
+  std::string daemon;
   std::uint64_t seed = 1;
   fakes::JudgeBounds bounds{};
   // Logs and settings of the instances go there.
@@ -66,10 +75,21 @@
   auto Restart(int aInstance) -> void override;
   auto Treat(int aInstance, fakes::StoreTreatment aTreatment) -> void override;
   auto CompactStore() -> void override;
+  // Closes the connections of the instance to the store.
+  auto ResetStoreConnections(int aInstance) -> void;
+  // Closes the connections of all instances to the worker.
+  auto ResetWorkerConnections(int aWorker) -> void;
+  // Lets the instance run only for this part of each tenth of a second.
+  auto Throttle(int aInstance, double aShare, Millis aTime) -> void;
   auto Owner() const -> int override;
 
   auto Workers() const -> int override;
   auto KillWorker(int aWorker, bool aComesBack, Millis aAfter) -> void override;
+  auto RestartWorker(int aWorker, Millis aDown, Millis aListedAfter)
+    -> void override;
+  // The same, but the machine has no power meanwhile: it answers nothing, and
+  // its connections end when it is back.
+  auto PowerCycleWorker(int aWorker, Millis aDown, Millis aListedAfter) -> void;
   auto CutWorker(int aWorker, bool aCut) -> void override;
   auto FailWorker(int aWorker, bool aFails) -> void override;
   auto SlowWorker(int aWorker, double aTimes) -> void override;
@@ -106,6 +126,11 @@
   auto PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
     -> fakes::WorkPlan;
   auto NewWorker(int aWorker) -> void;
+  auto NewProcess(int aWorker) -> std::unique_ptr<fakes::JobWorker>;
+  // Starts a process under the worker's id; the one before has ended.
+  auto StartProcess(int aWorker, Millis aListedAfter) -> void;
+  auto ThrottleUntil(int aInstance, int aLife, double aShare, Time aUntil)
+    -> void;
   auto ListWorker(int aWorker, bool aListed) -> void;
   auto PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
     -> void;
--- a/standins/src/storeserver.cpp
+++ b/standins/src/storeserver.cpp
@@ -150,6 +150,12 @@
   this->treatment = aTreatment;
 }
 
+auto
+StoreServer::ResetConnections() -> void
+{
+  this->server->CloseAll();
+}
+
 auto
 StoreServer::Later(Micros aDelay, std::function<void()> aWork) -> void
 {
--- a/standins/src/storeserver.h
+++ b/standins/src/storeserver.h
@@ -26,6 +26,8 @@
   auto Listen(std::string& aReason) -> bool;
   auto Port() const -> std::uint16_t;
   auto Treat(fakes::StoreTreatment aTreatment) -> void;
+  // Closes all connections; calls that are pending get no answer.
+  auto ResetConnections() -> void;
   // Answers the feeds that have something to tell, or waited long enough.
   auto WakeFeeds() -> void;
 
--- a/standins/src/workerserver.cpp
+++ b/standins/src/workerserver.cpp
@@ -187,6 +187,36 @@
   }
 }
 
+auto
+WorkerServer::EndProcess() -> void
+{
+  this->port = this->server->Port();
+  if (this->worker) {
+    this->worker->Die(this->loop.Now());
+    this->worker.reset();
+  }
+  this->server->StopListening();
+  this->server->CloseAll();
+  this->waiting.clear();
+  this->held.clear();
+  this->timers.clear();
+}
+
+auto
+WorkerServer::StartProcess(std::unique_ptr<fakes::JobWorker> aWorker,
+                           std::string& aReason) -> bool
+{
+  this->worker = std::move(aWorker);
+  return this->server->Listen(
+    { boost::asio::ip::address_v4::loopback(), this->port }, aReason);
+}
+
+auto
+WorkerServer::ResetConnections() -> void
+{
+  this->server->CloseAll();
+}
+
 auto
 WorkerServer::Worker() -> fakes::JobWorker*
 {
--- a/standins/src/workerserver.h
+++ b/standins/src/workerserver.h
@@ -25,8 +25,17 @@
 
   // Another life begins on the machine.
   auto SetWorker(std::unique_ptr<fakes::JobWorker> aWorker) -> void;
-  // The machine loses power; null if nothing runs there.
+  // The machine loses power.
   auto Die() -> void;
+  // The process ends: its connections are closed, and nobody listens until the
+  // next one starts at the same address. That fails, with the reason, if the
+  // port can't be bound again.
+  auto EndProcess() -> void;
+  auto StartProcess(std::unique_ptr<fakes::JobWorker> aWorker,
+                    std::string& aReason) -> bool;
+  // Closes all connections to the worker, which runs on.
+  auto ResetConnections() -> void;
+  // Null if nothing runs there.
   auto Worker() -> fakes::JobWorker*;
   // Calls get no answer and are not carried out.
   auto SetCut(bool aCut) -> void;
@@ -54,6 +63,8 @@
   EventLoop& loop;
   std::mt19937_64& random;
   std::shared_ptr<HttpServer> server;
+  // Kept while nobody listens.
+  std::uint16_t port = 0;
   std::unique_ptr<fakes::JobWorker> worker;
   bool cut = false;
   double latePart = 0.0;
--- a/tests/src/fleet.cpp
+++ b/tests/src/fleet.cpp
@@ -110,6 +110,8 @@
                                      O_WRONLY | O_CREAT | O_APPEND,
                                      kMode);
   ::posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that a test closes must not stay open in the process.
+  ::posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   auto arguments = Pointers(command);
   auto variables = Pointers(environment);
   const auto fault = ::posix_spawn(&this->pid,
