Workers: ends are acknowledged only on a connection to the process that listed them

A task that was done runs again, or the job counts too many runs.

Cause: an acknowledgement names the worker and the number of an end, not the process. If the worker was restarted under its id since its last report, the call opened a connection to the later process, which numbers its ends anew and so forgets ends that nobody has read. Their tasks count as vanished and start again. Of the same class as: a call meant for one process is taken by another.

A connection leads to one process for its whole life, and all answers on the connections for reports name theirs. So a renewal that acknowledges is sent only on a connection that has brought an answer; without one it is not sent, and a renewal without an acknowledgement opens it first. In the normal case the connection of the last report is idle, and nothing changes.

The model's worker tells of such acknowledgements and the judge counts them. In the bench a connection now ends with the process that it leads to; a call that waits for one no longer reaches the process after.

Ruled out: to acknowledge each end only after the next report as well; the process may be replaced between that report and the call.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -277,6 +277,9 @@
     std::erase_if(this->called, [&](const std::string& aAddress) {
       return !aAddresses.contains(aAddress);
     });
+    std::erase_if(this->connected, [&](const auto& aItem) {
+      return !aAddresses.contains(aItem.first);
+    });
   }
 
   auto Connections() const -> std::size_t { return this->called.size(); }
@@ -285,11 +288,21 @@
             std::function<void(cells::WorkerAnswer)> aDone) -> void override
   {
     this->called.insert(aCall.address);
-    auto reply = [this, aDone](cells::WorkerAnswer aAnswer) {
-      this->world.queue.After(kHop, [this, aDone, aAnswer] {
-        this->loop.Post([aDone, aAnswer] { aDone(aAnswer); });
+    auto reply = [this, aCall, aDone](cells::WorkerAnswer aAnswer) {
+      this->world.queue.After(kHop, [this, aCall, aDone, aAnswer] {
+        this->loop.Post([this, aCall, aDone, aAnswer] {
+          this->UpdateConnection(aCall, aAnswer);
+          aDone(aAnswer);
+        });
       });
     };
+    const auto connection = this->connected.find(aCall.address);
+    const auto process =
+      connection == this->connected.end() ? 0 : connection->second;
+    if (aCall.lastRecordedEnd > 0 && process == 0) {
+      reply({ aCall.number });
+      return;
+    }
     auto lost = cells::WorkerAnswer{ aCall.number };
     lost.outcome = cells::CallOutcome::Unanswered;
     lost.reason = "no answer";
@@ -302,7 +315,7 @@
         0, this->world.lateBy.count() }(this->world.random) };
       this->world.queue.After(aCall.timeout, [reply, lost] { reply(lost); });
     }
-    this->world.queue.After(delay, [this, aCall, reply, lost, late] {
+    this->world.queue.After(delay, [this, aCall, reply, lost, late, process] {
       auto* const box = this->Find(aCall.address);
       if (box == nullptr || !box->alive || box->cut ||
           this->world.cutLinks.contains({ &this->instance, box })) {
@@ -313,6 +326,12 @@
         return;
       }
       const auto now = this->world.queue.Now();
+      const auto isLater = box->entry.startUnixMs != process;
+      if (aCall.lastRecordedEnd > 0 && isLater) {
+        // The connection ended with the process that it led to.
+        reply(lost);
+        return;
+      }
       if (aCall.kind == cells::CallKind::Start &&
           !this->world.TakesTicket(*box, aCall)) {
         auto refused = cells::WorkerAnswer{ aCall.number };
@@ -343,6 +362,19 @@
   }
 
 private:
+  // An answer to a renewal tells which process the connection leads to; a call
+  // without an answer closes it.
+  auto UpdateConnection(const cells::WorkerCall& aCall,
+                        const cells::WorkerAnswer& aAnswer) -> void
+  {
+    if (aAnswer.outcome == cells::CallOutcome::Unanswered) {
+      this->connected.erase(aCall.address);
+    } else if (aCall.kind == cells::CallKind::Renew &&
+               aAnswer.outcome == cells::CallOutcome::Done) {
+      this->connected[aCall.address] = aAnswer.workerStartUnixMs;
+    }
+  }
+
   auto Find(const std::string& aAddress) -> WorkerBox*
   {
     const auto found = this->world.addresses.find(aAddress);
@@ -353,6 +385,9 @@
   const Instance& instance;
   // Addresses of workers that were called.
   std::set<std::string> called;
+  // When the process was started that the open connection to an address leads
+  // to.
+  std::map<std::string, std::int64_t> connected;
   // Of the process that uses this; it outlives the process.
   VirtualLoop& loop;
 };
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -58,6 +58,10 @@
       slot.pendingRenewals.erase(aAnswer.number);
       if (isReport) {
         this->OnReport(aNow, slot, call, aAnswer);
+      } else if (aAnswer.outcome == CallOutcome::NotSent &&
+                 call.acknowledgedEnd > 0) {
+        slot.needsConnection = true;
+        slot.reportRequested = true;
       } else {
         slot.silent = true;
         slot.nextRenewalAt =
@@ -220,6 +224,7 @@
   }
   this->planNeeded = this->planNeeded || aSlot.silent;
   aSlot.silent = false;
+  aSlot.needsConnection = false;
   if (knownStart == 0) {
     knownStart = start;
   } else if (start > knownStart) {
--- a/cells/src/workercall.h
+++ b/cells/src/workercall.h
@@ -50,7 +50,9 @@
   std::string checkpoint;
   std::string ticket;
 
-  // Renew: ends up to this number are recorded; the worker may discard them.
+  // Renew: ends up to this number are recorded; the worker may discard them. 0
+  // acknowledges none. Sent only on a connection on which the worker has
+  // answered a renewal: a later process numbers its ends anew.
   std::uint64_t lastRecordedEnd = 0;
   // Renew: how long the worker may wait for a run to end before it answers.
   Millis maxWait{ 0 };
--- a/cells/src/workerslot.cpp
+++ b/cells/src/workerslot.cpp
@@ -156,7 +156,8 @@
 auto
 WorkerSlot::EndToAcknowledge() const -> std::uint64_t
 {
-  return this->IsProcessKnown() && this->HasEndsToAcknowledge()
+  return this->IsProcessKnown() && !this->needsConnection &&
+             this->HasEndsToAcknowledge()
            ? this->LastRecordedEnd()
            : 0;
 }
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -325,6 +325,27 @@
   cr_expect_eq(started.NextRenewal().lastRecordedEnd, 0);
 }
 
+// Guards against the same where the acknowledgement would open a connection,
+// which may lead to a later process.
+Test(restart, an_end_is_acknowledged_on_an_open_connection)
+{
+  auto started = StartedTask{};
+  auto& harness = started.harness;
+  harness.Report(started.NextRenewal(),
+                 {},
+                 { EndReportOf(started.start, 1, RunOutcome::Done) });
+  harness.RecordAll();
+  const auto acknowledgement = started.NextRenewal();
+  cr_assert_eq(acknowledgement.lastRecordedEnd, 1);
+  harness.Answer(acknowledgement, CallOutcome::NotSent);
+  cr_expect(!harness.cell.Workers().at(started.start.worker).silent);
+  // This one opens the connection.
+  const auto renewal = started.NextRenewal();
+  cr_expect_eq(renewal.lastRecordedEnd, 0);
+  harness.Report(renewal, {}, {});
+  cr_expect_eq(started.NextRenewal().lastRecordedEnd, 1);
+}
+
 Test(cell, a_run_that_is_found_again_tells_why_it_was_given_up)
 {
   auto started = StartedTask{};
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -276,6 +276,23 @@
   this->Dispatch();
 }
 
+auto
+HttpClient::CallOnOpenConnection(HttpRequest aRequest,
+                                 Micros aTimeout,
+                                 Done aDone) -> void
+{
+  // A call that waits would take the idle connection first.
+  if (!this->idleConnections.empty() && this->pendingCalls.empty()) {
+    this->Call(std::move(aRequest), aTimeout, std::move(aDone));
+    return;
+  }
+  this->loop.Post([done = std::move(aDone)] {
+    auto reply = HttpReply{};
+    reply.reason = "no open connection";
+    done(std::move(reply));
+  });
+}
+
 auto
 HttpClient::Close() -> void
 {
--- a/eventio/src/httpclient.h
+++ b/eventio/src/httpclient.h
@@ -45,6 +45,11 @@
   // find no free connection are queued; aTimeout includes the time in the
   // queue.
   auto Call(HttpRequest aRequest, Micros aTimeout, Done aDone) -> void;
+  // The same, but only on a connection that has brought a response before: it
+  // leads to the process that sent it. Without an idle one the request is not
+  // sent.
+  auto CallOnOpenConnection(HttpRequest aRequest, Micros aTimeout, Done aDone)
+    -> void;
   // Closes all connections. Pending calls fail: Unknown if their request was
   // already being sent, else NotSent.
   auto Close() -> void;
--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -182,6 +182,31 @@
   unansweredExchanges.clear();
 }
 
+Test(http, call_on_an_open_connection_opens_none)
+{
+  auto served = 0;
+  auto pair = ClientServerPair{ [&](std::shared_ptr<HttpExchange> aExchange) {
+    ++served;
+    aExchange->Respond(kOk, "", {});
+  } };
+  const auto callOnOpen = [&] {
+    auto reply = HttpReply{};
+    pair.client->CallOnOpenConnection(
+      { "GET", "/", {}, "" }, Millis{ 2000 }, [&](HttpReply aReply) {
+        reply = std::move(aReply);
+        pair.loop.Stop();
+      });
+    pair.Run();
+    return reply;
+  };
+  cr_expect_eq(callOnOpen().outcome, HttpOutcome::NotSent);
+  cr_expect_eq(pair.client->OpenedConnections(), 0);
+  cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kOk);
+  cr_expect_eq(callOnOpen().status, kOk);
+  cr_expect_eq(pair.client->OpenedConnections(), 1);
+  cr_expect_eq(served, 2);
+}
+
 Test(http, close_all_ends_idle_and_pending_connections)
 {
   auto unanswered = std::shared_ptr<HttpExchange>{};
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -156,6 +156,14 @@
     this->OnGone(aEvent);
     return;
   }
+  if (aEvent.kind == JobEventKind::EarlyNote) {
+    // Ends that nobody reads are not recorded: their tasks run again.
+    ++this->doubled;
+    this->violations.push_back(std::to_string(SteadyMillis(aEvent.at)) +
+                               " ends acknowledged that were not listed by " +
+                               aEvent.worker.text);
+    return;
+  }
   const auto found = this->jobs.find(aEvent.task.job);
   if (found == this->jobs.end()) {
     this->Break(aEvent.at, "unasked", aEvent.task);
--- a/fakes/src/jobworker.cpp
+++ b/fakes/src/jobworker.cpp
@@ -308,6 +308,10 @@
       std::min(aCall.leaseEndMs, clock + this->options.leaseMax.count());
     this->leaseEndMs = std::max(this->leaseEndMs, most);
   }
+  if (aCall.lastRecordedEnd > std::max(this->lastListed, this->lastEarlyNote)) {
+    this->lastEarlyNote = aCall.lastRecordedEnd;
+    this->sink({ JobEventKind::EarlyNote, aNow, this->entry.id });
+  }
   for (const auto& end : this->ends) {
     if (end.number > this->noted && end.number <= aCall.lastRecordedEnd) {
       auto event =
@@ -340,6 +344,9 @@
   const auto listed = std::min(this->ends.size(), kMostEnds);
   answer.ended.assign(this->ends.begin(),
                       this->ends.begin() + static_cast<std::ptrdiff_t>(listed));
+  if (!answer.ended.empty()) {
+    this->lastListed = std::max(this->lastListed, answer.ended.back().number);
+  }
   return answer;
 }
 
--- a/fakes/src/jobworker.h
+++ b/fakes/src/jobworker.h
@@ -46,9 +46,10 @@
 {
   Start,
   End,
-  Noted, // the scheduler recorded the end
-  Crash, // the worker crashed under the task; Gone follows
-  Gone,  // the worker died and its runs with it
+  Noted,     // the scheduler recorded the end
+  EarlyNote, // ends were acknowledged that this process has not listed
+  Crash,     // the worker crashed under the task; Gone follows
+  Gone,      // the worker died and its runs with it
 };
 
 // What happened on a worker, in the world's time.
@@ -152,6 +153,10 @@
   std::vector<EndReport> ends;
   std::uint64_t lastEnd = 0;
   std::uint64_t noted = 0;
+  // The last end that a report listed, and the last one beyond those listed
+  // that was acknowledged.
+  std::uint64_t lastListed = 0;
+  std::uint64_t lastEarlyNote = 0;
   // Ends before this one happened before the last lapse.
   std::uint64_t lapsedUpTo = 0;
   Time last{};
