Workers: an unanswered order on a new connection may hold the longest lease

What callers saw: nothing; by reading only, listed as suspected since.

Cause: the end of a lease is a time on the clock of the process that the owner knows. If that process is cut off before it reports, its tasks start elsewhere while they run.

An order that grants a lease, was sent as the first one on its connection and got no answer, while the worker has not answered anything else since, makes the worker one that may have been restarted: its lease counts as the longest that it accepts until the next report. An order on a connection that has brought an answer can't reach a later process.

No run on real processes shows the fault: it needs a restart, a lost answer and a cut in one moment.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -350,7 +350,10 @@
         return;
       }
       if (answerLost) {
-        this->world.queue.After(aCall.timeout, [reply, lost] { reply(lost); });
+        auto unknown = lost;
+        unknown.mayBeOfLaterProcess = isLater;
+        this->world.queue.After(aCall.timeout,
+                                [reply, unknown] { reply(unknown); });
         return;
       }
       if (answer) {
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -36,7 +36,9 @@
                  aCall.worker,
                  RunRef{ aCall.task, aCall.runNumber },
                  this->workers.at(aCall.worker).ClockLowerBound(aNow),
-                 aCall.lastRecordedEnd });
+                 aCall.lastRecordedEnd,
+                 aCall.leaseEndMs > 0,
+                 aNow });
   this->outgoingCalls.push_back(aCall);
 }
 
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -60,6 +60,7 @@
   TimerHandle timer;
   std::weak_ptr<Connection> connection;
   bool sent = false;
+  bool onNewConnection = false;
 
   auto Finish(HttpReply aReply) -> void
   {
@@ -74,6 +75,7 @@
     auto reply = HttpReply{};
     reply.outcome = this->sent ? HttpOutcome::Unknown : HttpOutcome::NotSent;
     reply.reason = std::move(aReason);
+    reply.onNewConnection = this->onNewConnection;
     this->Finish(std::move(reply));
   }
 };
@@ -93,6 +95,7 @@
   {
     const auto client = this->owner.lock();
     aCall->connection = this->weak_from_this();
+    aCall->onNewConnection = true;
     this->call = aCall;
     this->connectTimer = client->loop.After(
       client->options.connectTimeout, [self = this->weak_from_this()] {
@@ -223,6 +226,7 @@
     this->parser.reset();
     this->message = {};
     const auto completedCall = std::exchange(this->call, nullptr);
+    reply.onNewConnection = completedCall->onNewConnection;
     if (!reusable) {
       this->closed = true;
       auto ignored = error_code{};
