--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -318,7 +318,8 @@
 JobJudge::OnGone(const JobEvent& aEvent) -> void
 {
   for (auto& [id, job] : this->jobs) {
-    for (auto& [name, task] : job.tasks) {
+    for (auto& item : job.tasks) {
+      auto& task = item.second;
       const auto lost = std::erase_if(task.live, [&](const auto& aItem) {
         if (aItem.first.second != aEvent.worker) {
           return false;
