Workers: only a report that was requested after an order's answer ends its run

What callers may see: a task runs twice at once; the first run is stopped or done once a later report lists it.

Cause: whether a report was made before or after a start (or a stop) was told by the worker's clock in both answers. The answer to an order does not name the process that gives it. Of the same class: what one process of a worker tells is held of another.

Change: runs end by a report only if it was requested after the answer had arrived, which holds whichever process answered; clocks are no longer compared. Such a report may come one renewal later than before; ends that workers list count at once as ever.

Ruled out: to compare clocks only if no restart is suspected; the report may be the first sign of it.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -289,7 +289,7 @@
   {
     this->called.insert(aCall.address);
     auto reply = [this, aCall, aDone](cells::WorkerAnswer aAnswer) {
-      this->world.queue.After(kHop, [this, aCall, aDone, aAnswer] {
+      this->world.queue.After(this->AnswerTakes(aCall), [=, this] {
         this->loop.Post([this, aCall, aDone, aAnswer] {
           this->UpdateConnection(aCall, aAnswer);
           aDone(aAnswer);
@@ -362,6 +362,16 @@
   }
 
 private:
+  auto AnswerTakes(const cells::WorkerCall& aCall) -> Millis
+  {
+    const auto lateBy = this->world.options.reportsLateBy.count();
+    if (aCall.kind != cells::CallKind::Renew || lateBy == 0) {
+      return kHop;
+    }
+    return kHop + Millis{ std::uniform_int_distribution<std::int64_t>{
+                    0, lateBy }(this->world.random) };
+  }
+
   // An answer to a renewal tells which process the connection leads to; a call
   // without an answer closes it.
   auto UpdateConnection(const cells::WorkerCall& aCall,
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -58,6 +58,8 @@
   Millis keepEnded{ 120000 };
   // The longest lease that workers accept.
   Millis leaseMax{ 6000 };
+  // Answers to renewals take up to so much longer, each its own time.
+  Millis reportsLateBy{ 0 };
   // A machine whose worker has left starts a new one soon after.
   bool machinesReturn = true;
   std::uint64_t seed = 1;
--- a/bench/tests/restart_test.cpp
+++ b/bench/tests/restart_test.cpp
@@ -15,13 +15,15 @@
 constexpr std::uint64_t kSeeds = 8;
 
 auto
-World(std::uint64_t aSeed, std::size_t aCellWorkers = 400)
-  -> std::unique_ptr<FleetWorld>
+World(std::uint64_t aSeed,
+      std::size_t aCellWorkers = 400,
+      Millis aReportsLateBy = 0ms) -> std::unique_ptr<FleetWorld>
 {
   auto options = FleetWorldOptions{};
   options.seed = aSeed;
   options.workers = 24;
   options.cellWorkers = aCellWorkers;
+  options.reportsLateBy = aReportsLateBy;
   auto world = std::make_unique<FleetWorld>(options);
   world->RunFor(8s);
   return world;
@@ -103,3 +105,14 @@
     ExpectKept(*world, seed);
   }
 }
+
+// Guards against: a report that was made before a start was carried out, but
+// arrives after its answer, ends the run.
+Test(worker_restart, runs_nothing_twice_beside_late_reports, .timeout = 60)
+{
+  for (auto seed = std::uint64_t{ 1 }; seed <= kSeeds; ++seed) {
+    const auto world = World(seed, 400, 100ms);
+    RestartWorkers(*world);
+    cr_expect(world->Judge().Doubled() == 0, "seed %zu", std::size_t{ seed });
+  }
+}
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -130,8 +130,7 @@
       run->startedAt = aNow;
       run->lowSpeedSince = aNow;
       run->lastProgressAt = aNow;
-      run->startConfirmedMs = aAnswer.clockMs.value_or(0);
-      run->startAnsweredAtCall = this->lastCallNumber;
+      run->startConfirmedAtCall = this->lastCallNumber;
       slot.nextRenewalAt =
         std::min(slot.nextRenewalAt, aNow + kMinRenewInterval);
       if (run->stopReason != StopReason::None) {
@@ -184,8 +183,7 @@
     return;
   }
   if (aAnswer.outcome == CallOutcome::Done) {
-    run->stopConfirmedMs = aAnswer.clockMs.value_or(0);
-    run->stopAnsweredAtCall = this->lastCallNumber;
+    run->stopConfirmedAtCall = this->lastCallNumber;
     if (run->stopReason == StopReason::StartUnanswered) {
       run->worker->reportRequested = true;
     }
@@ -300,7 +298,7 @@
   }
   if (run->workerStartUnixMs != aSlot.entry.startUnixMs) {
     run->workerStartUnixMs = aSlot.entry.startUnixMs;
-    run->startConfirmedMs = aSlot.lastReportClockMs;
+    run->startConfirmedAtCall = this->lastCallNumber;
     this->MarkDirty(*context.job, false);
   }
   const auto inherited = run->phase == RunPhase::Inherited;
@@ -311,8 +309,7 @@
                                                      : RunPhase::Stopping;
     run->phaseSince = aNow;
     run->lastProgressAt = aNow;
-    run->startConfirmedMs =
-      std::max(run->startConfirmedMs, aSlot.lastReportClockMs);
+    run->startConfirmedAtCall = this->lastCallNumber;
     run->stopSent = false;
     if (run->phase == RunPhase::Stopping) {
       this->dueStops.insert(ref);
@@ -472,16 +469,6 @@
                     const WorkerAnswer& aReport) -> void
 {
   const auto clock = aReport.clockMs.value_or(0);
-  // The report was made after an order had been carried out: later on the
-  // worker's clock. Where an earlier process, with a clock of its own, may have
-  // answered the order: also if the report was requested after that answer.
-  const auto isAfter = [&](const Run& aRun,
-                           std::int64_t aConfirmedMs,
-                           std::uint64_t aAnsweredAtCall) {
-    return clock > aConfirmedMs ||
-           (aRun.workerStartUnixMs < aSlot.entry.startUnixMs &&
-            aReport.number > aAnsweredAtCall);
-  };
   const auto drop = [&](const RunRef& aRef, const char* aWhy) {
     this->NoteLostRun(aSlot, aRef);
     this->DropRun(aNow, aRef, aWhy);
@@ -514,13 +501,13 @@
         }
         break;
       case RunPhase::Stopping:
-        if (run->stopConfirmedMs > 0 &&
-            isAfter(*run, run->stopConfirmedMs, run->stopAnsweredAtCall)) {
+        if (run->stopConfirmedAtCall &&
+            aReport.number > *run->stopConfirmedAtCall) {
           drop(ref, "not reported after its stop");
         }
         break;
       case RunPhase::Running:
-        if (isAfter(*run, run->startConfirmedMs, run->startAnsweredAtCall)) {
+        if (aReport.number > run->startConfirmedAtCall) {
           drop(ref, "vanished");
         }
         break;
--- a/cells/src/cellworkers.cpp
+++ b/cells/src/cellworkers.cpp
@@ -118,8 +118,7 @@
       // The later process knows nothing of the stop, and may yet receive the
       // order to start the run.
       run->stopSent = false;
-      run->stopConfirmedMs = 0;
-      run->stopAnsweredAtCall = 0;
+      run->stopConfirmedAtCall.reset();
       this->dueStops.insert(ref);
     }
   }
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -86,12 +86,12 @@
   Time startedAt{};
   // Lease end in the start order, on the worker's clock.
   std::int64_t startLeaseEndMs = 0;
-  // The worker's clock when it confirmed the start and the stop, and the last
-  // call that had been sent to any worker then; 0: not yet.
-  std::int64_t startConfirmedMs = 0;
-  std::uint64_t startAnsweredAtCall = 0;
-  std::int64_t stopConfirmedMs = 0;
-  std::uint64_t stopAnsweredAtCall = 0;
+  // The last call that had been sent to any worker when this one confirmed the
+  // start and the stop. Only a report that was requested later shows that the
+  // run has ended: the answers do not tell which process of the worker gives
+  // them, and each process has a clock of its own.
+  std::uint64_t startConfirmedAtCall = 0;
+  std::optional<std::uint64_t> stopConfirmedAtCall;
   std::string checkpoint;
   double progressPercent = 0.0;
   // Progress in the first report; above 0 if the run resumed from a checkpoint.
--- a/cells/tests/cell_test.cpp
+++ b/cells/tests/cell_test.cpp
@@ -458,9 +458,11 @@
   auto harness = CellHarness{};
   harness.AddWorker("w1");
   harness.Submit(JobWithSteps({ 1 }));
-  harness.StartAll();
+  const auto starts = harness.StartAll();
   harness.Tick();
-  harness.AnswerRenewals();
+  for (const auto& call : harness.TakeCallsOfKind(CallKind::Renew)) {
+    harness.Report(call, { RunReportOf(starts.at(0)) }, {});
+  }
   harness.Advance(CellOptions{}.ownershipValidity + Millis{ 1 });
   harness.cell.OnTick(harness.now, 0);
   harness.CollectCalls();
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -102,6 +102,46 @@
   static constexpr std::int64_t kLater = 2000;
 };
 
+// Two workers; each has a renewal to answer that was sent before an order to
+// start a task on one of them.
+struct StartBesideRenewals
+{
+  CellHarness harness;
+  WorkerCall start;
+  // To the same worker.
+  WorkerCall renewal;
+
+  StartBesideRenewals()
+  {
+    this->harness.AddWorker("w1");
+    this->harness.AddWorker("w2");
+    auto renewals = std::map<WorkerId, WorkerCall>{};
+    while (renewals.size() < 2) {
+      this->harness.Advance(Millis{ 100 });
+      this->harness.Tick();
+      for (const auto& call : this->harness.TakeCallsOfKind(CallKind::Renew)) {
+        renewals[call.worker] = call;
+      }
+    }
+    this->harness.Submit(JobWithSteps({ 1 }));
+    this->harness.Advance(Millis{ 20 });
+    this->harness.Tick();
+    this->harness.RecordAll();
+    const auto starts = this->harness.TakeCallsOfKind(CallKind::Start);
+    cr_assert_eq(starts.size(), 1);
+    this->start = starts[0];
+    this->renewal = renewals.at(this->start.worker);
+  }
+
+  // The process that answers was started since, and its clock began anew.
+  auto AnswerAsLaterProcess(const WorkerCall& aCall) -> void
+  {
+    this->harness.clockOffset[aCall.worker] = Millis{ -500'000 };
+    this->harness.Answer(aCall, CallOutcome::Done);
+    this->harness.clockOffset.clear();
+  }
+};
+
 } // namespace
 
 // Guards against: a task runs twice because its worker was restarted under its
@@ -224,6 +264,34 @@
   cr_expect_eq(second.StartAll().size(), 0);
 }
 
+// Guards against: a task runs twice because a report that the earlier process
+// made before the start, on a clock that is ahead, arrives after its answer.
+Test(restart, a_late_report_of_the_earlier_process_ends_no_run)
+{
+  auto started = StartBesideRenewals{};
+  started.AnswerAsLaterProcess(started.start);
+  started.harness.Report(started.renewal, {}, {});
+  cr_expect_eq(started.harness.StartAll().size(), 0);
+}
+
+// Guards against: a task starts again while its run is being stopped, because
+// such a report counts as made after the stop.
+Test(restart, a_late_report_of_the_earlier_process_settles_no_stop)
+{
+  auto started = StartBesideRenewals{};
+  auto& harness = started.harness;
+  harness.Answer(started.start, CallOutcome::Unanswered);
+  harness.Tick();
+  harness.AnswerRenewals();
+  harness.Tick();
+  const auto stops = harness.TakeCallsOfKind(CallKind::Stop);
+  cr_assert_eq(stops.size(), 1);
+  harness.Advance(Millis{ 100 });
+  started.AnswerAsLaterProcess(stops[0]);
+  harness.Report(started.renewal, {}, {});
+  cr_expect_eq(harness.StartAll().size(), 0);
+}
+
 // Guards against: an entry of another writer ends the runs of a worker that is
 // well.
 Test(restart, that_only_an_entry_tells_of_ends_no_runs)
