Workers: a later process is told by the order of calls, not by its start time

What callers may see: a job never ends. The tasks that ended with a worker's earlier process do not start again, and the worker gets no more work.

Cause: a report that names an earlier start than the known one was taken for a late answer of an earlier process. The same comparison kept its entry from asking for a report.

Change: a report of another process counts as a later one's if it was requested after the newest report had come; else another report is requested, which tells. An entry that names another start than before asks for a report.

Test: restart::shows_although_the_time_of_day_was_set_back failed before; restart::ignores_the_clock_of_the_earlier_process holds as before. Not changed: a machine's workers of different ids are still ordered by start times.

--- a/cells/src/cellcrash.cpp
+++ b/cells/src/cellcrash.cpp
@@ -77,7 +77,7 @@
 Cell::NoteLostRun(WorkerSlot& aSlot, const RunRef& aRef) -> void
 {
   const auto [context, run] = this->FindTaskAndRun(aRef);
-  if (run == nullptr || run->workerStartUnixMs >= aSlot.entry.startUnixMs) {
+  if (run == nullptr || run->workerStartUnixMs == aSlot.entry.startUnixMs) {
     return;
   }
   if (const auto lost =
@@ -92,7 +92,7 @@
   const auto mayBeLost = [&](const RunRef& aRef) {
     const auto [context, run] = this->FindTaskAndRun(aRef);
     return run != nullptr && run->phase != RunPhase::Planned &&
-           run->workerStartUnixMs < aSlot.entry.startUnixMs;
+           run->workerStartUnixMs != aSlot.entry.startUnixMs;
   };
   if (!aSlot.lostRuns.empty() &&
       std::none_of(aSlot.runs.begin(), aSlot.runs.end(), mayBeLost)) {
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -216,8 +216,10 @@
   auto& knownStart = aSlot.entry.startUnixMs;
   const auto start =
     aAnswer.workerStartUnixMs == 0 ? knownStart : aAnswer.workerStartUnixMs;
-  if (start < knownStart) {
-    // An answer of an earlier process that arrives late.
+  const auto fromOther = knownStart != 0 && start != knownStart;
+  // Start times are times of day, which may be set back.
+  if (fromOther && aAnswer.number <= aSlot.lastCallAtReport) {
+    aSlot.reportRequested = true;
     return;
   }
   this->planNeeded = this->planNeeded || aSlot.silent;
@@ -225,12 +227,13 @@
   aSlot.needsConnection = false;
   if (knownStart == 0) {
     knownStart = start;
-  } else if (start > knownStart) {
+  } else if (fromOther) {
     this->OnWorkerRestart(aNow, aSlot, start);
   } else if (aSlot.restartSuspected && aAnswer.number > aSlot.suspectedAtCall) {
     aSlot.restartSuspected = false;
     this->planNeeded = true;
   }
+  aSlot.lastCallAtReport = this->lastCallNumber;
   UpdateClockSample(aNow, aSlot, clock);
   if (aAnswer.number > aSlot.lastCallBeforeRestart) {
     aSlot.acknowledgedEnd =
--- a/cells/src/cellworkers.cpp
+++ b/cells/src/cellworkers.cpp
@@ -31,8 +31,8 @@
     if (hasPreviousStart) {
       slot.entry.startUnixMs = previousStart;
     }
-    if (hasPreviousStart &&
-        entry.startUnixMs > std::max(previousStart, slot.listedStartUnixMs)) {
+    if (hasPreviousStart && entry.startUnixMs != previousStart &&
+        entry.startUnixMs != slot.listedStartUnixMs) {
       this->SuspectRestart(aNow, slot, "entry");
     }
     slot.listedStartUnixMs = entry.startUnixMs;
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -68,6 +68,9 @@
   std::uint64_t suspectedAtCall = 0;
   // The latest start of the worker that its entry told of.
   std::int64_t listedStartUnixMs = 0;
+  // The last call that had been sent to any worker when the newest report came.
+  // One of another process is a later process's only if it was requested since.
+  std::uint64_t lastCallAtReport = 0;
   // Calls up to this one may have been answered by an earlier process.
   std::uint64_t lastCallBeforeRestart = 0;
   // When the earlier process was heard last, and the runs that certainly ended
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -324,6 +324,21 @@
   cr_expect(slot.restartSuspected);
 }
 
+// Guards against: the reports of a later process are never read, because the
+// time of day was set back before it started; what ended with the earlier
+// process never starts again.
+Test(restart, shows_although_the_time_of_day_was_set_back)
+{
+  auto started = StartedTask{};
+  started.AnswerFor({ RunReportOf(started.start) });
+  started.harness.workerStarts[started.start.worker] = 500;
+  started.harness.clockOffset[started.start.worker] = Millis{ -500'000 };
+  started.AnswerFor({});
+  const auto& slot = started.harness.cell.Workers().at(started.start.worker);
+  cr_expect_eq(slot.entry.startUnixMs, 500);
+  cr_expect_eq(started.harness.StartAll().size(), 1);
+}
+
 // Guards against: a task runs twice because the lease of a worker that may have
 // been restarted counts as over before the longest that it accepts is.
 Test(restart, lengthens_the_lease_until_a_report_tells)
