Workers: acknowledgements name the process that they are for

Cause: an acknowledgement went out on any idle connection that had brought an answer. An answer that is no report names no process, and of two connections one may lead to the later one: an end of the earlier process could still be acknowledged to the later. And with a worker that closes each connection after its answer, ends were never acknowledged, while a report was asked for without pause.

After three that were not sent in a row, one is sent on any connection, as before: an end that is never acknowledged is kept for ever.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -299,7 +299,7 @@
     const auto connection = this->connected.find(aCall.address);
     const auto process =
       connection == this->connected.end() ? 0 : connection->second;
-    if (aCall.lastRecordedEnd > 0 && process == 0) {
+    if (aCall.processStartUnixMs != 0 && aCall.processStartUnixMs != process) {
       reply({ aCall.number });
       return;
     }
@@ -315,7 +315,7 @@
         0, this->world.lateBy.count() }(this->world.random) };
       this->world.queue.After(aCall.timeout, [reply, lost] { reply(lost); });
     }
-    this->world.queue.After(delay, [this, aCall, reply, lost, late, process] {
+    this->world.queue.After(delay, [this, aCall, reply, lost, late] {
       auto* const box = this->Find(aCall.address);
       if (box == nullptr || !box->alive || box->cut ||
           this->world.cutLinks.contains({ &this->instance, box })) {
@@ -326,8 +326,8 @@
         return;
       }
       const auto now = this->world.queue.Now();
-      const auto isLater = box->entry.startUnixMs != process;
-      if (aCall.lastRecordedEnd > 0 && isLater) {
+      if (aCall.processStartUnixMs != 0 &&
+          aCall.processStartUnixMs != box->entry.startUnixMs) {
         // The connection ended with the process that it led to.
         reply(lost);
         return;
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -443,6 +443,8 @@
     std::int64_t clockLowerBound = 0;
     // Renew: the end that it acknowledges.
     std::uint64_t acknowledgedEnd = 0;
+    // Renew: only the known process of the worker may get it.
+    bool isForProcess = false;
   };
 
   // What a batch covers; needed when its outcome is known.
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -36,7 +36,8 @@
                  aCall.worker,
                  RunRef{ aCall.task, aCall.runNumber },
                  this->workers.at(aCall.worker).ClockLowerBound(aNow),
-                 aCall.lastRecordedEnd });
+                 aCall.lastRecordedEnd,
+                 aCall.processStartUnixMs != 0 });
   this->outgoingCalls.push_back(aCall);
 }
 
@@ -167,6 +168,10 @@
   call.maxWait = aMaxWait;
   call.timeout = aMaxWait + kRenewAnswerMargin;
   call.lastRecordedEnd = aSlot.EndToAcknowledge();
+  if (call.lastRecordedEnd > 0 &&
+      aSlot.unsentAcknowledgements < kMaxUnsentAcknowledgements) {
+    call.processStartUnixMs = aSlot.entry.startUnixMs;
+  }
   // The lease of a worker that does not answer is not extended: otherwise its
   // tasks could never be started elsewhere.
   const auto mayExtendLease =
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -58,9 +58,9 @@
       slot.pendingRenewals.erase(aAnswer.number);
       if (isReport) {
         this->OnReport(aNow, slot, call, aAnswer);
-      } else if (aAnswer.outcome == CallOutcome::NotSent &&
-                 call.acknowledgedEnd > 0) {
+      } else if (aAnswer.outcome == CallOutcome::NotSent && call.isForProcess) {
         slot.needsConnection = true;
+        ++slot.unsentAcknowledgements;
         slot.reportRequested = true;
       } else {
         slot.silent = true;
@@ -235,9 +235,11 @@
   }
   aSlot.lastCallAtReport = this->lastCallNumber;
   UpdateClockSample(aNow, aSlot, clock);
-  if (aAnswer.number > aSlot.lastCallBeforeRestart) {
+  if (aCall.acknowledgedEnd > 0 &&
+      aAnswer.number > aSlot.lastCallBeforeRestart) {
     aSlot.acknowledgedEnd =
       std::max(aSlot.acknowledgedEnd, aCall.acknowledgedEnd);
+    aSlot.unsentAcknowledgements = 0;
   }
   if (!aSlot.reconciled) {
     aSlot.reconciled = true;
--- a/cells/src/cellworkers.cpp
+++ b/cells/src/cellworkers.cpp
@@ -130,6 +130,7 @@
   aSlot.lastSeenEnd = 0;
   aSlot.unrecordedEnds.clear();
   aSlot.acknowledgedEnd = 0;
+  aSlot.unsentAcknowledgements = 0;
   aSlot.clockSample.reset();
   aSlot.leaseEndMs.reset();
   aSlot.inheritedLeaseEndMs = 0;
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -64,6 +64,11 @@
 // reports.
 inline constexpr int kRenewalsPerLease = 4;
 
+// Acknowledgements that were not sent in a row, because no connection led to
+// the worker's process, before one is sent on any connection: a worker may
+// close each one after its answer.
+inline constexpr int kMaxUnsentAcknowledgements = 3;
+
 // Delay before the next renewal after one that got no answer.
 inline constexpr Millis kRenewRetryDelay{ 250 };
 
--- a/cells/src/workercall.h
+++ b/cells/src/workercall.h
@@ -51,9 +51,12 @@
   std::string ticket;
 
   // Renew: ends up to this number are recorded; the worker may discard them. 0
-  // acknowledges none. Sent only on a connection on which the worker has
-  // answered a renewal: a later process numbers its ends anew.
+  // acknowledges none.
   std::uint64_t lastRecordedEnd = 0;
+  // Renew: the call is meant only for the process of the worker that was
+  // started then, and is sent only on a connection that leads to it; 0: for
+  // any. Each process numbers its ends anew.
+  std::int64_t processStartUnixMs = 0;
   // Renew: how long the worker may wait for a run to end before it answers.
   Millis maxWait{ 0 };
 
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -98,9 +98,11 @@
   std::set<std::uint64_t> unrecordedEnds;
   // The worker has been told that all ends up to this one are recorded.
   std::uint64_t acknowledgedEnd = 0;
-  // No connection is open on which the worker has answered a renewal; the next
-  // one without an acknowledgement opens it.
+  // No connection leads to the known process; the next renewal, without an
+  // acknowledgement, opens one.
   bool needsConnection = false;
+  // Acknowledgements that were not sent for that reason, since one arrived.
+  int unsentAcknowledgements = 0;
 
   // Numbers of the renewal calls that have not been answered.
   std::set<std::uint64_t> pendingRenewals;
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include "cellharness.h"
+#include "tunables_cells.h"
 
 using namespace gooseberry;
 using namespace gooseberry::cells;
@@ -420,6 +421,9 @@
   harness.RecordAll();
   const auto acknowledgement = started.NextRenewal();
   cr_assert_eq(acknowledgement.lastRecordedEnd, 1);
+  cr_expect_eq(
+    acknowledgement.processStartUnixMs,
+    harness.cell.Workers().at(started.start.worker).entry.startUnixMs);
   harness.Answer(acknowledgement, CallOutcome::NotSent);
   cr_expect(!harness.cell.Workers().at(started.start.worker).silent);
   // This one opens the connection.
@@ -429,6 +433,33 @@
   cr_expect_eq(started.NextRenewal().lastRecordedEnd, 1);
 }
 
+// Guards against: a worker that closes each connection after its answer keeps
+// its ends for ever, and is asked for a report again and again.
+Test(restart, an_end_is_acknowledged_although_no_connection_lasts)
+{
+  auto started = StartedTask{};
+  auto& harness = started.harness;
+  harness.Report(started.NextRenewal(),
+                 {},
+                 { EndReportOf(started.start, 1, RunOutcome::Done) });
+  harness.RecordAll();
+  auto renewals = 0;
+  auto acknowledged = false;
+  while (!acknowledged && renewals < 20) {
+    const auto renewal = started.NextRenewal();
+    ++renewals;
+    acknowledged =
+      renewal.lastRecordedEnd > 0 && renewal.processStartUnixMs == 0;
+    if (renewal.processStartUnixMs != 0) {
+      harness.Answer(renewal, CallOutcome::NotSent);
+    } else {
+      harness.Report(renewal, {}, {});
+    }
+  }
+  cr_expect(acknowledged);
+  cr_expect_eq(renewals, 2 * kMaxUnsentAcknowledgements + 1);
+}
+
 Test(cell, a_run_that_is_found_again_tells_why_it_was_given_up)
 {
   auto started = StartedTask{};
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -2,6 +2,8 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
+
 #include <boost/asio/connect.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
@@ -83,9 +85,12 @@
   : public std::enable_shared_from_this<HttpClient::Connection>
 {
 public:
-  Connection(asio::io_context& aContext, std::weak_ptr<HttpClient> aOwner)
+  Connection(asio::io_context& aContext,
+             std::weak_ptr<HttpClient> aOwner,
+             std::uint64_t aNumber)
     : socket(aContext)
     , owner(std::move(aOwner))
+    , number(aNumber)
   {
   }
 
@@ -146,6 +151,7 @@
   }
 
   auto IsBusy() const -> bool { return this->call != nullptr; }
+  auto Number() const -> std::uint64_t { return this->number; }
 
 private:
   auto OnConnected(const error_code& aError) -> void
@@ -219,6 +225,7 @@
                                 std::string{ field.value() });
     }
     reply.body = std::move(response.body());
+    reply.connection = this->number;
     const auto reusable = response.keep_alive() && this->buffer.size() == 0;
     this->parser.reset();
     this->message = {};
@@ -236,6 +243,7 @@
 
   tcp::socket socket;
   std::weak_ptr<HttpClient> owner;
+  const std::uint64_t number;
   std::string host;
   std::shared_ptr<PendingCall> call;
   TimerHandle connectTimer;
@@ -258,6 +266,15 @@
 
 auto
 HttpClient::Call(HttpRequest aRequest, Micros aTimeout, Done aDone) -> void
+{
+  this->pendingCalls.push_back(
+    this->NewCall(std::move(aRequest), aTimeout, std::move(aDone)));
+  this->Dispatch();
+}
+
+auto
+HttpClient::NewCall(HttpRequest aRequest, Micros aTimeout, Done aDone)
+  -> std::shared_ptr<PendingCall>
 {
   auto call = std::make_shared<PendingCall>();
   call->request = std::move(aRequest);
@@ -272,25 +289,31 @@
                                      client->OnCallTimeout(expiredCall);
                                    }
                                  });
-  this->pendingCalls.push_back(std::move(call));
-  this->Dispatch();
+  return call;
 }
 
 auto
-HttpClient::CallOnOpenConnection(HttpRequest aRequest,
-                                 Micros aTimeout,
-                                 Done aDone) -> void
+HttpClient::CallOnConnection(std::uint64_t aConnection,
+                             HttpRequest aRequest,
+                             Micros aTimeout,
+                             Done aDone) -> void
 {
-  // A call that waits would take the idle connection first.
-  if (!this->idleConnections.empty() && this->pendingCalls.empty()) {
-    this->Call(std::move(aRequest), aTimeout, std::move(aDone));
+  const auto idle = std::find_if(
+    this->idleConnections.begin(),
+    this->idleConnections.end(),
+    [&](const auto& aItem) { return aItem->Number() == aConnection; });
+  if (idle == this->idleConnections.end()) {
+    this->loop.Post([done = std::move(aDone)] {
+      auto reply = HttpReply{};
+      reply.reason = "the connection is not idle";
+      done(std::move(reply));
+    });
     return;
   }
-  this->loop.Post([done = std::move(aDone)] {
-    auto reply = HttpReply{};
-    reply.reason = "no open connection";
-    done(std::move(reply));
-  });
+  const auto connection = *idle;
+  this->idleConnections.erase(idle);
+  connection->StartCall(
+    this->NewCall(std::move(aRequest), aTimeout, std::move(aDone)));
 }
 
 auto
@@ -329,8 +352,8 @@
     const auto call = this->pendingCalls.front();
     this->pendingCalls.pop_front();
     ++this->openedConnections;
-    auto connection = std::make_shared<Connection>(this->loop.Context(),
-                                                   this->weak_from_this());
+    auto connection = std::make_shared<Connection>(
+      this->loop.Context(), this->weak_from_this(), this->openedConnections);
     this->connections.insert(connection);
     connection->ConnectAndSend(call);
   }
--- a/eventio/src/httpclient.h
+++ b/eventio/src/httpclient.h
@@ -45,11 +45,12 @@
   // find no free connection are queued; aTimeout includes the time in the
   // queue.
   auto Call(HttpRequest aRequest, Micros aTimeout, Done aDone) -> void;
-  // The same, but only on a connection that has brought a response before: it
-  // leads to the process that sent it. Without an idle one the request is not
-  // sent.
-  auto CallOnOpenConnection(HttpRequest aRequest, Micros aTimeout, Done aDone)
-    -> void;
+  // The same, but only on the connection with this number, which leads to one
+  // process for its whole life. If it is not idle the request is not sent.
+  auto CallOnConnection(std::uint64_t aConnection,
+                        HttpRequest aRequest,
+                        Micros aTimeout,
+                        Done aDone) -> void;
   // Closes all connections. Pending calls fail: Unknown if their request was
   // already being sent, else NotSent.
   auto Close() -> void;
@@ -61,6 +62,8 @@
   class Connection;
   struct PendingCall;
 
+  auto NewCall(HttpRequest aRequest, Micros aTimeout, Done aDone)
+    -> std::shared_ptr<PendingCall>;
   auto Dispatch() -> void;
   auto Release(const std::shared_ptr<Connection>& aConnection, bool aReusable)
     -> void;
--- a/eventio/src/httpmessage.h
+++ b/eventio/src/httpmessage.h
@@ -43,6 +43,9 @@
   std::string body;
   // Why there is no response; empty if there is one.
   std::string reason;
+  // The number of the connection that brought it, of those that the client has
+  // opened; 0 without a response.
+  std::uint64_t connection = 0;
 
   auto Ok() const -> bool;
 };
--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -182,27 +182,33 @@
   unansweredExchanges.clear();
 }
 
-Test(http, call_on_an_open_connection_opens_none)
+Test(http, call_on_a_connection_opens_none)
 {
   auto served = 0;
   auto pair = ClientServerPair{ [&](std::shared_ptr<HttpExchange> aExchange) {
     ++served;
     aExchange->Respond(kOk, "", {});
   } };
-  const auto callOnOpen = [&] {
+  const auto callOn = [&](std::uint64_t aConnection) {
     auto reply = HttpReply{};
-    pair.client->CallOnOpenConnection(
-      { "GET", "/", {}, "" }, Millis{ 2000 }, [&](HttpReply aReply) {
-        reply = std::move(aReply);
-        pair.loop.Stop();
-      });
+    pair.client->CallOnConnection(aConnection,
+                                  { "GET", "/", {}, "" },
+                                  Millis{ 2000 },
+                                  [&](HttpReply aReply) {
+                                    reply = std::move(aReply);
+                                    pair.loop.Stop();
+                                  });
     pair.Run();
     return reply;
   };
-  cr_expect_eq(callOnOpen().outcome, HttpOutcome::NotSent);
+  cr_expect_eq(callOn(1).outcome, HttpOutcome::NotSent);
   cr_expect_eq(pair.client->OpenedConnections(), 0);
-  cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kOk);
-  cr_expect_eq(callOnOpen().status, kOk);
+  const auto first = pair.Call({ "GET", "/", {}, "" });
+  cr_expect_eq(first.status, kOk);
+  const auto second = callOn(first.connection);
+  cr_expect_eq(second.status, kOk);
+  cr_expect_eq(second.connection, first.connection);
+  cr_expect_eq(callOn(first.connection + 1).outcome, HttpOutcome::NotSent);
   cr_expect_eq(pair.client->OpenedConnections(), 1);
   cr_expect_eq(served, 2);
 }
