--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -64,7 +64,8 @@
   auto WaitingTasks() const -> std::vector<WaitingTask>;
 
   auto Violations() const -> const std::vector<std::string>&;
-  // How many of them are about work that is done twice.
+  // How many of them are about work that is done twice, or will be: ends that
+  // are forgotten unread.
   auto Doubled() const -> std::size_t;
   // What workers told of the tasks that broke a promise, a line for each event.
   auto Timelines() const -> std::vector<std::string>;
