--- a/review/tests/site2.cpp
+++ b/review/tests/site2.cpp
@@ -481,6 +481,19 @@
   this->After(kTick, [this] { this->Tick(); });
 }
 
+auto
+Site::SetStoreDown(bool aDown) -> void
+{
+  this->OnLoop([&] {
+    auto treatment = fakes::StoreTreatment{};
+    if (aDown) {
+      treatment.mode = fakes::StoreTreatment::Mode::Refuses;
+    }
+    this->store->Treat(treatment);
+  });
+  this->Note(aDown ? "the store is down" : "the store is back");
+}
+
 auto
 Site::CrashWorker(int aWorker) -> void
 {
--- a/review/tests/site2.h
+++ b/review/tests/site2.h
@@ -89,6 +89,9 @@
   auto KillInstance(int aInstance) -> void;
   auto StartInstance(int aInstance) -> void;
 
+  // While it is down, the store answers each call with 503.
+  auto SetStoreDown(bool aDown) -> void;
+
   // The worker's process crashes; its connections are reset.
   auto CrashWorker(int aWorker) -> void;
   // Another worker, with an id of its own, starts at the address of the one
