--- a/review/tests/site2.cpp
+++ b/review/tests/site2.cpp
@@ -272,6 +272,7 @@
     ::kill(instance.process, SIGKILL);
     ::waitpid(instance.process, nullptr, 0);
     instance.process = -1;
+    instance.killed = true;
     this->Note("instance " + instance.name + " killed");
   }
 }
@@ -320,6 +321,23 @@
   return {};
 }
 
+auto
+Site::AskUntouched() -> Reply
+{
+  for (auto number = std::size_t{ 0 }; number < this->instances.size();
+       ++number) {
+    if (!this->instances[number].killed) {
+      auto reply = this->Ask("GET", "", "", static_cast<int>(number));
+      auto text = std::ostringstream{};
+      text << "GET count at " << this->instances[number].name << ": "
+           << reply.status << ' ' << reply.body;
+      this->Note(text.str());
+      return reply;
+    }
+  }
+  return {};
+}
+
 auto
 Site::Submit(const std::string& aJob, const std::string& aBody) -> bool
 {
--- a/review/tests/site2.h
+++ b/review/tests/site2.h
@@ -79,6 +79,9 @@
            int aFirst = 0) -> Reply;
   // Repeats the submission until it is accepted; false if it never is.
   auto Submit(const std::string& aJob, const std::string& aBody) -> bool;
+  // Asks for the number of jobs that wait, at an instance that was never
+  // killed.
+  auto AskUntouched() -> Reply;
   // The job's state; empty without an answer.
   auto StateOf(const std::string& aJob) -> std::string;
   // Waits until all instances are ready and a probing job has run.
@@ -117,6 +120,7 @@
     int callers = 0;
     int ready = 0;
     pid_t process = -1;
+    bool killed = false;
   };
 
   struct Machine
