--- /dev/null
+++ b/cells/tests/startedtask.h
@@ -0,0 +1,89 @@
+#ifndef GOOSEBERRY_STARTEDTASK_H
+#define GOOSEBERRY_STARTEDTASK_H
+
+// A cell with two workers and one task, which was started on one of them.
+
+#include "cellharness.h"
+
+namespace gooseberry::cells::test {
+
+struct StartedTask
+{
+  CellHarness harness;
+  WorkerCall start;
+
+  explicit StartedTask(CellOptions aOptions = {})
+    : harness(aOptions)
+  {
+    this->harness.AddWorker("w1");
+    this->harness.AddWorker("w2");
+    this->harness.Submit(JobWithSteps({ 1 }));
+    const auto starts = this->harness.StartAll();
+    cr_assert_eq(starts.size(), 1);
+    this->start = starts[0];
+  }
+
+  // The worker's reports come from a process that was started later.
+  auto Restart() -> void
+  {
+    this->harness.workerStarts[this->start.worker] = kLater;
+  }
+
+  // The entry of the worker in the store tells of the later process.
+  auto ListLaterProcess() -> void
+  {
+    this->harness.table.at(this->start.worker).startUnixMs = kLater;
+    this->harness.cell.OnWorkers(this->harness.now, this->harness.table);
+    this->harness.Tick();
+  }
+
+  // Lets a second pass, in which both workers answer all renewals; the one with
+  // the task lists these runs.
+  auto AnswerFor(std::vector<RunReport> aRunning) -> void
+  {
+    AnswerFor(this->harness, this->start.worker, aRunning);
+  }
+
+  // Lets time pass until the worker with the task is asked for a report; the
+  // other one answers with an empty one.
+  auto NextRenewal() -> WorkerCall
+  {
+    for (auto round = 0; round < 100; ++round) {
+      this->harness.Advance(Millis{ 100 });
+      this->harness.Tick();
+      for (const auto& call : this->harness.TakeCallsOfKind(CallKind::Renew)) {
+        if (call.worker == this->start.worker) {
+          return call;
+        }
+        this->harness.Report(call, {}, {});
+      }
+    }
+    cr_assert_fail("no renewal");
+    return {};
+  }
+
+  static auto AnswerFor(CellHarness& aHarness,
+                        const WorkerId& aWorker,
+                        const std::vector<RunReport>& aRunning) -> void
+  {
+    for (auto round = 0; round < 10; ++round) {
+      for (const auto& call : aHarness.TakeCallsOfKind(CallKind::Renew)) {
+        aHarness.Report(call,
+                        call.worker == aWorker ? aRunning
+                                               : std::vector<RunReport>{},
+                        {});
+      }
+      for (const auto& call : aHarness.TakeCallsOfKind(CallKind::Stop)) {
+        aHarness.Answer(call, CallOutcome::Done);
+      }
+      aHarness.Advance(Millis{ 100 });
+      aHarness.Tick();
+    }
+  }
+
+  static constexpr std::int64_t kLater = 2000;
+};
+
+} // namespace gooseberry::cells::test
+
+#endif
