cells: the clock of another worker at the address is not the lost worker's

Cause: an answer with status 421 comes from a worker with another id, which has got the address. Its clock was read as that of the worker that was called. Where it is behind, the worker counted as restarted, and its lease as the longest, from each answer anew. Where it is ahead, the lease counted as over at once, although the lost worker may only be out of reach: its tasks would run twice. Neither the lease of the worker, nor when it was heard last, nor the longest lease in the owner's row may follow from such an answer.

Ruled out: a lease that is extended by a report (the lost worker sends none), and an entry that comes back (worker_unlisted at 5.7 s).

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -1141,6 +1141,9 @@
   auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
   ++box.life;
   box.entry = fakes::EntryOfMachine(aWorker, box.life, this->options.domains);
+  if (box.earlierMachines > 0) {
+    box.entry.machine.text += "-" + std::to_string(box.earlierMachines);
+  }
   constexpr int kHostsOfNet = 250;
   box.entry.address = "10.0." + std::to_string(aWorker / kHostsOfNet) + "." +
                       std::to_string(aWorker % kHostsOfNet + 1) + ":80";
@@ -1163,6 +1166,7 @@
   aBox.entry.startUnixMs = kEpochMs + SteadyMillis(this->queue.Now());
   auto options = fakes::JobWorkerOptions{};
   options.leaseMax = this->options.leaseMax;
+  options.firstClock = aBox.firstClock;
   // Up to 2% slow.
   constexpr std::int64_t kSlowest = 980;
   constexpr std::int64_t kRates = 21;
@@ -1248,6 +1252,26 @@
   }
 }
 
+auto
+FleetWorld::ReuseAddress(int aWorker, Millis aAfter, Millis aClock) -> void
+{
+  this->KillWorker(aWorker, false, Millis{ 0 });
+  this->queue.After(
+    aAfter, [this, aWorker, aClock] { this->NewMachine(aWorker, aClock); });
+}
+
+auto
+FleetWorld::NewMachine(int aWorker, Millis aClock) -> void
+{
+  auto& box = *this->workers.at(static_cast<std::size_t>(aWorker));
+  if (box.alive) {
+    return;
+  }
+  ++box.earlierMachines;
+  box.firstClock = aClock;
+  this->NewWorker(aWorker);
+}
+
 auto
 FleetWorld::LoseAnswer(const WorkerBox::Waiting& aCall) -> void
 {
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -134,6 +134,9 @@
   auto RejectedCommits() const -> std::size_t;
   auto RestartWorker(int aWorker, Millis aDown, Millis aListedAfter)
     -> void override;
+  // The worker is lost for good; so much later a worker of another machine,
+  // whose clock has been running for that long, starts at its address.
+  auto ReuseAddress(int aWorker, Millis aAfter, Millis aClock) -> void;
   auto CutWorker(int aWorker, bool aCut) -> void override;
   auto FailWorker(int aWorker, bool aFails) -> void override;
   auto SlowWorker(int aWorker, double aTimes) -> void override;
@@ -188,6 +191,10 @@
     bool alive = false;
     bool cut = false;
     int life = 0;
+    // Machines that had this place and its address before.
+    int earlierMachines = 0;
+    // What the clock shows at the start of a process.
+    Millis firstClock = fakes::JobWorkerOptions{}.firstClock;
     std::vector<Waiting> waiting;
   };
 
@@ -214,6 +221,8 @@
   // Whether the transaction is within the limits of the users' store.
   auto IsTaken(const cells::TableTransaction& aCommit) const -> bool;
   auto NewWorker(int aWorker) -> void;
+  // aWorker: the place in the list of workers; a new machine takes it.
+  auto NewMachine(int aWorker, Millis aClock) -> void;
   auto StartWorkerProcess(WorkerBox& aBox) -> void;
   auto ListWorker(int aWorker, bool aListed) -> void;
   auto Tick() -> void;
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -41,7 +41,8 @@
   }
   const auto isReport =
     call.kind == CallKind::Renew && aAnswer.outcome == CallOutcome::Done;
-  if (!isReport && aAnswer.clockMs) {
+  const auto isOther = aAnswer.outcome == CallOutcome::WorkerRestarted;
+  if (!isReport && !isOther && aAnswer.clockMs) {
     this->OnClockReading(aNow, slot, call, aAnswer);
   }
   switch (call.kind) {
--- a/cells/src/workercall.h
+++ b/cells/src/workercall.h
@@ -75,7 +75,8 @@
   LeaseExpired,     // the lease in the call was over
   NoRoom,           // the task does not fit on the worker
   InvalidTicket,    // the ticket is missing or has expired
-  WorkerRestarted,  // the worker was restarted since
+  WorkerRestarted,  // a worker with another id answers at the address; it did
+                    // nothing, and its clock is its own
   Unhealthy,        // the worker is unhealthy at present and did nothing
   Malformed,        // the worker could not parse it
   NotSent,          // it certainly was not carried out
--- /dev/null
+++ b/cells/tests/reusedaddress_test.cpp
@@ -0,0 +1,149 @@
+// What a cell makes of answers of another worker, which runs at the address of
+// one that is lost.
+
+#include <criterion/criterion.h>
+
+#include "startedtask.h"
+#include "tunables_cells.h"
+
+using namespace gooseberry;
+using namespace gooseberry::cells;
+using namespace gooseberry::cells::test;
+
+namespace {
+
+// By how much the clock of the other worker is ahead of that of the lost one.
+constexpr std::array<std::int64_t, 4> kClockOffsetsMs{ -500'000,
+                                                       -200,
+                                                       0,
+                                                       500'000 };
+
+// Two workers. One of them is lost; all calls to it are answered by another
+// worker, which runs at its address. The store records at once.
+struct LostWorker
+{
+  explicit LostWorker(CellHarness& aHarness,
+                      WorkerId aLost,
+                      std::int64_t aClockOffsetMs)
+    : harness(aHarness)
+    , lost(std::move(aLost))
+  {
+    this->harness.clockOffset[this->lost] = Millis{ aClockOffsetMs };
+  }
+
+  auto Slot() const -> const WorkerSlot&
+  {
+    return this->harness.cell.Workers().at(this->lost);
+  }
+
+  // Lets time pass until a task is started on the worker that is left, but not
+  // longer than this; returns the order.
+  auto NextStart(Millis aTime) -> std::optional<WorkerCall>
+  {
+    constexpr Millis kStep{ 5 };
+    const auto until = this->harness.now + aTime;
+    while (this->harness.now < until) {
+      this->harness.Advance(kStep);
+      this->harness.Tick();
+      if (const auto batch = this->harness.cell.NextBatch(this->harness.now)) {
+        this->harness.cell.OnBatchRecorded(this->harness.now, batch->number);
+        this->harness.CollectCalls();
+      }
+      auto start = std::optional<WorkerCall>{};
+      for (const auto& call : std::exchange(this->harness.calls, {})) {
+        if (call.worker == this->lost) {
+          ++this->calls[call.kind];
+          this->harness.Answer(call, CallOutcome::WorkerRestarted);
+        } else if (call.kind == CallKind::Renew) {
+          this->harness.Report(call, this->running, {});
+        } else {
+          this->harness.Answer(call, CallOutcome::Done);
+          start = call.kind == CallKind::Start ? std::optional{ call } : start;
+        }
+      }
+      if (start) {
+        this->running.push_back(RunReportOf(*start));
+        return start;
+      }
+    }
+    return std::nullopt;
+  }
+
+  CellHarness& harness;
+  WorkerId lost;
+  // Runs on the other worker.
+  std::vector<RunReport> running;
+  // Calls to the lost worker, by kind.
+  std::map<CallKind, int> calls;
+};
+
+} // namespace
+
+// Guards against: the tasks of a lost worker are never started again, or run
+// twice, because the clock of another worker at its address passes for its own.
+Test(reused_address, leaves_the_lease_of_the_lost_worker)
+{
+  for (const auto offset : kClockOffsetsMs) {
+    auto started = StartedTask{};
+    started.AnswerFor({ RunReportOf(started.start) });
+    auto lost = LostWorker{ started.harness, started.start.worker, offset };
+    const auto leaseOverBy = lost.Slot().LeaseOverBy();
+    const auto heardAt = lost.Slot().lastAnswerAt;
+    const auto start = lost.NextStart(Millis{ 12'000 });
+    if (!start) {
+      cr_expect(false, "clock offset %ld: never started", long{ offset });
+      continue;
+    }
+    const auto late = ToMillis(started.harness.now - leaseOverBy).count();
+    cr_expect(late >= 0 && late <= 100,
+              "clock offset %ld: %ld ms after the lease",
+              long{ offset },
+              long{ late });
+    cr_expect_eq(lost.Slot().lastAnswerAt, heardAt);
+    cr_expect_not(lost.NextStart(Millis{ 12'000 }).has_value());
+  }
+}
+
+// Guards against the same for a run that was started by an earlier owner.
+Test(reused_address, leaves_the_lease_that_an_earlier_owner_granted)
+{
+  for (const auto offset : kClockOffsetsMs) {
+    auto first = StartedTask{};
+    const auto* const job = first.harness.cell.FindJob(first.start.task.job);
+    auto takeover = CellTakeover{ 2 };
+    takeover.jobs.emplace_back(job->row, MakeJobRecord(*job));
+    auto second = CellHarness{ {}, takeover };
+    second.table = first.harness.table;
+    second.cell.OnWorkers(second.now, second.table);
+    const auto takenAt = second.now;
+    auto lost = LostWorker{ second, first.start.worker, offset };
+    const auto leaseOverBy = lost.Slot().LeaseOverBy();
+    const auto start = lost.NextStart(Millis{ 20'000 });
+    if (!start) {
+      cr_expect(false, "clock offset %ld: never started", long{ offset });
+      continue;
+    }
+    const auto late = ToMillis(second.now - leaseOverBy).count();
+    cr_expect(
+      late >= 0 && late <= 100,
+      "clock offset %ld: %ld ms after the lease, %ld after the takeover",
+      long{ offset },
+      long{ late },
+      long{ ToMillis(second.now - takenAt).count() });
+    cr_expect_eq(start->runNumber, first.start.runNumber + 1);
+  }
+}
+
+// Guards against: the next owner waits for the longest lease that workers
+// accept, because another worker answered at the address of a lost one.
+Test(reused_address, lengthens_no_lease_of_the_cell)
+{
+  auto options = CellOptions{};
+  options.maxLease = Millis{ 10'000 };
+  auto started = StartedTask{ options };
+  started.AnswerFor({ RunReportOf(started.start) });
+  auto lost = LostWorker{ started.harness, started.start.worker, -500'000 };
+  cr_assert_not(lost.NextStart(Millis{ 1000 }).has_value());
+  cr_expect_eq(started.harness.cell.LongestLease(started.harness.now),
+               options.lease);
+}
--- a/fakes/src/jobworker.cpp
+++ b/fakes/src/jobworker.cpp
@@ -32,9 +32,9 @@
 auto
 JobWorker::ClockMs(Time aNow) const -> std::int64_t
 {
-  constexpr std::int64_t kStart = 100000;
   const auto lived = std::chrono::floor<Millis>(aNow - this->born).count();
-  return kStart + lived * this->options.clockRate / kWhole;
+  return this->options.firstClock.count() +
+         lived * this->options.clockRate / kWhole;
 }
 
 auto
--- a/fakes/src/jobworker.h
+++ b/fakes/src/jobworker.h
@@ -73,6 +73,8 @@
   Millis leaseMax{ 6000 };
   Millis stopTakes{ 100 };
   Millis checkpointEvery{ 1000 };
+  // What its clock shows at the start.
+  Millis firstClock{ 100'000 };
   // Rate of its clock in parts of 1,000.
   std::int64_t clockRate = 1000;
   bool guardsCapacity = true;
