cells: a suspected restart lengthens the lease once, not with each answer

Callers would see: tasks of a worker that was restarted under its id and is unhealthy since wait for as long as it is.

Cause: each answer whose clock is behind, and each entry with another start time, moved the end of the longest lease that the later process may have to 6.2 s from then. Only a report ends the suspicion, so that the end was never reached while a worker answered without one (503), or its entry was written again and again.

Change: the end moves when the restart is suspected first, and by answers to calls that carried a lease. While the restart is suspected none are sent, so that there are few. It never moves back: for a worker that an earlier owner may still grant leases to, the bound of the takeover can be the later one.

Evidence, on the code before: no start in 20 s with answers unhealthy, malformed or fenced, and with an entry written each 0.5 s. After: 0 to 0.4 s after the longest lease. restart::that_answers_an_earlier_start_lengthens_the_lease_again held before; it fails if answers to calls with a lease do not count.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -445,6 +445,8 @@
     std::uint64_t acknowledgedEnd = 0;
     // Renew: only the known process of the worker may get it.
     bool isForProcess = false;
+    // The worker may take a lease from it.
+    bool grantsLease = false;
   };
 
   // What a batch covers; needed when its outcome is known.
@@ -598,9 +600,12 @@
 
   // Workers (cellworkers.cpp).
   // Something that proves nothing tells of a later process of the worker:
-  // requests a report. aSource goes to the log.
-  auto SuspectRestart(Time aNow, WorkerSlot& aSlot, const char* aSource)
-    -> void;
+  // requests a report. aMayHaveLease: the later process may just have taken a
+  // lease. aSource goes to the log.
+  auto SuspectRestart(Time aNow,
+                      WorkerSlot& aSlot,
+                      bool aMayHaveLease,
+                      const char* aSource) -> void;
   // A report comes from a later process. Which runs ended with the earlier one
   // follows from the rest of the report: orders sent to that one may have
   // reached the later one.
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -37,7 +37,8 @@
                  RunRef{ aCall.task, aCall.runNumber },
                  this->workers.at(aCall.worker).ClockLowerBound(aNow),
                  aCall.lastRecordedEnd,
-                 aCall.processStartUnixMs != 0 });
+                 aCall.processStartUnixMs != 0,
+                 aCall.leaseEndMs > 0 });
   this->outgoingCalls.push_back(aCall);
 }
 
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -86,7 +86,7 @@
     return;
   }
   if (*aAnswer.clockMs + kClockMargin.count() < aCall.clockLowerBound) {
-    this->SuspectRestart(aNow, aSlot, "clock");
+    this->SuspectRestart(aNow, aSlot, aCall.grantsLease, "clock");
     return;
   }
   UpdateClockSample(aNow, aSlot, *aAnswer.clockMs);
--- a/cells/src/cellworkers.cpp
+++ b/cells/src/cellworkers.cpp
@@ -33,7 +33,7 @@
     }
     if (hasPreviousStart && entry.startUnixMs != previousStart &&
         entry.startUnixMs != slot.listedStartUnixMs) {
-      this->SuspectRestart(aNow, slot, "entry");
+      this->SuspectRestart(aNow, slot, false, "entry");
     }
     slot.listedStartUnixMs = entry.startUnixMs;
     slot.listed = true;
@@ -81,9 +81,12 @@
 
 // Until the report, the worker gets no starts and no longer lease: the later
 // process limits a lease only by the longest that it accepts, counted on a
-// clock of its own.
+// clock of its own. It can take one only from calls that were sent before.
 auto
-Cell::SuspectRestart(Time aNow, WorkerSlot& aSlot, const char* aSource) -> void
+Cell::SuspectRestart(Time aNow,
+                     WorkerSlot& aSlot,
+                     bool aMayHaveLease,
+                     const char* aSource) -> void
 {
   if (!aSlot.restartSuspected) {
     this->log.Write("worker_restart_suspected",
@@ -91,10 +94,13 @@
                       { "source", aSource },
                       { "runs", std::to_string(aSlot.runs.size()) } });
   }
+  if (!aSlot.restartSuspected || aMayHaveLease) {
+    aSlot.fallbackLeaseEnd =
+      std::max(aSlot.fallbackLeaseEnd, this->LongestLeaseEnd(aNow));
+  }
   aSlot.restartSuspected = true;
   aSlot.suspectedAtCall = this->lastCallNumber;
   aSlot.reportRequested = true;
-  aSlot.fallbackLeaseEnd = this->LongestLeaseEnd(aNow);
 }
 
 auto
--- a/cells/tests/restart_test.cpp
+++ b/cells/tests/restart_test.cpp
@@ -367,3 +367,71 @@
   cr_expect(acknowledged);
   cr_expect_eq(renewals, 2 * kMaxUnsentAcknowledgements + 1);
 }
+
+// Guards against: tasks of a worker that was restarted wait for as long as it
+// is unhealthy, because each of its answers lengthens the lease that the later
+// process may have.
+Test(restart, that_no_report_settles_lengthens_the_lease_once)
+{
+  for (const auto outcome : { CallOutcome::Unhealthy,
+                              CallOutcome::Malformed,
+                              CallOutcome::Fenced }) {
+    auto started = StartedTask{};
+    started.AnswerFor({ RunReportOf(started.start) });
+    auto worker = UnreportingWorker{
+      started.harness, started.start.worker, outcome, Millis{ -500'000 }
+    };
+    const auto restartedAt = started.harness.now;
+    const auto start = worker.NextStart(Millis{ 20'000 });
+    if (!start) {
+      cr_expect(false, "%s: never started", ToText(outcome));
+      continue;
+    }
+    const auto after =
+      ToMillis(started.harness.now - restartedAt - CellOptions{}.maxLease);
+    cr_expect(after >= Millis{ 0 } && after <= Millis{ 400 },
+              "%s: %ld ms after the longest lease",
+              ToText(outcome),
+              long{ after.count() });
+  }
+}
+
+// Guards against the same where the worker does not answer, and its entry is
+// written again and again with different start times.
+Test(restart, that_entries_tell_of_again_lengthens_the_lease_once)
+{
+  auto started = StartedTask{};
+  started.AnswerFor({ RunReportOf(started.start) });
+  auto worker = UnreportingWorker{
+    started.harness, started.start.worker, CallOutcome::Unanswered, Millis{ 0 }
+  };
+  auto start = std::optional<WorkerCall>{};
+  const auto restartedAt = started.harness.now;
+  for (auto entry = 0; entry < 40 && !start; ++entry) {
+    started.harness.table.at(started.start.worker).startUnixMs =
+      StartedTask::kLater + entry;
+    started.harness.cell.OnWorkers(started.harness.now, started.harness.table);
+    start = worker.NextStart(Millis{ 500 });
+  }
+  cr_assert(start.has_value());
+  const auto after =
+    ToMillis(started.harness.now - restartedAt - CellOptions{}.maxLease);
+  cr_expect(after >= Millis{ 0 } && after <= Millis{ 400 },
+            "%ld ms after the longest lease",
+            long{ after.count() });
+}
+
+// Guards against: a task runs twice because the lease that the later process
+// took from an order counts from when the restart was suspected first.
+Test(restart, that_answers_an_earlier_start_lengthens_the_lease_again)
+{
+  auto started = StartBesideRenewals{};
+  auto& harness = started.harness;
+  const auto& slot = harness.cell.Workers().at(started.start.worker);
+  harness.table.at(started.start.worker).startUnixMs = StartedTask::kLater;
+  harness.cell.OnWorkers(harness.now, harness.table);
+  const auto suspectedUntil = slot.LeaseOverBy();
+  harness.Advance(Millis{ 400 });
+  started.AnswerAsLaterProcess(started.start);
+  cr_expect_geq(slot.LeaseOverBy(), suspectedUntil + Millis{ 400 });
+}
--- a/cells/tests/reusedaddress_test.cpp
+++ b/cells/tests/reusedaddress_test.cpp
@@ -18,65 +18,6 @@
                                                        0,
                                                        500'000 };
 
-// Two workers. One of them is lost; all calls to it are answered by another
-// worker, which runs at its address. The store records at once.
-struct LostWorker
-{
-  explicit LostWorker(CellHarness& aHarness,
-                      WorkerId aLost,
-                      std::int64_t aClockOffsetMs)
-    : harness(aHarness)
-    , lost(std::move(aLost))
-  {
-    this->harness.clockOffset[this->lost] = Millis{ aClockOffsetMs };
-  }
-
-  auto Slot() const -> const WorkerSlot&
-  {
-    return this->harness.cell.Workers().at(this->lost);
-  }
-
-  // Lets time pass until a task is started on the worker that is left, but not
-  // longer than this; returns the order.
-  auto NextStart(Millis aTime) -> std::optional<WorkerCall>
-  {
-    constexpr Millis kStep{ 5 };
-    const auto until = this->harness.now + aTime;
-    while (this->harness.now < until) {
-      this->harness.Advance(kStep);
-      this->harness.Tick();
-      if (const auto batch = this->harness.cell.NextBatch(this->harness.now)) {
-        this->harness.cell.OnBatchRecorded(this->harness.now, batch->number);
-        this->harness.CollectCalls();
-      }
-      auto start = std::optional<WorkerCall>{};
-      for (const auto& call : std::exchange(this->harness.calls, {})) {
-        if (call.worker == this->lost) {
-          ++this->calls[call.kind];
-          this->harness.Answer(call, CallOutcome::WorkerRestarted);
-        } else if (call.kind == CallKind::Renew) {
-          this->harness.Report(call, this->running, {});
-        } else {
-          this->harness.Answer(call, CallOutcome::Done);
-          start = call.kind == CallKind::Start ? std::optional{ call } : start;
-        }
-      }
-      if (start) {
-        this->running.push_back(RunReportOf(*start));
-        return start;
-      }
-    }
-    return std::nullopt;
-  }
-
-  CellHarness& harness;
-  WorkerId lost;
-  // Runs on the other worker.
-  std::vector<RunReport> running;
-  // Calls to the lost worker, by kind.
-  std::map<CallKind, int> calls;
-};
-
 } // namespace
 
 // Guards against: the tasks of a lost worker are never started again, or run
@@ -86,7 +27,10 @@
   for (const auto offset : kClockOffsetsMs) {
     auto started = StartedTask{};
     started.AnswerFor({ RunReportOf(started.start) });
-    auto lost = LostWorker{ started.harness, started.start.worker, offset };
+    auto lost = UnreportingWorker{ started.harness,
+                                   started.start.worker,
+                                   CallOutcome::WorkerRestarted,
+                                   Millis{ offset } };
     const auto leaseOverBy = lost.Slot().LeaseOverBy();
     const auto heardAt = lost.Slot().lastAnswerAt;
     const auto start = lost.NextStart(Millis{ 12'000 });
@@ -116,7 +60,9 @@
     second.table = first.harness.table;
     second.cell.OnWorkers(second.now, second.table);
     const auto takenAt = second.now;
-    auto lost = LostWorker{ second, first.start.worker, offset };
+    auto lost = UnreportingWorker{
+      second, first.start.worker, CallOutcome::WorkerRestarted, Millis{ offset }
+    };
     const auto leaseOverBy = lost.Slot().LeaseOverBy();
     const auto start = lost.NextStart(Millis{ 20'000 });
     if (!start) {
@@ -142,7 +88,10 @@
   options.maxLease = Millis{ 10'000 };
   auto started = StartedTask{ options };
   started.AnswerFor({ RunReportOf(started.start) });
-  auto lost = LostWorker{ started.harness, started.start.worker, -500'000 };
+  auto lost = UnreportingWorker{ started.harness,
+                                 started.start.worker,
+                                 CallOutcome::WorkerRestarted,
+                                 Millis{ -500'000 } };
   cr_assert_not(lost.NextStart(Millis{ 1000 }).has_value());
   cr_expect_eq(started.harness.cell.LongestLease(started.harness.now),
                options.lease);
--- a/cells/tests/startedtask.h
+++ b/cells/tests/startedtask.h
@@ -1,7 +1,10 @@
 #ifndef GOOSEBERRY_STARTEDTASK_H
 #define GOOSEBERRY_STARTEDTASK_H
 
-// A cell with two workers and one task, which was started on one of them.
+// A cell with two workers and one task, which was started on one of them; and
+// what happens if that worker sends no reports any more.
+
+#include <optional>
 
 #include "cellharness.h"
 
@@ -84,6 +87,68 @@
   static constexpr std::int64_t kLater = 2000;
 };
 
+// A worker of two that answers all calls in one way and never with a report;
+// the other one is well. The store records at once.
+struct UnreportingWorker
+{
+  UnreportingWorker(CellHarness& aHarness,
+                    WorkerId aWorker,
+                    CallOutcome aOutcome,
+                    Millis aClockOffset)
+    : harness(aHarness)
+    , worker(std::move(aWorker))
+    , outcome(aOutcome)
+  {
+    this->harness.clockOffset[this->worker] = aClockOffset;
+  }
+
+  auto Slot() const -> const WorkerSlot&
+  {
+    return this->harness.cell.Workers().at(this->worker);
+  }
+
+  // Lets time pass until a task is started on the other worker, but not longer
+  // than this; returns the order.
+  auto NextStart(Millis aTime) -> std::optional<WorkerCall>
+  {
+    constexpr Millis kStep{ 5 };
+    const auto until = this->harness.now + aTime;
+    while (this->harness.now < until) {
+      this->harness.Advance(kStep);
+      this->harness.Tick();
+      if (const auto batch = this->harness.cell.NextBatch(this->harness.now)) {
+        this->harness.cell.OnBatchRecorded(this->harness.now, batch->number);
+        this->harness.CollectCalls();
+      }
+      auto start = std::optional<WorkerCall>{};
+      for (const auto& call : std::exchange(this->harness.calls, {})) {
+        if (call.worker == this->worker) {
+          ++this->calls[call.kind];
+          this->harness.Answer(call, this->outcome);
+        } else if (call.kind == CallKind::Renew) {
+          this->harness.Report(call, this->running, {});
+        } else {
+          this->harness.Answer(call, CallOutcome::Done);
+          start = call.kind == CallKind::Start ? std::optional{ call } : start;
+        }
+      }
+      if (start) {
+        this->running.push_back(RunReportOf(*start));
+        return start;
+      }
+    }
+    return std::nullopt;
+  }
+
+  CellHarness& harness;
+  WorkerId worker;
+  CallOutcome outcome;
+  // Runs on the other worker.
+  std::vector<RunReport> running;
+  // Calls to the worker, by kind.
+  std::map<CallKind, int> calls;
+};
+
 } // namespace gooseberry::cells::test
 
 #endif
