cells: a start that another worker answers is settled, and shows the worker silent

Callers would see: a task that is ordered to start on a worker just after that was lost, when another one has its address, waits for the end of a lease (1.5 to 5 s) before it is started elsewhere.

Cause: the answer 421 to a start was kept for a report to settle, as for a worker that was restarted. A worker that is restarted under its id answers as itself; with 421 another one answers, did nothing, and sends no report of the called one. The worker also stayed open for starts until its next renewal was refused.

Change: such a start is dropped like any other that was refused, and any call that another worker answers makes the worker silent until its next report. Its runs still last until its lease is over. worker_address_reused tells of it.

--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -619,6 +619,7 @@
   auto ExpireLeases(Time aNow) -> void;
 
   // Runs (cellruns.cpp).
+  auto OnOtherWorkerAnswers(WorkerSlot& aSlot) -> void;
   auto OnClockReading(Time aNow,
                       WorkerSlot& aSlot,
                       const PendingCall& aCall,
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -41,8 +41,9 @@
   }
   const auto isReport =
     call.kind == CallKind::Renew && aAnswer.outcome == CallOutcome::Done;
-  const auto isOther = aAnswer.outcome == CallOutcome::WorkerRestarted;
-  if (!isReport && !isOther && aAnswer.clockMs) {
+  if (aAnswer.outcome == CallOutcome::WorkerRestarted) {
+    this->OnOtherWorkerAnswers(slot);
+  } else if (!isReport && aAnswer.clockMs) {
     this->OnClockReading(aNow, slot, call, aAnswer);
   }
   switch (call.kind) {
@@ -74,6 +75,21 @@
   }
 }
 
+// The worker is gone, or out of reach. That proves neither: its runs last until
+// its lease is over.
+auto
+Cell::OnOtherWorkerAnswers(WorkerSlot& aSlot) -> void
+{
+  if (!aSlot.addressReused) {
+    this->log.Write("worker_address_reused",
+                    { { "worker", aSlot.entry.id.text },
+                      { "address", aSlot.entry.address },
+                      { "runs", std::to_string(aSlot.runs.size()) } });
+  }
+  aSlot.addressReused = true;
+  aSlot.silent = true;
+}
+
 // The answer does not tell which process of the worker it comes from. A clock
 // that went back is a later one's: clocks begin anew with the process.
 auto
@@ -153,13 +169,6 @@
         this->dueStops.insert(aRef);
       }
       return;
-    case CallOutcome::WorkerRestarted:
-      run->neverBegan = true;
-      slot.reportRequested = true;
-      slot.noStartsUntil = aNow + kRefusalAvoidTime;
-      run->phase = RunPhase::StartUnconfirmed;
-      run->phaseSince = aNow;
-      return;
     default:
       // The call was not carried out, and will not be.
       this->CountEvent(CellEvent::StartRefused);
@@ -225,6 +234,7 @@
   }
   this->planNeeded = this->planNeeded || aSlot.silent;
   aSlot.silent = false;
+  aSlot.addressReused = false;
   aSlot.needsConnection = false;
   if (knownStart == 0) {
     knownStart = start;
--- a/cells/src/workerslot.h
+++ b/cells/src/workerslot.h
@@ -112,8 +112,11 @@
   Time leaseSentAt{};
   // A report is requested without delay.
   bool reportRequested = false;
-  // The last renewal got no answer, or was refused.
+  // The last renewal got no answer, or was refused, or another worker answered
+  // some call.
   bool silent = false;
+  // Another worker has answered at its address since its last report.
+  bool addressReused = false;
   // The owner's row in the store may list the worker as silent.
   bool silentInOwnerRow = false;
   // Worker's clock in the newest report that was read.
--- a/cells/tests/reusedaddress_test.cpp
+++ b/cells/tests/reusedaddress_test.cpp
@@ -96,3 +96,32 @@
   cr_expect_eq(started.harness.cell.LongestLease(started.harness.now),
                options.lease);
 }
+
+// Guards against: a task waits for the end of a lease because the order to
+// start it reached another worker, which did nothing.
+Test(reused_address, settles_starts_at_once)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  harness.AddWorker("w2");
+  for (const auto offset : kClockOffsetsMs) {
+    auto lost = UnreportingWorker{
+      harness, { "w1" }, CallOutcome::WorkerRestarted, Millis{ offset }
+    };
+    constexpr std::size_t kTasks = 6;
+    const auto job = harness.Submit(JobWithSteps({ kTasks }));
+    while (lost.NextStart(Millis{ 200 })) {
+    }
+    cr_expect_eq(lost.running.size(), kTasks);
+    // None is sent after the first ones were answered.
+    cr_expect_leq(lost.calls[CallKind::Start], static_cast<int>(kTasks));
+    cr_expect_eq(lost.Slot().runs.size(), 0);
+    harness.cell.OnCancel(harness.now, job);
+    // The worker is back.
+    harness.clockOffset.clear();
+    for (auto round = 0; round < 4; ++round) {
+      StartedTask::AnswerFor(harness, { "w2" }, {});
+    }
+    cr_assert(lost.Slot().IsProcessKnown());
+  }
+}
