cells: a refused stop, and a refused report, are asked for again after a delay

Callers would see: an owner that is busy with one worker is late for all others.

Cause: a stop that was not carried out was due again at once, and asked for a report; that request also passed over the delay for workers that do not answer.

Change: a run gets at most one stop each 250 ms, and a silent worker one renewal each 250 ms, also if a report is requested. The first stop of a run, and the first after a restart of its worker, are sent at once; an unanswered one is repeated after its timeout of 500 ms as before.

--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -88,6 +88,7 @@
   }
   if (const auto [context, run] = this->FindTaskAndRun(aRef); run != nullptr) {
     run->stopSent = true;
+    run->nextStopAt = aNow + kStopRetryDelay;
     run->phaseSince = aNow;
   }
   auto call = this->NewCall(aSlot, CallKind::Stop);
@@ -102,7 +103,12 @@
   const auto due = std::exchange(this->dueStops, {});
   for (const auto& ref : due) {
     const auto [context, run] = this->FindTaskAndRun(ref);
-    if (run != nullptr && run->phase == RunPhase::Stopping && !run->stopSent) {
+    if (run == nullptr || run->phase != RunPhase::Stopping || run->stopSent) {
+      continue;
+    }
+    if (aNow < run->nextStopAt) {
+      this->dueStops.insert(ref);
+    } else {
       this->SendStop(aNow, *run->worker, ref);
     }
   }
@@ -115,7 +121,8 @@
     if (slot.entry.address.empty() || (!slot.listed && slot.runs.empty())) {
       continue;
     }
-    if (slot.reportRequested && slot.pendingRenewals.size() < 2) {
+    const auto retryDue = !slot.silent || aNow >= slot.nextRenewalAt;
+    if (slot.reportRequested && retryDue && slot.pendingRenewals.size() < 2) {
       slot.reportRequested = false;
       this->SendRenewal(aNow, slot, Millis{ 0 });
       continue;
--- a/cells/src/cellworkers.cpp
+++ b/cells/src/cellworkers.cpp
@@ -124,6 +124,7 @@
       // The later process knows nothing of the stop, and may yet receive the
       // order to start the run.
       run->stopSent = false;
+      run->nextStopAt = {};
       run->stopConfirmedAtCall.reset();
       this->dueStops.insert(ref);
     }
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -110,8 +110,9 @@
   Time tailIntervalStart{};
   // When progress last increased.
   Time lastProgressAt{};
-  // A stop order is in flight.
+  // A stop order is in flight, and when another one may be sent.
   bool stopSent = false;
+  Time nextStopAt{};
   // Fraction of its speed that the run may use, in percent, and when that was
   // set.
   int speedPercent = kFullPace;
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -69,9 +69,13 @@
 // close each one after its answer.
 inline constexpr int kMaxUnsentAcknowledgements = 3;
 
-// Delay before the next renewal after one that got no answer.
+// Delay before the next renewal after one that got no answer, or was refused.
 inline constexpr Millis kRenewRetryDelay{ 250 };
 
+// Least time between two orders to stop the same run. A cancelled task has to
+// be gone 3 s after its cancellation.
+inline constexpr Millis kStopRetryDelay{ 250 };
+
 // Starts wait this long to share a transaction. A transaction takes about 10
 // ms, and a partition of the store takes 150 a second.
 inline constexpr Millis kMinCommitInterval{ 12 };
--- a/cells/tests/restart_test.cpp
+++ b/cells/tests/restart_test.cpp
@@ -387,12 +387,16 @@
       cr_expect(false, "%s: never started", ToText(outcome));
       continue;
     }
-    const auto after =
-      ToMillis(started.harness.now - restartedAt - CellOptions{}.maxLease);
+    const auto took = ToMillis(started.harness.now - restartedAt);
+    const auto after = took - CellOptions{}.maxLease;
     cr_expect(after >= Millis{ 0 } && after <= Millis{ 400 },
               "%s: %ld ms after the longest lease",
               ToText(outcome),
               long{ after.count() });
+    cr_expect(worker.calls[CallKind::Renew] <= 2 + took / kRenewRetryDelay,
+              "%s: %d renewals",
+              ToText(outcome),
+              worker.calls[CallKind::Renew]);
   }
 }
 
--- a/cells/tests/worker_test.cpp
+++ b/cells/tests/worker_test.cpp
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include "startedtask.h"
+#include "tunables_cells.h"
 
 using namespace gooseberry;
 using namespace gooseberry::cells;
@@ -166,3 +167,34 @@
   setCpu(4000);
   cr_expect_eq(harness.StartAll().size(), 2);
 }
+
+// Guards against: an owner sends the same stop to a worker that refuses it as
+// fast as the answers come.
+Test(refused_stop, is_repeated_with_a_delay)
+{
+  for (const auto outcome : { CallOutcome::WorkerRestarted,
+                              CallOutcome::Unhealthy,
+                              CallOutcome::Malformed,
+                              CallOutcome::UnreadableAnswer,
+                              CallOutcome::NotSent }) {
+    auto started = StartedTask{};
+    started.AnswerFor({ RunReportOf(started.start) });
+    auto& harness = started.harness;
+    harness.cell.OnCancel(harness.now, started.start.task.job);
+    harness.calls.clear();
+    auto worker =
+      UnreportingWorker{ harness, started.start.worker, outcome, Millis{ 0 } };
+    constexpr Millis kWatched{ 2000 };
+    cr_assert_not(worker.NextStart(kWatched).has_value());
+    const auto most = 2 + static_cast<int>(kWatched / kStopRetryDelay);
+    cr_expect(worker.calls[CallKind::Stop] > 2 &&
+                worker.calls[CallKind::Stop] <= most,
+              "%s: %d stops",
+              ToText(outcome),
+              worker.calls[CallKind::Stop]);
+    cr_expect(worker.calls[CallKind::Renew] <= most,
+              "%s: %d renewals",
+              ToText(outcome),
+              worker.calls[CallKind::Renew]);
+  }
+}
