Soak: addresses of lost workers that another machine's worker takes

The fault reuse-address, for real instances: a worker is lost for good and a worker of another machine starts at its address 0.02 to 4 s later.

--- a/soak/src/realfleet.cpp
+++ b/soak/src/realfleet.cpp
@@ -336,6 +336,9 @@
   ++machine.life;
   machine.entry =
     fakes::EntryOfMachine(aWorker, machine.life, this->options.domains);
+  if (machine.earlierMachines > 0) {
+    machine.entry.machine.text += "-" + std::to_string(machine.earlierMachines);
+  }
   machine.entry.capacity = this->options.capacity;
   if (this->options.rackWorkers > 0) {
     const auto rack = aWorker / this->options.rackWorkers;
@@ -400,6 +403,19 @@
   });
 }
 
+auto
+RealFleet::ReuseAddress(int aWorker, Millis aDown) -> void
+{
+  this->KillWorker(aWorker, false, Millis{ 0 });
+  this->After(aDown, [this, aWorker] {
+    auto& machine = *this->machines.at(static_cast<std::size_t>(aWorker));
+    if (machine.server->Worker() == nullptr) {
+      ++machine.earlierMachines;
+      this->NewWorker(aWorker);
+    }
+  });
+}
+
 auto
 RealFleet::StartProcess(int aWorker, Millis aListedAfter) -> void
 {
--- a/soak/src/realfleet.h
+++ b/soak/src/realfleet.h
@@ -90,6 +90,9 @@
   // The same, but the machine has no power meanwhile: it answers nothing, and
   // its connections end when it is back.
   auto PowerCycleWorker(int aWorker, Millis aDown, Millis aListedAfter) -> void;
+  // The worker is lost for good; after aDown a worker of another machine starts
+  // at its address.
+  auto ReuseAddress(int aWorker, Millis aDown) -> void;
   auto CutWorker(int aWorker, bool aCut) -> void override;
   auto FailWorker(int aWorker, bool aFails) -> void override;
   auto SlowWorker(int aWorker, double aTimes) -> void override;
@@ -117,6 +120,8 @@
     std::unique_ptr<standin::WorkerServer> server;
     cells::WorkerEntry entry;
     int life = 0;
+    // Machines that had this place and its address before.
+    int earlierMachines = 0;
   };
 
   using OnStatus = std::function<void(int aStatus, bool aMayHaveRun)>;
--- a/soak/src/repeatedfaults.cpp
+++ b/soak/src/repeatedfaults.cpp
@@ -63,6 +63,14 @@
   aFleet.PowerCycleWorker(worker, down, DrawMillis(aRandom, 0, kLatestEntry));
 }
 
+auto
+ReuseAddress(RealFleet& aFleet, FaultGenerator& aRandom) -> void
+{
+  constexpr std::int64_t kLongestDown = 4000;
+  const auto worker = DrawWorker(aFleet, aRandom);
+  aFleet.ReuseAddress(worker, DrawMillis(aRandom, 20, kLongestDown));
+}
+
 // The worker comes back behind a cut, so that nobody hears of it at once.
 auto
 RestartWorkerBehindCut(RealFleet& aFleet, FaultGenerator& aRandom) -> void
@@ -214,10 +222,11 @@
            DrawMillis(aRandom, 200, 3000));
 }
 
-constexpr std::array<RepeatedFault, 17> kRepeatedFaults{ {
+constexpr std::array<RepeatedFault, 18> kRepeatedFaults{ {
   { "restart-worker", RestartWorker },
   { "restart-behind-cut", RestartWorkerBehindCut },
   { "power-cycle-worker", PowerCycleWorker },
+  { "reuse-address", ReuseAddress },
   { "cut-worker", CutWorker },
   { "reset-workers", ResetWorker },
   { "reset-store", ResetStore },
