cells: a report that lists as many ends as it may ends no runs

The store is down for 1.7 s while 636 ends wait on each of three workers.

Cause: a worker lists at most 500 ends that are not acknowledged, the first ones first. A run that a report listed neither as running nor as ended counted as gone, also where the list was full: its end may be one of those left out. The same conclusion was drawn of inherited runs after a takeover (never started), of unanswered starts (expired) and of stopped runs (not reported after the stop), and for tasks of other cells.

Change: a report ends a run that it does not list only if it is complete: it has fewer ends than a list may have, and no entry that can't be read. Stops go out as before. Ends still drain: those listed are recorded and acknowledged, and the next report lists the next ones.

Unit test: with 500 ends nothing is started again, with 501 and 630 the tasks of ends 501 and up are. Ruled out: leases that lapse, and reports that arrive out of order (the runs are in none of them).

--- a/cells/src/cellhealth.cpp
+++ b/cells/src/cellhealth.cpp
@@ -110,8 +110,9 @@
 auto
 Cell::ShowsWorkerSpeed(const TaskContext& aContext, const Run& aRun) -> bool
 {
-  return aRun.phase == RunPhase::Running && !aContext.spec->longRunning &&
-         !aRun.speedUncertain && aRun.speedPercent >= kMinWatchedSpeedPercent;
+  return aRun.phase == RunPhase::Running && !aRun.mayHaveEnded &&
+         !aContext.spec->longRunning && !aRun.speedUncertain &&
+         aRun.speedPercent >= kMinWatchedSpeedPercent;
 }
 
 auto
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -331,6 +331,7 @@
       this->dueStops.insert(ref);
     }
   }
+  run->mayHaveEnded = false;
   this->ClearSuspicion(aNow, context, *run);
   if (aReport.percent != run->progressPercent || !run->hasReported) {
     run->lastProgressAt = aNow;
@@ -485,9 +486,13 @@
                     const WorkerAnswer& aReport) -> void
 {
   const auto clock = aReport.clockMs.value_or(0);
+  // The report may have left out the end of a run that it does not list.
+  const auto isComplete = aReport.IsComplete();
   const auto drop = [&](const RunRef& aRef, const char* aWhy) {
-    this->NoteLostRun(aSlot, aRef);
-    this->DropRun(aNow, aRef, aWhy);
+    if (isComplete) {
+      this->NoteLostRun(aSlot, aRef);
+      this->DropRun(aNow, aRef, aWhy);
+    }
   };
   const auto known = aSlot.runs;
   for (const auto& ref : known) {
@@ -498,6 +503,7 @@
     if (run == nullptr) {
       continue;
     }
+    run->mayHaveEnded = true;
     switch (run->phase) {
       case RunPhase::Planned:
       case RunPhase::Starting:
--- a/cells/src/job.h
+++ b/cells/src/job.h
@@ -121,6 +121,8 @@
   bool inherited = false;
   // The worker refused the start.
   bool neverBegan = false;
+  // The newest report does not list it as running.
+  bool mayHaveEnded = false;
   // The last speed order got no answer, so the actual limit is unknown.
   bool speedUncertain = false;
   // Working time lost to the speed limit before the limit was last changed.
--- a/cells/src/workercall.cpp
+++ b/cells/src/workercall.cpp
@@ -31,4 +31,10 @@
   return kNames.at(static_cast<std::size_t>(aEnd));
 }
 
+auto
+WorkerAnswer::IsComplete() const -> bool
+{
+  return this->unreadableEntries == 0 && this->ended.size() < kMaxListedEnds;
+}
+
 } // namespace gooseberry::cells
--- a/cells/src/workercall.h
+++ b/cells/src/workercall.h
@@ -133,6 +133,9 @@
   auto operator==(const EndReport&) const -> bool = default;
 };
 
+// A report lists at most so many ends, those with the lowest numbers.
+inline constexpr std::size_t kMaxListedEnds = 500;
+
 struct WorkerAnswer
 {
   std::uint64_t number = 0;
@@ -148,6 +151,10 @@
   // Why there is no answer.
   std::string reason;
 
+  // Whether the report tells of all runs that exist on the worker and of all
+  // ends there that are not acknowledged.
+  auto IsComplete() const -> bool;
+
   auto operator==(const WorkerAnswer&) const -> bool = default;
 };
 
