cells: ends drain behind one whose record the store rejects

Callers would see: jobs that never complete, in the whole cell.

Cause: ends are acknowledged in order, once they are recorded. A job whose record the store rejects for good never is, and so are none of the ends after its own on that worker. Since a full list ends no runs any more, those that it leaves out stay in the books for ever.

Change: if a list is full, ends of jobs whose records are rejected are acknowledged without a record (end_not_recorded), but only if batches of other jobs have been recorded since the rejection: otherwise it may be the store that is at fault, and everything is kept. Nothing of such a job is started until its record is taken. If the owner changes and the store takes the record only then, the task starts again.

Ruled out: no more starts for a worker with such an end, which ends with every worker idle; letting its lease lapse, which does all its tasks again.

The guard for a store that rejects everything has a test that fails without it.

--- a/bench/tests/endlist_test.cpp
+++ b/bench/tests/endlist_test.cpp
@@ -147,3 +147,27 @@
     cr_expect_gt(world->DelegationsWritten(), 0);
   }
 }
+
+// Guards against: the ends on a worker are never listed any more, because one
+// before them belongs to a job whose record the store rejects.
+Test(end_list, drains_behind_a_job_that_cannot_be_recorded, .timeout = 60)
+{
+  for (auto seed = std::uint64_t{ 1 }; seed <= kSeeds; ++seed) {
+    const auto world = World(seed, 3, 400);
+    const auto rejected =
+      world->Submit({ "payload", { { 36, { 100, 100, 0 }, 1s } } }, { 1500ms });
+    world->RunFor(1000ms);
+    world->RejectRecordsOf(rejected);
+    for (auto round = 0; round < 3; ++round) {
+      SubmitManyTasks(*world, 1400);
+      world->RunFor(3s);
+    }
+    world->RunFor(20s);
+    cr_expect(world->Judge().Doubled() == 0, "seed %d", static_cast<int>(seed));
+    const auto missing = world->Judge().Missing();
+    cr_expect(missing.size() <= 1,
+              "seed %d: %d jobs are not done",
+              static_cast<int>(seed),
+              static_cast<int>(missing.size()));
+  }
+}
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -466,6 +466,7 @@
                               Millis{ kRejectedRecordDelayMax });
   rejected.retryAt = aNow + rejected.delay;
   rejected.hash = aHash;
+  rejected.lastBatch = this->lastBatchNumber;
   this->log.Write("record_rejected",
                   { { "job", aJob.Text() },
                     { "retry_ms", std::to_string(rejected.delay.count()) } });
@@ -589,6 +590,7 @@
   }
   const auto contents = std::move(found->second);
   this->unresolvedBatches.erase(found);
+  this->lastRecordedBatch = std::max(this->lastRecordedBatch, aNumber);
   // The other unresolved batches can't be recorded any more: their contents are
   // queued again.
   auto others = std::move(this->unresolvedBatches);
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -640,6 +640,9 @@
                    WorkerSlot& aSlot,
                    const RunReport& aReport,
                    std::set<RunRef>& aSeen) -> void;
+  // The worker lists no further ends before those that it has listed are
+  // acknowledged: gives up recording those whose records the store rejects.
+  auto ReleaseUnrecordableEnds(WorkerSlot& aSlot) -> void;
   // aRef: a run that the worker lists and the cell does not know.
   auto LogOrphan(Time aNow, const WorkerSlot& aSlot, const RunRef& aRef)
     -> void;
@@ -931,8 +934,11 @@
     Time retryAt{};
     Millis delay{ 0 };
     std::size_t hash = 0;
+    // The newest batch at the time of the rejection.
+    std::uint64_t lastBatch = 0;
   };
   std::map<JobId, RejectedRecord> rejectedRecords;
+  std::uint64_t lastRecordedBatch = 0;
   // Most jobs of the next batch; fewer after a rejection, to find the job.
   std::size_t maxJobsPerBatch = kMaxRecordsPerCommit;
   CellEventCounts eventCounts{};
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -270,6 +270,9 @@
       runEnded = true;
     }
   }
+  if (aAnswer.ended.size() >= kMaxListedEnds) {
+    this->ReleaseUnrecordableEnds(aSlot);
+  }
   // Answers may arrive out of order. One with the same clock as the newest may
   // be older than that: runs that it does not list may have started since.
   if (clock >= aSlot.lastReportClockMs) {
@@ -295,6 +298,31 @@
   this->planNeeded = this->planNeeded || runEnded;
 }
 
+// Only for jobs whose records are rejected while others are taken. Nothing of
+// such a job is started until its record is taken as well.
+auto
+Cell::ReleaseUnrecordableEnds(WorkerSlot& aSlot) -> void
+{
+  for (const auto& [id, rejected] : this->rejectedRecords) {
+    const auto job = this->jobs.find(id);
+    if (job == this->jobs.end() ||
+        this->lastRecordedBatch <= rejected.lastBatch) {
+      continue;
+    }
+    for (const auto& end : job->second->unrecordedEnds) {
+      if (end.worker == aSlot.entry.id &&
+          end.workerStartUnixMs == aSlot.entry.startUnixMs &&
+          aSlot.unrecordedEnds.contains(end.number)) {
+        aSlot.OnEndRecorded(end.number);
+        this->log.Write("end_not_recorded",
+                        { { "job", id.Text() },
+                          { "worker", aSlot.entry.id.text },
+                          { "end", std::to_string(end.number) } });
+      }
+    }
+  }
+}
+
 auto
 Cell::OnRunReport(Time aNow,
                   WorkerSlot& aSlot,
--- a/cells/tests/endlist_test.cpp
+++ b/cells/tests/endlist_test.cpp
@@ -227,3 +227,21 @@
   const auto& slot = harness.cell.Workers().at({ "w1" });
   cr_expect_eq(slot.lastResortUntil, Time{});
 }
+
+// Guards against: ends are acknowledged and lost while the store rejects all
+// that it is sent.
+Test(end_list, is_kept_while_the_store_rejects_everything)
+{
+  auto harness = CellHarness{};
+  AddLargeWorker(harness);
+  harness.Submit(SmallTasks(kListed + 130));
+  auto worker = BusyWorker{ harness, harness.StartAll() };
+  cr_assert_eq(worker.runs.size(), kListed + 130);
+  for (auto round = 0; round < 100; ++round) {
+    if (const auto batch = harness.cell.NextBatch(harness.now)) {
+      harness.cell.OnBatchRejected(harness.now, batch->number);
+    }
+    cr_expect(worker.AnswerFor(Millis{ 100 }).empty());
+  }
+  cr_expect_eq(worker.acknowledged, 0);
+}
