fleet: a count of waiting jobs is told with its age, or counted from the store

Three owners in a row are killed.

Cause: instances without the cell add up the rows that owners write of their loads. A row told neither when it was measured nor that its owner lives; only when it was read was looked at. While nobody owned the cell, the last row stood for it. The same belief elsewhere: an owner that was suspended told its own count, although others had owned the cell since; cells of the layout without a row counted 0.

Change: a load tells when it was measured, on the store's clock, and whether its owner knew all jobs accepted 3 s before (its feeds, and its ownership, confirmed since). A count is told if all that it adds up is at most 2 s old; rows are read again after 0.7 s as before. A row that a replaced owner wrote over its successor's is told by its token.

Ruled out: a jobs' feed that is late (the next owner reads all rows); a read that fails (the answer was 200). An extra write of the load right after a takeover shortens the time without a row, but the count from the store covers it; it was left out.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -809,7 +809,7 @@
       constexpr int kOk = 200;
       constexpr int kRefused = 503;
       if (aStatus == kOk) {
-        this->judge.OnAccepted(aJob);
+        this->judge.OnAccepted(this->queue.Now(), aJob);
       } else {
         again(aStatus != kRefused);
       }
@@ -970,6 +970,36 @@
   return *status;
 }
 
+auto
+FleetWorld::AskPending(int aInstance, OnPending aDone) -> void
+{
+  if (!this->Runs(aInstance)) {
+    return;
+  }
+  auto& instance = *this->instances.at(static_cast<std::size_t>(aInstance));
+  const auto exchange = std::make_shared<FakeExchange>(
+    HttpRequest{
+      "GET", fakes::kModelPrefix, { { "Host", fakes::kModelHost } }, "" },
+    this->queue.Now(),
+    [done = std::move(aDone)](int aStatus, const std::string& aBody) {
+      constexpr int kOk = 200;
+      const auto digit = aBody.find_first_of("0123456789");
+      done(aStatus == kOk && digit != std::string::npos
+             ? std::optional{ std::stoul(aBody.substr(digit)) }
+             : std::nullopt);
+    });
+  instance.loop->Post(
+    [&instance, exchange] { instance.entry->Handle(exchange); });
+}
+
+auto
+FleetWorld::Runs(int aInstance) const -> bool
+{
+  const auto& instance =
+    *this->instances.at(static_cast<std::size_t>(aInstance));
+  return instance.loop && instance.loop->Alive();
+}
+
 auto
 FleetWorld::PutWorkerRow(const std::string& aKey, const std::string& aValue)
   -> void
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -105,6 +105,7 @@
   auto Instances() const -> int override;
   auto Kill(int aInstance) -> void override;
   auto Start(int aInstance) -> void override;
+  auto Runs(int aInstance) const -> bool;
   auto Pause(int aInstance, Millis aTime) -> void override;
   auto Restart(int aInstance) -> void override;
   auto Treat(int aInstance, StoreTreatment aTreatment) -> void override;
@@ -172,6 +173,10 @@
   auto JobRows() -> std::size_t;
   // The status of an answer to a question for the job's state; 0 without one.
   auto AskState(const cells::JobId& aJob) -> int;
+  // Asks the instance how many jobs wait. aDone gets the number, or nothing if
+  // the answer tells none; it is not called if the instance does not run.
+  using OnPending = std::function<void(std::optional<std::size_t>)>;
+  auto AskPending(int aInstance, OnPending aDone) -> void;
 
 private:
   struct Instance;
--- a/bench/tests/jobs_test.cpp
+++ b/bench/tests/jobs_test.cpp
@@ -29,7 +29,7 @@
   row.spec.steps = { { 2 }, { 1 } };
   row.spec.steps[1].dependencies = { 0 };
   judge.OnSubmitted(row);
-  judge.OnAccepted(kJob);
+  judge.OnAccepted({}, kJob);
   return judge;
 }
 
--- a/cells/src/cellload.h
+++ b/cells/src/cellload.h
@@ -20,11 +20,16 @@
   std::uint64_t fencingToken = 0;
   // The instance that owns the cell.
   std::string owner;
+  // When this was measured, on the store's steady clock in milliseconds; 0:
+  // unknown.
+  std::int64_t storeClockMs = 0;
   // The owner knows what runs on the cell's workers. A new owner has to ask
   // them first; until then the amounts below tell nothing.
   bool isKnown = true;
-  // Jobs by queue of which no task was started yet.
+  // Jobs by queue of which no task was started yet, and whether the owner knew
+  // all jobs that had been accepted some seconds before.
   std::map<std::string, std::size_t> pending;
+  bool countsAllJobs = true;
   // Capacity by service, and labels, of the workers that accept tasks.
   std::map<std::string, std::int64_t> capacity;
   std::vector<std::string> labels;
--- a/fakes/src/jobjudge.cpp
+++ b/fakes/src/jobjudge.cpp
@@ -78,10 +78,13 @@
 }
 
 auto
-JobJudge::OnAccepted(const JobId& aJob) -> void
+JobJudge::OnAccepted(Time aNow, const JobId& aJob) -> void
 {
   auto& job = this->jobs.at(aJob);
   job.accepted = true;
+  if (!job.acceptedAt) {
+    job.acceptedAt = aNow;
+  }
   job.refused = false;
 }
 
@@ -123,6 +126,28 @@
   this->leaving[aWorker] = aNow;
 }
 
+auto
+JobJudge::PendingJobs(Time aNow, Millis aAge) const -> std::size_t
+{
+  return static_cast<std::size_t>(
+    std::count_if(this->jobs.begin(), this->jobs.end(), [&](const auto& aItem) {
+      const auto& job = aItem.second;
+      return job.acceptedAt && aNow >= *job.acceptedAt + aAge &&
+             !job.cancelAsked && job.tasks.empty() && !job.row.spec.IsTimed();
+    }));
+}
+
+auto
+JobJudge::OnPendingShown(Time aNow, std::size_t aPending) -> void
+{
+  const auto waiting = this->PendingJobs(aNow, this->bounds.counted);
+  if (aPending * 2 < waiting) {
+    this->violations.push_back(
+      std::to_string(SteadyMillis(aNow)) + " " + std::to_string(aPending) +
+      " jobs are said to wait, and " + std::to_string(waiting) + " do");
+  }
+}
+
 auto
 JobJudge::OnWorker(const cells::WorkerEntry& aEntry) -> void
 {
--- a/fakes/src/jobjudge.h
+++ b/fakes/src/jobjudge.h
@@ -23,6 +23,8 @@
   Millis evacuate{ 5000 };
   // No start on a worker later than this after it was seen to leave.
   Millis drain{ 4000 };
+  // Jobs that were accepted so long ago are counted while they wait.
+  Millis counted{ 5000 };
 
   auto operator==(const JudgeBounds&) const -> bool = default;
 };
@@ -36,7 +38,7 @@
   auto OnSubmitted(const cells::JobRow& aRow) -> void;
   // Refused for good: it must never run.
   auto OnRefused(const cells::JobId& aJob) -> void;
-  auto OnAccepted(const cells::JobId& aJob) -> void;
+  auto OnAccepted(Time aNow, const cells::JobId& aJob) -> void;
   // The job is done and its id may name another one from now on.
   auto OnForgotten(const cells::JobId& aJob) -> void;
   // A cancellation was sent; without an answer it may still be carried out.
@@ -45,6 +47,9 @@
   auto OnEvacuation(Time aNow, const DomainId& aDomain, bool aOut) -> void;
   auto OnLeaving(Time aNow, const WorkerId& aWorker) -> void;
   auto OnShownCompleted(Time aNow, const cells::JobId& aJob) -> void;
+  // A caller was told that so many jobs wait. The instance must have been well
+  // for some seconds.
+  auto OnPendingShown(Time aNow, std::size_t aPending) -> void;
   auto OnWorker(const cells::WorkerEntry& aEntry) -> void;
 
   // What workers did.
@@ -73,6 +78,9 @@
   auto Done() const -> std::size_t;
   // Accepted jobs of which all tasks are done.
   auto CompletedJobs() const -> std::size_t;
+  // Jobs that were accepted at least so long ago and have not begun. Timed and
+  // cancelled ones are left out.
+  auto PendingJobs(Time aNow, Millis aAge) const -> std::size_t;
 
 private:
   struct RunEvent
@@ -111,6 +119,7 @@
     bool accepted = false;
     bool refused = false;
     bool cancelAsked = false;
+    std::optional<Time> acceptedAt;
     std::optional<Time> cancelledAt;
     std::map<TaskName, TaskFacts> tasks;
     std::size_t done = 0;
--- a/fleet/src/callerapi.cpp
+++ b/fleet/src/callerapi.cpp
@@ -1,5 +1,7 @@
 #include "callerapi.h"
 
+#include "tunables_fleet.h"
+
 namespace gooseberry::fleet {
 
 namespace {
@@ -37,9 +39,6 @@
 // not confirmed is given up: the caller then has time to retry, which may
 // succeed at another instance.
 constexpr double kSubmissionDeadlineFraction = 0.42;
-// Largest age of the data behind a count of pending jobs, in addition to the
-// interval at which owners write their loads.
-constexpr Millis kMaxPendingCountAge{ 700 };
 // Most jobs whose cell is cached; callers ask for a job's state many times.
 constexpr std::size_t kMaxCachedCells = 4000;
 
@@ -79,6 +78,16 @@
   bool submissionRead = false;
 };
 
+// A question for the number of pending jobs in a queue.
+struct CallerApi::CountRequest
+{
+  std::shared_ptr<HttpExchange> exchange;
+  QueueId queue;
+  bool answered = false;
+  // Answers at the caller's deadline.
+  TimerHandle timer;
+};
+
 CallerApi::CallerApi(Loop& aLoop,
                      cells::TableClient& aTables,
                      SiteWatcher& aSite,
@@ -93,6 +102,7 @@
   , fleetView(aView)
   , log(aLog)
   , metrics(aMetrics)
+  , pendingCounter(std::make_shared<PendingCounter>(aLoop, aTables, aLog))
 {
 }
 
@@ -136,7 +146,7 @@
   const auto jobPath = request.path.substr(queue->pathPrefix.size());
   const auto verb = wire::ParseCallerOperation(aExchange->Request(), jobPath);
   if (verb == wire::CallerOperation::CountPending) {
-    this->HandleCountPending(aExchange, *queue);
+    this->HandleCountPending(std::move(aExchange), request, *queue);
     return;
   }
   const auto job = cells::JobId::Parse(jobPath);
@@ -533,48 +543,111 @@
 }
 
 // Counts of owned cells are taken from the cells themselves, those of other
-// cells from the loads that their owners write to the store.
+// cells from the loads that their owners write to the store, and those of cells
+// whose owner does not tell from the rows of the jobs.
 auto
-CallerApi::HandleCountPending(const std::shared_ptr<HttpExchange>& aExchange,
+CallerApi::HandleCountPending(std::shared_ptr<HttpExchange> aExchange,
+                              const wire::CallerRequest& aRequest,
                               const cells::Queue& aQueue) -> void
 {
+  const auto request = std::make_shared<CountRequest>();
+  request->exchange = std::move(aExchange);
+  request->queue = aQueue.id;
+  const auto now = this->loop.Now();
   const auto& layout = this->fleetView.Layout();
   const auto ownsAll =
     layout && this->cellManager.OwnedCells().size() == layout->cells.size();
-  const auto oldest = this->loop.Now() - kMaxPendingCountAge;
-  if (ownsAll || this->fleetView.ReadAt() > oldest) {
-    this->AnswerPending(*aExchange, aQueue.id);
+  auto uncounted = std::set<std::string>{};
+  if ((ownsAll || this->fleetView.ReadAt() > now - kMaxLoadsReadAge) &&
+      this->PendingJobsIn(request->queue, nullptr, uncounted)) {
+    this->AnswerCount(*request, nullptr);
     return;
   }
-  // The read may fail, or be one that was sent long before.
-  this->fleetView.ReadNow([this, aExchange, queue = aQueue.id, oldest] {
-    if (this->fleetView.ReadAt() > oldest) {
-      this->AnswerPending(*aExchange, queue);
-    } else {
-      this->Answer(*aExchange,
-                   kCountVerb,
-                   kUnavailable,
-                   "store_silent",
-                   wire::ErrorBody("the count is not known"),
-                   RetryAfterHeader(1));
-    }
-  });
+  const auto deadline = request->exchange->ArrivedAt() +
+                        aRequest.deadline.value_or(kDefaultDeadline) -
+                        kAnswerReserve;
+  request->timer =
+    this->loop.After(std::max<Micros>(deadline - now, Micros{ 0 }),
+                     [this, request] { this->AnswerCount(*request, nullptr); });
+  this->fleetView.ReadNow([this, request] { this->OnLoadsRead(request); });
+}
+
+auto
+CallerApi::OnLoadsRead(const std::shared_ptr<CountRequest>& aRequest) -> void
+{
+  auto uncounted = std::set<std::string>{};
+  if (aRequest->answered ||
+      this->PendingJobsIn(aRequest->queue, nullptr, uncounted) ||
+      uncounted.empty()) {
+    this->AnswerCount(*aRequest, nullptr);
+    return;
+  }
+  this->pendingCounter->Count(
+    uncounted,
+    this->fleetView.ReadsPerSecond(),
+    [this, aRequest](const PendingCounter::Counts* aCounts) {
+      this->AnswerCount(*aRequest, aCounts);
+    });
 }
 
 auto
-CallerApi::AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void
+CallerApi::AnswerCount(CountRequest& aRequest,
+                       const PendingCounter::Counts* aCounts) -> void
 {
+  if (std::exchange(aRequest.answered, true)) {
+    return;
+  }
+  aRequest.timer.reset();
+  auto uncounted = std::set<std::string>{};
+  const auto pending = this->PendingJobsIn(aRequest.queue, aCounts, uncounted);
+  if (pending) {
+    this->Answer(*aRequest.exchange,
+                 kCountVerb,
+                 kOk,
+                 aCounts == nullptr ? "counted" : "counted_from_store",
+                 wire::PendingCountBody(*pending),
+                 {});
+  } else {
+    this->Answer(*aRequest.exchange,
+                 kCountVerb,
+                 kUnavailable,
+                 "not_counted",
+                 wire::ErrorBody("the count is not known"),
+                 RetryAfterHeader(1));
+  }
+}
+
+auto
+CallerApi::PendingJobsIn(const QueueId& aQueue,
+                         const PendingCounter::Counts* aCounts,
+                         std::set<std::string>& aUncounted) const
+  -> std::optional<std::size_t>
+{
+  const auto since = this->loop.Now() - kMaxCountAge;
+  const auto& layout = this->fleetView.Layout();
+  if (!layout) {
+    // Without a layout no job has ever been accepted.
+    return this->fleetView.ReadAt() > since ? std::optional<std::size_t>{ 0 }
+                                            : std::nullopt;
+  }
   auto pending = std::size_t{ 0 };
-  for (const auto& [cell, load] : this->fleetView.Loads()) {
-    if (const auto* const ownedCell = this->cellManager.FindOwnedCell(cell)) {
-      pending += ownedCell->PendingJobsIn(aQueue);
-    } else if (const auto found = load.pending.find(aQueue.text);
-               found != load.pending.end()) {
-      pending += found->second;
+  const auto add = [&](const auto& aByQueue) {
+    const auto found = aByQueue.find(aQueue.text);
+    pending += found == aByQueue.end() ? 0 : found->second;
+  };
+  for (const auto& cell : layout->cells) {
+    const auto* const load = this->fleetView.LoadSince(cell, since);
+    if (const auto* const owned = this->cellManager.FindCountingCell(cell)) {
+      pending += owned->PendingJobsIn(aQueue);
+    } else if (load != nullptr && load->countsAllJobs) {
+      add(load->pending);
+    } else if (aCounts != nullptr && aCounts->contains(cell)) {
+      add(aCounts->at(cell));
+    } else {
+      aUncounted.insert(cell);
     }
   }
-  this->Answer(
-    aExchange, kCountVerb, kOk, "counted", wire::PendingCountBody(pending), {});
+  return aUncounted.empty() ? std::optional{ pending } : std::nullopt;
 }
 
 } // namespace gooseberry::fleet
--- a/fleet/src/callerapi.h
+++ b/fleet/src/callerapi.h
@@ -13,6 +13,7 @@
 #include "callermessages.h"
 #include "cellmanager.h"
 #include "httpserver.h"
+#include "pendingcounter.h"
 
 namespace gooseberry::fleet {
 
@@ -34,6 +35,7 @@
 private:
   struct Submission;
   struct JobRequest;
+  struct CountRequest;
 
   // Answers, and counts the answer by aVerb, aStatus and aReason.
   auto Answer(HttpExchange& aExchange,
@@ -74,9 +76,20 @@
   auto HandleCancel(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
   auto WriteCancellation(const std::shared_ptr<JobRequest>& aJobRequest)
     -> void;
-  auto HandleCountPending(const std::shared_ptr<HttpExchange>& aExchange,
+  auto HandleCountPending(std::shared_ptr<HttpExchange> aExchange,
+                          const wire::CallerRequest& aRequest,
                           const cells::Queue& aQueue) -> void;
-  auto AnswerPending(HttpExchange& aExchange, const QueueId& aQueue) -> void;
+  // The loads were read from the store, or could not be.
+  auto OnLoadsRead(const std::shared_ptr<CountRequest>& aRequest) -> void;
+  // aCounts: of cells whose owner does not tell; null if that is not known.
+  auto AnswerCount(CountRequest& aRequest,
+                   const PendingCounter::Counts* aCounts) -> void;
+  // The jobs of the queue that wait. Nothing if the count of some cell is not
+  // known; aUncounted gets those cells.
+  auto PendingJobsIn(const QueueId& aQueue,
+                     const PendingCounter::Counts* aCounts,
+                     std::set<std::string>& aUncounted) const
+    -> std::optional<std::size_t>;
   // Cache of the cells of the jobs that callers asked for most recently.
   auto CacheCell(const cells::JobId& aJob, const std::string& aCell) -> void;
   auto FindCachedCell(const cells::JobId& aJob) const
@@ -89,6 +102,7 @@
   FleetView& fleetView;
   cells::DecisionLog& log;
   FleetMetrics& metrics;
+  const std::shared_ptr<PendingCounter> pendingCounter;
   std::map<cells::JobId, std::string> cachedCells;
   std::deque<cells::JobId> cachedJobs;
 };
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -61,13 +61,6 @@
   return expiries;
 }
 
-auto
-CellController::EstimateStoreMs(Time aNow) const -> std::int64_t
-{
-  return this->storeClock->storeMs +
-         ToMillis(aNow - this->storeClock->receivedAt).count();
-}
-
 auto
 CellController::OnSiteChanged() -> void
 {
@@ -111,6 +104,17 @@
   return this->cell.get();
 }
 
+auto
+CellController::CountsAllJobs() const -> bool
+{
+  return this->cell &&
+         this->ports.loop.Now() <=
+           std::min({ this->lastConfirmedAt,
+                      this->submissionFollower->CurrentAsOf(),
+                      this->cancellationFollower->CurrentAsOf() }) +
+             kJobsKnownAfter;
+}
+
 auto
 CellController::PublishMetrics() -> void
 {
@@ -323,7 +327,7 @@
       this->storeClock) {
     this->learnedStateWrittenAt = now;
     auto learnt = this->cell->ExportLearnedState(now);
-    learnt.storeClockMs = this->EstimateStoreMs(now);
+    learnt.storeClockMs = this->storeClock->EarliestAt(now);
     this->recorder->SetLearnedState(cells::EncodeLearnedState(learnt));
   }
   this->AddLoadToCommit(now);
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -18,6 +18,7 @@
 #include "loop.h"
 #include "recorder.h"
 #include "sitewatcher.h"
+#include "storeclock.h"
 #include "tablefollower.h"
 #include "tableport.h"
 #include "workerport.h"
@@ -58,6 +59,9 @@
 
   // Null unless this instance owns the cell.
   auto OwnedCell() const -> const cells::Cell*;
+  // Whether this instance certainly owned the cell kJobsKnownAfter ago, and
+  // knows all jobs that had been accepted by then.
+  auto CountsAllJobs() const -> bool;
   // Adds to the metrics what the owned cell counted since the last call.
   auto PublishMetrics() -> void;
   // This instance itself accepted the job or its cancellation; the cell learns
@@ -148,14 +152,6 @@
   CellControllerPorts ports;
   const std::function<std::size_t()> heldCells;
 
-  // A reading of the store's steady clock, in milliseconds. That clock showed
-  // at most storeMs at local time sentAt, and at least storeMs at receivedAt.
-  struct StoreClockReading
-  {
-    std::int64_t storeMs = 0;
-    Time sentAt{};
-    Time receivedAt{};
-  };
   auto GrantedLease() const -> Millis;
   // The longest lease that may hold when the owner's row is replaced.
   // aOwnerRowVersion: 0 if there is none.
@@ -164,9 +160,6 @@
   auto LeaseExpiries(const cells::OwnerRow& aOwner) const
     -> std::map<WorkerId, Time>;
   auto UnresponsiveWorkerExpiries() -> std::map<std::string, std::int64_t>;
-  // Estimates what the store's steady clock shows at aNow, in milliseconds.
-  // Requires storeClock.
-  auto EstimateStoreMs(Time aNow) const -> std::int64_t;
   auto ReadLearnedState(const cells::StoredRow& aRow,
                         cells::CellTakeover& aTakeover) const -> void;
 
--- a/fleet/src/celldelegations.cpp
+++ b/fleet/src/celldelegations.cpp
@@ -207,7 +207,7 @@
   if (shared.pairs.empty()) {
     return;
   }
-  shared.storeClockMs = this->EstimateStoreMs(aNow);
+  shared.storeClockMs = this->storeClock->EarliestAt(aNow);
   this->recorder->SetSharedState(cells::EncodeLearnedState(shared));
 }
 
@@ -221,7 +221,7 @@
         this->DecodeLogged(aRow, cells::DecodeLearnedState)) {
     const auto now = this->ports.loop.Now();
     const auto age =
-      Millis{ this->EstimateStoreMs(now) - learned->storeClockMs };
+      Millis{ this->storeClock->EarliestAt(now) - learned->storeClockMs };
     this->cell->OnPeerLearned(now, std::max(Millis{ 0 }, age), *learned);
   }
 }
--- a/fleet/src/cellmanager.cpp
+++ b/fleet/src/cellmanager.cpp
@@ -205,6 +205,16 @@
                                           : found->second->OwnedCell();
 }
 
+auto
+CellManager::FindCountingCell(const std::string& aCell) const
+  -> const cells::Cell*
+{
+  const auto found = this->controllers.find(aCell);
+  return found != this->controllers.end() && found->second->CountsAllJobs()
+           ? found->second->OwnedCell()
+           : nullptr;
+}
+
 auto
 CellManager::OwnedCells() const -> std::vector<const cells::Cell*>
 {
@@ -245,6 +255,7 @@
     if (const auto* const ownedCell = controller->OwnedCell()) {
       auto load = ownedCell->LoadSummary();
       load.owner = this->settings.instance;
+      load.countsAllJobs = controller->CountsAllJobs();
       loads.emplace(cell, std::move(load));
     }
   }
--- a/fleet/src/cellmanager.h
+++ b/fleet/src/cellmanager.h
@@ -34,6 +34,8 @@
 
   // The owned cell with this name; null if this instance does not own it.
   auto FindOwnedCell(const std::string& aCell) const -> const cells::Cell*;
+  // The same, but null if the cell's count of waiting jobs may be too old.
+  auto FindCountingCell(const std::string& aCell) const -> const cells::Cell*;
   // A job of an owned cell; null if there is none.
   auto FindJob(const cells::JobId& aJob) const -> const cells::Job*;
   auto OwnedCells() const -> std::vector<const cells::Cell*>;
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -196,9 +196,7 @@
     return expiries;
   }
   for (const auto& [worker, storeMs] : aOwner.silent) {
-    expiries.emplace(WorkerId{ worker },
-                     this->storeClock->receivedAt +
-                       Millis{ storeMs - this->storeClock->storeMs });
+    expiries.emplace(WorkerId{ worker }, this->storeClock->LastTimeOf(storeMs));
   }
   return expiries;
 }
@@ -459,7 +457,7 @@
   if (this->storeClock && aTakeover.learnedState->storeClockMs > 0) {
     aTakeover.learnedStateAge =
       std::max(Millis{ 0 },
-               Millis{ this->EstimateStoreMs(aTakeover.now) -
+               Millis{ this->storeClock->EarliestAt(aTakeover.now) -
                        aTakeover.learnedState->storeClockMs });
   }
   this->ports.log.Write(
--- a/fleet/src/fleetview.cpp
+++ b/fleet/src/fleetview.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "tunables_cells.h"
+#include "tunables_fleet.h"
 
 namespace gooseberry::fleet {
 
@@ -13,9 +14,6 @@
 const std::string kMemberPrefix = "member/";
 const std::string kLoadPrefix = "load/";
 
-// Interval at which the loads of owned cells are written: the counts that
-// callers get may be 2 s old.
-constexpr Millis kLoadInterval{ 1000 };
 // Interval between reads until a layout is known, short so that jobs are
 // accepted soon after the start.
 constexpr Millis kStartupReadInterval{ 300 };
@@ -80,6 +78,24 @@
   return this->loads;
 }
 
+auto
+FleetView::LoadSince(const std::string& aCell, Time aSince) const
+  -> const cells::CellLoad*
+{
+  const auto measured = this->loadsMeasuredAt.find(aCell);
+  return measured != this->loadsMeasuredAt.end() && measured->second >= aSince
+           ? &this->loads.at(aCell)
+           : nullptr;
+}
+
+auto
+FleetView::ReadsPerSecond() const -> double
+{
+  const auto members = this->members.Alive().size();
+  return static_cast<double>(this->storeSettings.readsPerSecond) /
+         static_cast<double>(std::max<std::size_t>(members, 1));
+}
+
 auto
 FleetView::ReadAt() const -> std::optional<Time>
 {
@@ -116,8 +132,11 @@
       { FleetRowKey(kMemberPrefix + this->ownMemberRow.instance),
         cells::EncodeMember(this->ownMemberRow) });
   }
-  for (const auto& [cell, load] : this->ownLoadSource()) {
+  for (auto& [cell, load] : this->ownLoadSource()) {
+    load.storeClockMs =
+      this->storeClock ? this->storeClock->EarliestAt(now) : 0;
     this->loads[cell] = load;
+    this->loadsMeasuredAt[cell] = now;
     commit.puts.push_back(
       { FleetRowKey(kLoadPrefix + cell), cells::EncodeCellLoad(load) });
   }
@@ -169,6 +188,10 @@
   this->readInFlight = false;
   if (aOutcome.status == cells::TableStatus::Done) {
     this->readAt = aSentAt;
+    if (aOutcome.storeClockMs > 0) {
+      this->storeClock =
+        StoreClockReading{ aOutcome.storeClockMs, aSentAt, this->loop.Now() };
+    }
     auto memberRows = MemberRows{};
     auto reason = std::string{};
     for (const auto& row : aOutcome.rows) {
@@ -182,11 +205,7 @@
           this->Tell("member_unreadable", row, reason);
         }
       } else if (key.starts_with(kLoadPrefix)) {
-        if (auto load = cells::DecodeCellLoad(row.value, reason)) {
-          this->loads[key.substr(kLoadPrefix.size())] = std::move(*load);
-        } else {
-          this->Tell("load_unreadable", row, reason);
-        }
+        this->OnLoadRow(key.substr(kLoadPrefix.size()), row);
       }
     }
     if (aWithMembers) {
@@ -201,6 +220,33 @@
   }
 }
 
+// An owner that was replaced may write once more after its successor has; the
+// token tells.
+auto
+FleetView::OnLoadRow(const std::string& aCell, const cells::StoredRow& aRow)
+  -> void
+{
+  auto reason = std::string{};
+  auto load = cells::DecodeCellLoad(aRow.value, reason);
+  if (!load) {
+    this->Tell("load_unreadable", aRow, reason);
+    return;
+  }
+  const auto* const known =
+    this->LoadSince(aCell, this->loop.Now() - kMaxLoadAge);
+  if (known != nullptr && load->fencingToken < known->fencingToken) {
+    return;
+  }
+  if (load->storeClockMs > 0 && this->storeClock &&
+      load->storeClockMs <= this->storeClock->storeMs) {
+    const auto measuredAt = this->storeClock->FirstTimeOf(load->storeClockMs);
+    this->loadsMeasuredAt[aCell] = measuredAt;
+  } else {
+    this->loadsMeasuredAt.erase(aCell);
+  }
+  this->loads[aCell] = std::move(*load);
+}
+
 auto
 FleetView::OnMembersRead(const MemberRows& aRows) -> void
 {
--- a/fleet/src/fleetview.h
+++ b/fleet/src/fleetview.h
@@ -17,6 +17,7 @@
 #include "fleetsettings.h"
 #include "loop.h"
 #include "members.h"
+#include "storeclock.h"
 #include "tableport.h"
 
 namespace gooseberry::fleet {
@@ -43,6 +44,12 @@
   // been read.
   auto Layout() const -> const std::optional<cells::Layout>&;
   auto Loads() const -> const std::map<std::string, cells::CellLoad>&;
+  // The load if it was certainly measured after this time, else null.
+  auto LoadSince(const std::string& aCell, Time aSince) const
+    -> const cells::CellLoad*;
+  // Reads of the store that this instance may make each second, if all
+  // instances share them evenly.
+  auto ReadsPerSecond() const -> double;
   // When the last successful read was sent; the layout and the loads that are
   // known are no older.
   auto ReadAt() const -> std::optional<Time>;
@@ -63,6 +70,8 @@
   auto OnMembersRead(const MemberRows& aRows) -> void;
   auto RemoveAbandonedMembers() -> void;
   auto OnLayoutRow(const cells::StoredRow& aRow) -> void;
+  auto OnLoadRow(const std::string& aCell, const cells::StoredRow& aRow)
+    -> void;
   // Logs a row that can't be decoded.
   auto Tell(const char* aEvent,
             const cells::StoredRow& aRow,
@@ -83,6 +92,10 @@
   std::optional<cells::Layout> layout;
   std::uint64_t layoutVersion = 0;
   std::map<std::string, cells::CellLoad> loads;
+  // When each load was measured, at the earliest; none for those that do not
+  // tell.
+  std::map<std::string, Time> loadsMeasuredAt;
+  std::optional<StoreClockReading> storeClock;
   std::optional<Time> readAt;
   // When the members' rows are read next.
   Time membersReadDueAt{};
--- a/fleet/src/tunables_fleet.h
+++ b/fleet/src/tunables_fleet.h
@@ -68,6 +68,23 @@
 inline constexpr Millis kDelegationFeedPause{ 25 };
 inline constexpr Millis kLoadFeedPause{ 100 };
 
+// A count of waiting jobs may be 2 s old. An owner writes its counts at the
+// first interval; rows that were read are used for the second time.
+inline constexpr Millis kMaxCountAge{ 2000 };
+inline constexpr Millis kLoadInterval{ 1000 };
+inline constexpr Millis kMaxLoadsReadAge{ 700 };
+// Accepted jobs are visible everywhere after this time. An owner whose feed is
+// older may not know some of them; one that was not confirmed for as long may
+// have been replaced, and what it counts may have begun.
+inline constexpr Millis kJobsKnownAfter{ 3000 };
+// A load of the cell's newest owner is known to be that for so long.
+inline constexpr Millis kMaxLoadAge{ 3000 };
+// An instance counts the jobs of cells without an owner itself, from the store,
+// at this interval at most, and so that all instances together use no more than
+// this part of the reads that the store serves.
+inline constexpr Millis kMinCountInterval{ 1000 };
+inline constexpr double kCountReadsFraction = 0.1;
+
 } // namespace gooseberry::fleet
 
 #endif
--- a/soak/src/realfleet.cpp
+++ b/soak/src/realfleet.cpp
@@ -633,7 +633,7 @@
     [this, aJob, aTries, aRejected](int aStatus, bool aMayHaveRun) {
       const auto rejected = aRejected && !aMayHaveRun;
       if (aStatus == kOk) {
-        this->judge.OnAccepted(aJob);
+        this->judge.OnAccepted(this->loop.Now(), aJob);
       } else if (aTries + 1 < kMostTries) {
         this->After(kAgain, [this, aJob, aTries, rejected] {
           this->TryToSubmit(aJob, aTries + 1, rejected);
