fleet: new jobs are not spread by the load of an owner that may be lost

A new job goes to a cell with a chance in proportion to the room that its owner wrote, however long ago: a cell that was idle when its owner was lost draws the jobs of a busy site until another instance owns it.

A load that was older than 3 s when it was read counts as unknown: the cell gets an average share, as one whose new owner has not asked its workers yet.

--- a/fleet/src/fleetview.cpp
+++ b/fleet/src/fleetview.cpp
@@ -241,6 +241,8 @@
       load->storeClockMs <= this->storeClock->storeMs) {
     const auto measuredAt = this->storeClock->FirstTimeOf(load->storeClockMs);
     this->loadsMeasuredAt[aCell] = measuredAt;
+    load->isKnown =
+      load->isKnown && this->storeClock->sentAt <= measuredAt + kMaxLoadAge;
   } else {
     this->loadsMeasuredAt.erase(aCell);
   }
--- a/fleet/src/fleetview.h
+++ b/fleet/src/fleetview.h
@@ -43,6 +43,7 @@
   // Empty until the first layout, planned from the workers seen by then, has
   // been read.
   auto Layout() const -> const std::optional<cells::Layout>&;
+  // Those that were old when they were read count as unknown.
   auto Loads() const -> const std::map<std::string, cells::CellLoad>&;
   // The load if it was certainly measured after this time, else null.
   auto LoadSince(const std::string& aCell, Time aSince) const
--- a/fleet/src/tunables_fleet.h
+++ b/fleet/src/tunables_fleet.h
@@ -77,7 +77,8 @@
 // older may not know some of them; one that was not confirmed for as long may
 // have been replaced, and what it counts may have begun.
 inline constexpr Millis kJobsKnownAfter{ 3000 };
-// A load of the cell's newest owner is known to be that for so long.
+// A load that its owner has not renewed for longer says nothing about the cell:
+// the owner may be lost.
 inline constexpr Millis kMaxLoadAge{ 3000 };
 // An instance counts the jobs of cells without an owner itself, from the store,
 // at this interval at most, and so that all instances together use no more than
--- a/fleet/tests/pendingcounter_test.cpp
+++ b/fleet/tests/pendingcounter_test.cpp
@@ -2,6 +2,7 @@
 
 #include <criterion/criterion.h>
 
+#include "heldreads.h"
 #include "manualloop.h"
 #include "pendingcounter.h"
 #include "tunables_fleet.h"
@@ -17,62 +18,6 @@
 
 constexpr double kReadsPerSecond = 2000.0 / 6;
 
-// A store that answers reads when the test says so.
-class HeldReads : public cells::TableClient
-{
-public:
-  auto Commit(const cells::TableTransaction& /*aCommit*/,
-              Millis /*aTimeout*/,
-              std::function<void(cells::TableCommitResult)> /*aDone*/)
-    -> void override
-  {
-  }
-  auto Read(const cells::RowRange& aRange,
-            Millis /*aTimeout*/,
-            std::function<void(cells::TableReadResult)> aDone) -> void override
-  {
-    ++this->reads;
-    this->held.emplace_back(aRange, std::move(aDone));
-  }
-  auto Feed(const std::string& /*aTable*/,
-            std::uint64_t /*aAfter*/,
-            Millis /*aMaxWait*/,
-            std::function<void(cells::TableFeedResult)> /*aDone*/)
-    -> void override
-  {
-  }
-
-  auto Put(const cells::RowKey& aKey, std::string aValue) -> void
-  {
-    this->rows[aKey] = std::move(aValue);
-  }
-
-  // Answers all reads, also those that the answers lead to.
-  auto Answer(cells::TableStatus aStatus = cells::TableStatus::Done) -> void
-  {
-    while (!this->held.empty()) {
-      const auto [range, done] = std::move(this->held.back());
-      this->held.pop_back();
-      auto result = cells::TableReadResult{ aStatus };
-      for (const auto& [key, value] : this->rows) {
-        if (aStatus == cells::TableStatus::Done && key.table == range.table &&
-            key.partition == range.partition) {
-          result.rows.push_back({ key, value, 1 });
-        }
-      }
-      done(result);
-    }
-  }
-
-  int reads = 0;
-
-private:
-  std::map<cells::RowKey, std::string> rows;
-  std::vector<
-    std::pair<cells::RowRange, std::function<void(cells::TableReadResult)>>>
-    held;
-};
-
 struct Site
 {
   ManualLoop loop;
