cells: the load of another cell counts from when it was measured

An owner gives tasks without room to a cell whose load it has read within 1.5 s.

The load's row tells the store's time since the commits before; it counts from then. The same time tells which delegated tasks the load shows already. Rows of earlier versions, which tell no time, count from when they are read, as before.

Evidence: in virtual time (two cells, both owners killed, one instance back after 2 s) tasks are delegated before the second cell has an owner on the code before, in none of eight worlds after.

--- a/bench/tests/delegation_test.cpp
+++ b/bench/tests/delegation_test.cpp
@@ -195,3 +195,41 @@
   }
   cr_expect_gt(delegations, kSeeds * 10);
 }
+
+// Guards against: a new owner gives tasks to a cell that nobody owns, by the
+// load that its last owner wrote.
+Test(delegation, gives_nothing_to_a_cell_without_an_owner)
+{
+  auto delegatedLater = std::size_t{ 0 };
+  for (auto seed = std::uint64_t{ 1 }; seed <= 8; ++seed) {
+    auto options = FleetWorldOptions{};
+    options.seed = seed;
+    options.workers = 8;
+    options.cellWorkers = 4;
+    options.instances = 2;
+    auto world = FleetWorld{ options };
+    world.RunFor(20s);
+    cr_assert_eq(world.OwnedCells(0), 1);
+    cr_assert_eq(world.OwnedCells(1), 1);
+    world.Kill(0);
+    world.Kill(1);
+    // Loads that are a second and a half old are not used any more.
+    world.RunFor(2s);
+    world.Start(0);
+    for (auto job = 0; job < 6; ++job) {
+      world.Submit(JobOf(100, { 1000, 1000, 0 }, 3s), { 3s });
+    }
+    auto delegated = world.DelegationsWritten();
+    while (world.OwnedCells(0) < 2) {
+      world.RunFor(10ms);
+      if (world.OwnedCells(0) == 1) {
+        cr_expect_eq(world.DelegationsWritten(), delegated);
+        delegated = world.DelegationsWritten();
+      }
+    }
+    world.RunFor(30s);
+    delegatedLater += world.DelegationsWritten() - delegated;
+    ExpectKept(world);
+  }
+  cr_expect_gt(delegatedLater, 0);
+}
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -219,7 +219,9 @@
   // Rows of other cells in the table of delegations. A row that was removed:
   // OnDelegationClosed. Rows may be passed again, and those of one cell are
   // passed in the order in which they were written.
-  auto OnPeerLoad(Time aNow, const std::string& aCell, CellLoad aLoad) -> void;
+  // aMeasuredAt: the load is at least that recent.
+  auto OnPeerLoad(Time aMeasuredAt, const std::string& aCell, CellLoad aLoad)
+    -> void;
   // What the owner of another cell had learnt about images aAge ago.
   auto OnPeerLearned(Time aNow, Millis aAge, const LearnedState& aLearned)
     -> void;
@@ -472,7 +474,7 @@
   struct PeerRoom
   {
     CellLoad load;
-    Time loadAt{};
+    Time measuredAt{};
     // Tasks that were delegated to it of late, in thousandths of a core.
     struct Sent
     {
--- a/cells/src/celldelegation.cpp
+++ b/cells/src/celldelegation.cpp
@@ -64,15 +64,16 @@
 }
 
 auto
-Cell::OnPeerLoad(Time aNow, const std::string& aCell, CellLoad aLoad) -> void
+Cell::OnPeerLoad(Time aMeasuredAt, const std::string& aCell, CellLoad aLoad)
+  -> void
 {
   const auto [item, added] = this->peers.try_emplace(aCell);
   auto& peer = item->second;
   this->planNeeded = this->planNeeded || added;
   peer.load = std::move(aLoad);
-  peer.loadAt = aNow;
-  std::erase_if(peer.sent, [aNow](const PeerRoom::Sent& aSent) {
-    return aNow > aSent.at + kDelegationShowsAfter;
+  peer.measuredAt = aMeasuredAt;
+  std::erase_if(peer.sent, [aMeasuredAt](const PeerRoom::Sent& aSent) {
+    return aMeasuredAt > aSent.at + kDelegationShowsAfter;
   });
 }
 
@@ -172,7 +173,7 @@
     this->peers.begin(), this->peers.end(), [&](const auto& aItem) {
       const auto& peer = aItem.second;
       const auto& load = peer.load;
-      return aNow <= peer.loadAt + kPeerLoadMaxAge &&
+      return aNow <= peer.measuredAt + kPeerLoadMaxAge &&
              (aBestEffort
                 ? aNow >= peer.avoidBestEffortUntil && load.bestEffortRoom > 0
                 : aNow >= peer.avoidReservedUntil && load.room > load.waiting);
@@ -187,7 +188,7 @@
                      const StepSpec& aStep) -> bool
 {
   const auto& load = aPeer.load;
-  return aNow <= aPeer.loadAt + kPeerLoadMaxAge &&
+  return aNow <= aPeer.measuredAt + kPeerLoadMaxAge &&
          load.capacity.contains(aJob.row.policy.service.text) &&
          (aStep.requiredLabel.empty() ||
           std::find(load.labels.begin(),
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -131,7 +131,7 @@
 // A load that is older says nothing about a host's room. Loads are written
 // every 250 ms, or every 500 ms if nothing else is.
 inline constexpr Millis kPeerLoadMaxAge{ 1500 };
-// Delegated tasks show in the host's load after at most this time.
+// Delegated tasks show in what the host measures after at most this time.
 inline constexpr Millis kDelegationShowsAfter{ 600 };
 // Fraction of a host's room that one home cell uses; others may do the same.
 inline constexpr double kHostRoomFraction = 0.8;
--- a/cells/tests/delegation_test.cpp
+++ b/cells/tests/delegation_test.cpp
@@ -195,6 +195,23 @@
   cr_expect_eq(RecordedRows(other).delegationPuts.size(), 0);
 }
 
+// Guards against: tasks go to a cell whose owner was lost, because its last
+// load was read a short time ago.
+Test(delegation, a_load_counts_from_when_it_was_measured)
+{
+  for (const auto age : { kPeerLoadMaxAge / 2, kPeerLoadMaxAge }) {
+    auto home = CellHarness{};
+    home.AddWorker("w1", { 1000, 64000, 0 });
+    home.cell.OnPeerLoad(home.now - age, kHostCell, LoadWithRoom(32000));
+    home.Submit(JobWithSteps({ 3 }));
+    home.StartAll();
+    home.Advance(kDelegateAfter * 2);
+    home.Tick();
+    cr_expect_eq(RecordedRows(home).delegationPuts.size(),
+                 age < kPeerLoadMaxAge ? 1 : 0);
+  }
+}
+
 Test(delegation, job_completes_when_the_host_has_reported_all_as_done)
 {
   auto cell = FullCell{};
--- a/fleet/src/celldelegations.cpp
+++ b/fleet/src/celldelegations.cpp
@@ -146,7 +146,12 @@
       return;
     }
     if (auto load = this->DecodeLogged(aRow, cells::DecodeCellLoad)) {
-      this->cell->OnPeerLoad(now, peer, std::move(*load));
+      // Instances of earlier versions do not tell the time.
+      const auto measuredAt =
+        load->storeClockMs > 0 && this->storeClock
+          ? std::min(now, this->storeClock->FirstTimeOf(load->storeClockMs))
+          : now;
+      this->cell->OnPeerLoad(measuredAt, peer, std::move(*load));
     }
     return;
   }
@@ -186,6 +191,7 @@
   this->loadWrittenAt = aNow;
   auto load = this->cell->LoadSummary();
   load.pending.clear();
+  load.storeClockMs = this->storeClock ? this->storeClock->EarliestAt(aNow) : 0;
   this->recorder->SetLoad(cells::EncodeCellLoad(load));
 }
 
