cells: an answer of another worker asks for a report at once

A worker that another one answers for is silent until its next report. Where that answer was to an order, and a renewal was waiting for an end on a connection of before, the next renewal was sent only after it: up to 2.7 s in which a worker that is well (its entry names its new address) got no starts.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -88,6 +88,7 @@
   }
   aSlot.addressReused = true;
   aSlot.silent = true;
+  aSlot.reportRequested = true;
 }
 
 // The answer does not tell which process of the worker it comes from. A clock
