fleet: a count is refused at once where the store has not answered

If the rows of loads could not be read, the jobs' rows were asked for as well, and the caller waited for these calls. The answer is 503 now as soon as the first read has failed, as before the counts from the store.

--- a/fleet/src/callerapi.cpp
+++ b/fleet/src/callerapi.cpp
@@ -576,9 +576,10 @@
 CallerApi::OnLoadsRead(const std::shared_ptr<CountRequest>& aRequest) -> void
 {
   auto uncounted = std::set<std::string>{};
-  if (aRequest->answered ||
-      this->PendingJobsIn(aRequest->queue, nullptr, uncounted) ||
-      uncounted.empty()) {
+  const auto isReadable =
+    this->fleetView.ReadAt() > this->loop.Now() - kMaxCountAge;
+  if (aRequest->answered || !isReadable ||
+      this->PendingJobsIn(aRequest->queue, nullptr, uncounted)) {
     this->AnswerCount(*aRequest, nullptr);
     return;
   }
