--- a/bench/tests/pendingcount_test.cpp
+++ b/bench/tests/pendingcount_test.cpp
@@ -323,7 +323,7 @@
     return world->StoreCalls() - before;
   };
   // A read each 700 ms at most, of each instance, for ten seconds.
-  constexpr std::size_t kMostReads = 6 * 15;
+  constexpr auto kMostReads = std::size_t{ 6 } * 15;
   const auto without = callsOf(false);
   const auto with = callsOf(true);
   cr_expect(with <= without + kMostReads,
