fleet: counts from the store stay small, and are made in small fleets only

Change: no count where the share does not allow each instance one in 2 s, that is with some twelve instances and more; the answer is 503 with Retry-After there. Two reads at a time, since callers' requests use the same connections, and a count that takes over 2 s is given up. Submissions are read before records, so that a job that begins meanwhile is not counted.

--- a/fleet/src/pendingcounter.cpp
+++ b/fleet/src/pendingcounter.cpp
@@ -50,77 +50,87 @@
     this->callbacks.push_back(std::move(aDone));
     return;
   }
-  if (this->current || now < this->nextCountAt) {
+  const auto parts = CellRows::SubmissionParts();
+  // At most as many again for cancellations.
+  const auto calls = static_cast<double>(2 * parts.size() + aCells.size());
+  const auto interval = std::chrono::duration<double>(
+    calls / (aReadsPerSecond * kCountReadsFraction));
+  if (this->current || now < this->nextCountAt || interval > kMaxCountAge) {
     aDone(nullptr);
     return;
   }
-  const auto parts = CellRows::SubmissionParts();
+  this->nextCountAt =
+    now + std::max<Micros>(kMinCountInterval,
+                           std::chrono::duration_cast<Micros>(interval));
   const auto reading = std::make_shared<Reading>();
   reading->sentAt = now;
   reading->cells = aCells;
-  reading->pendingReads = parts.size() + aCells.size();
-  // At most as many again for cancellations.
-  const auto calls = static_cast<double>(2 * parts.size() + aCells.size());
-  this->nextCountAt =
-    now + std::max<Micros>(
-            kMinCountInterval,
-            std::chrono::duration_cast<Micros>(std::chrono::duration<double>(
-              calls / (aReadsPerSecond * kCountReadsFraction))));
-  this->current = reading;
-  this->callbacks.push_back(std::move(aDone));
   for (const auto& part : parts) {
-    this->Read(reading,
-               { CellRows::kSubmissionTable, part, "", "" },
-               reading->submissions,
-               &PendingCounter::OnJobsRead);
+    reading->ranges.emplace_back(
+      cells::RowRange{ CellRows::kSubmissionTable, part, "", "" },
+      &Reading::submissions);
   }
   for (const auto& cell : aCells) {
-    this->Read(reading,
-               CellRows{ cell }.RecordRange(),
-               reading->records[cell],
-               &PendingCounter::OnJobsRead);
+    reading->ranges.emplace_back(CellRows{ cell }.RecordRange(),
+                                 &Reading::records);
   }
+  reading->next = &PendingCounter::OnJobsRead;
+  this->current = reading;
+  this->callbacks.push_back(std::move(aDone));
+  this->ReadMore(reading);
 }
 
 auto
-PendingCounter::Read(
-  const std::shared_ptr<Reading>& aReading,
-  const cells::RowRange& aRange,
-  std::vector<cells::StoredRow>& aTarget,
-  void (PendingCounter::*aNext)(const std::shared_ptr<Reading>&)) -> void
+PendingCounter::ReadMore(const std::shared_ptr<Reading>& aReading) -> void
 {
-  ++aReading->calls;
-  this->tables.Read(
-    aRange,
-    kStoreTimeout,
-    [weak = this->weak_from_this(), aReading, target = &aTarget, aNext](
-      const cells::TableReadResult& aOutcome) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      aReading->failed =
-        aReading->failed || aOutcome.status != cells::TableStatus::Done;
-      target->insert(target->end(), aOutcome.rows.begin(), aOutcome.rows.end());
-      if (--aReading->pendingReads == 0) {
-        (*self.*aNext)(aReading);
-      }
-    });
+  if (aReading->failed || this->loop.Now() > aReading->sentAt + kMaxCountAge) {
+    aReading->failed = true;
+    aReading->ranges.clear();
+  }
+  if (aReading->ranges.empty() && aReading->pendingReads == 0) {
+    (this->*aReading->next)(aReading);
+    return;
+  }
+  while (!aReading->ranges.empty() && aReading->pendingReads < kMaxCountReads) {
+    const auto [range, target] = aReading->ranges.front();
+    aReading->ranges.pop_front();
+    ++aReading->calls;
+    ++aReading->pendingReads;
+    this->tables.Read(
+      range,
+      kStoreTimeout,
+      [weak = this->weak_from_this(), aReading, rows = target](
+        const cells::TableReadResult& aOutcome) {
+        const auto self = weak.lock();
+        if (!self) {
+          return;
+        }
+        --aReading->pendingReads;
+        if (aOutcome.status != cells::TableStatus::Done) {
+          aReading->failed = true;
+        }
+        auto& all = (*aReading).*rows;
+        all.insert(all.end(), aOutcome.rows.begin(), aOutcome.rows.end());
+        self->ReadMore(aReading);
+      });
+  }
 }
 
 auto
 PendingCounter::OnJobsRead(const std::shared_ptr<Reading>& aReading) -> void
 {
+  if (aReading->failed) {
+    this->Finish(aReading);
+    return;
+  }
   auto reason = std::string{};
   auto records = std::map<std::string, cells::JobRecord>{};
-  for (const auto& [cell, rows] : aReading->records) {
-    for (const auto& row : rows) {
-      if (!cells::JobId::Parse(row.key.key)) {
-        continue;
-      }
-      if (auto record = cells::DecodeJobRecord(row.value, reason)) {
-        records.emplace(row.key.key, std::move(*record));
-      }
+  for (const auto& row : aReading->records) {
+    if (!cells::JobId::Parse(row.key.key)) {
+      continue;
+    }
+    if (auto record = cells::DecodeJobRecord(row.value, reason)) {
+      records.emplace(row.key.key, std::move(*record));
     }
   }
   auto cancellationParts = std::set<std::string>{};
@@ -135,17 +145,13 @@
       aReading->waiting.push_back(std::move(*job));
     }
   }
-  if (aReading->failed || cancellationParts.empty()) {
-    this->Finish(aReading);
-    return;
-  }
-  aReading->pendingReads = cancellationParts.size();
   for (const auto& part : cancellationParts) {
-    this->Read(aReading,
-               { CellRows::kCancellationTable, part, "", "" },
-               aReading->cancellations,
-               &PendingCounter::OnCancellationsRead);
+    aReading->ranges.emplace_back(
+      cells::RowRange{ CellRows::kCancellationTable, part, "", "" },
+      &Reading::cancellations);
   }
+  aReading->next = &PendingCounter::OnCancellationsRead;
+  this->ReadMore(aReading);
 }
 
 auto
--- a/fleet/src/pendingcounter.h
+++ b/fleet/src/pendingcounter.h
@@ -4,6 +4,7 @@
 // Counts the jobs of cells that have not begun, from the rows in the store, for
 // cells whose owner does not tell. Runs on the event loop.
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -33,7 +34,7 @@
 
   // Reads the rows, or joins a count of these cells that is under way or not
   // older than kMinCountInterval. aReadsPerSecond: calls to the store that this
-  // instance may make.
+  // instance may make; jobs are not counted if that is too few.
   auto Count(const std::set<std::string>& aCells,
              double aReadsPerSecond,
              OnCounted aDone) -> void;
@@ -45,21 +46,24 @@
     Time sentAt{};
     std::set<std::string> cells;
     std::vector<cells::StoredRow> submissions;
+    std::vector<cells::StoredRow> records;
     std::vector<cells::StoredRow> cancellations;
-    // By cell.
-    std::map<std::string, std::vector<cells::StoredRow>> records;
+    // Ranges that are to be read, and the rows that each adds to.
+    std::deque<
+      std::pair<cells::RowRange, std::vector<cells::StoredRow> Reading::*>>
+      ranges;
     std::size_t calls = 0;
     std::size_t pendingReads = 0;
     bool failed = false;
+    // What follows once all are read.
+    void (PendingCounter::*next)(const std::shared_ptr<Reading>&) = nullptr;
     // Jobs without a task that has begun, which may have been cancelled.
     std::vector<cells::JobRow> waiting;
   };
 
-  auto Read(const std::shared_ptr<Reading>& aReading,
-            const cells::RowRange& aRange,
-            std::vector<cells::StoredRow>& aTarget,
-            void (PendingCounter::*aNext)(const std::shared_ptr<Reading>&))
-    -> void;
+  // Sends the next reads, few at a time: callers' requests use the same
+  // connections.
+  auto ReadMore(const std::shared_ptr<Reading>& aReading) -> void;
   // Finds the jobs that wait, and reads their cancellations.
   auto OnJobsRead(const std::shared_ptr<Reading>& aReading) -> void;
   auto OnCancellationsRead(const std::shared_ptr<Reading>& aReading) -> void;
--- a/fleet/src/tunables_fleet.h
+++ b/fleet/src/tunables_fleet.h
@@ -82,9 +82,12 @@
 inline constexpr Millis kMaxLoadAge{ 3000 };
 // An instance counts the jobs of cells without an owner itself, from the store,
 // at this interval at most, and so that all instances together use no more than
-// this part of the reads that the store serves.
+// this part of the reads that the store serves. Where that allows no count each
+// kMaxCountAge, which is from some twelve instances on, none is made.
 inline constexpr Millis kMinCountInterval{ 1000 };
 inline constexpr double kCountReadsFraction = 0.1;
+// Reads that such a count has in flight at a time.
+inline constexpr std::size_t kMaxCountReads = 2;
 
 } // namespace gooseberry::fleet
 
--- a/fleet/tests/heldreads.h
+++ b/fleet/tests/heldreads.h
@@ -57,6 +57,8 @@
     }
   }
 
+  auto HeldCount() const -> std::size_t { return this->held.size(); }
+
   int reads = 0;
   // What the store's clock shows in its answers.
   std::int64_t clockMs = 0;
--- a/fleet/tests/pendingcounter_test.cpp
+++ b/fleet/tests/pendingcounter_test.cpp
@@ -124,6 +124,21 @@
   cr_expect_eq(site.store.reads, 2 * reads);
 }
 
+// Guards against: a count holds up callers' requests, which use the same
+// connections to the store, or takes so long that it is of no use.
+Test(pending_counter, reads_little_at_a_time_and_gives_up)
+{
+  auto site = Site{};
+  site.AddJob(1, "c0", std::nullopt);
+  site.Count({ "c0" });
+  cr_expect_eq(site.store.HeldCount(), kMaxCountReads);
+  site.loop.Advance(kMaxCountAge + Millis{ 1 });
+  site.store.Answer();
+  cr_expect_eq(site.answers, 1);
+  cr_expect_not(site.counts.has_value());
+  cr_expect_eq(site.store.reads, kMaxCountReads);
+}
+
 // Guards against: the instances of a large fleet use up the reads of the store
 // that a takeover needs.
 Test(pending_counter, leaves_the_store_to_others)
@@ -138,6 +153,7 @@
       site.loop.Advance(Millis{ 1000 });
     }
     cr_expect_eq(site.answers, kSeconds);
+    cr_expect_eq(site.store.reads > 0, instances == 6);
     const auto readsPerSecond =
       static_cast<double>(site.store.reads) * instances / kSeconds;
     cr_expect(readsPerSecond <= 2000.0 * kCountReadsFraction,
