--- a/review/smallfleet/tests/smallfleet.cpp
+++ b/review/smallfleet/tests/smallfleet.cpp
@@ -85,18 +85,12 @@
     throw std::runtime_error("no record or no temporary folder");
   }
   this->directory = pattern;
-  auto config = fakes::ConfigOfModelSite();
-  auto& policy = config.queues.at(0).policy;
+  this->config = fakes::ConfigOfModelSite();
+  auto& policy = this->config.queues.at(0).policy;
   policy.maxAttempts = this->options.maxAttempts;
   policy.slackFactor = this->options.slackFactor;
   policy.targetLatency = this->options.targetLatency;
-  const auto bytes = wire::SerializeSiteConfig(config);
-  this->Record("the operator writes the configuration " + bytes);
-  this->PutRow(
-    { wire::kOperatorTable,
-      "",
-      wire::FormatOperatorKey({ wire::OperatorRowKind::Config, "" }) },
-    bytes);
+  this->WriteConfig();
   for (auto worker = 0; worker < this->options.workers; ++worker) {
     auto machine = std::make_unique<Machine>();
     machine->server =
@@ -128,6 +122,10 @@
     if (!instance->store->Listen(reason)) {
       throw std::runtime_error("the store can't listen: " + reason);
     }
+    if (this->options.linkMegabits > 0.0) {
+      instance->link = std::make_unique<SlowLink>(
+        this->loop, instance->store->Port(), this->options.linkMegabits);
+    }
     this->WriteSettings(*instance, number);
     this->instances.push_back(std::move(instance));
     this->Start(number);
@@ -164,7 +162,9 @@
     { "limits.maxFds", "4100" },
     { "cloud.address", Loopback(FreePort()) },
     { "advice", "" },
-    { "platform.address", Loopback(aInstance.store->Port()) },
+    { "platform.address",
+      Loopback(aInstance.link ? aInstance.link->Port()
+                              : aInstance.store->Port()) },
     { "platform.writesPerS", "600" },
     { "platform.readsPerS", "2000" },
     { "bounds.holdMaxMs", std::to_string(this->options.holdMax.count()) },
@@ -476,6 +476,37 @@
   return this->events;
 }
 
+auto
+SmallFleet::WriteConfig() -> void
+{
+  constexpr std::size_t kShown = 1200;
+  const auto bytes = wire::SerializeSiteConfig(this->config);
+  this->Record("the operator writes version " +
+               std::to_string(this->config.version) +
+               " of the configuration, " + std::to_string(bytes.size()) +
+               " bytes: " + bytes.substr(0, kShown));
+  this->PutRow(
+    { wire::kOperatorTable,
+      "",
+      wire::FormatOperatorKey({ wire::OperatorRowKind::Config, "" }) },
+    bytes);
+}
+
+auto
+SmallFleet::GrowConfig(int aRoutes) -> void
+{
+  for (auto number = 0; number < aRoutes; ++number) {
+    auto queue = this->config.queues.front();
+    const auto name = std::to_string(this->config.queues.size());
+    queue.id = { "r-more" + name };
+    queue.host = "more" + name + ".example";
+    queue.pathPrefix = "/more" + name + "/";
+    this->config.queues.push_back(queue);
+  }
+  ++this->config.version;
+  this->WriteConfig();
+}
+
 auto
 SmallFleet::PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
   -> void
--- a/review/smallfleet/tests/smallfleet.h
+++ b/review/smallfleet/tests/smallfleet.h
@@ -25,6 +25,7 @@
 #include "httpclient.h"
 #include "rowtable.h"
 #include "site.h"
+#include "slowlink.h"
 
 namespace gooseberry::review {
 
@@ -38,6 +39,8 @@
   std::uint32_t maxAttempts = 2;
   double slackFactor = 1.5;
   Millis targetLatency{ 250 };
+  // Of each instance's link to the store; 0: as fast as loopback is.
+  double linkMegabits = 0.0;
   // The deployment's bounds.
   Millis holdMax{ 6000 };
   Millis stop{ 400 };
@@ -93,6 +96,10 @@
   // there is none.
   auto StateAt(int aInstance, const std::string& aJob) -> std::string;
 
+  // The operator writes the next version, with so many routes more; the
+  // client's stays as it is.
+  auto GrowConfig(int aRoutes) -> void;
+
   // The instance that the owner's row names; -1 if there is none.
   auto Owner() -> int;
   auto Kill(int aInstance) -> void;
@@ -119,6 +126,7 @@
     int callersPort = 0;
     pid_t process = -1;
     std::unique_ptr<standin::StoreServer> store;
+    std::unique_ptr<SlowLink> link;
     std::shared_ptr<HttpClient> callers;
   };
 
@@ -129,6 +137,7 @@
   };
 
   auto WriteSettings(const Instance& aInstance, int aNumber) const -> void;
+  auto WriteConfig() -> void;
   auto PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
     -> void;
   auto NewProcess(int aWorker) -> std::unique_ptr<fakes::JobWorker>;
@@ -144,6 +153,7 @@
   std::string directory;
   std::mt19937_64 random;
   fakes::RowTable table;
+  cells::SiteConfig config;
   Plan plan;
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Machine>> machines;
