--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -14,7 +14,8 @@
 done
 sources=review/smallfleet/tests
 objects=()
-for source in standins/src/storeserver.cpp standins/src/workerserver.cpp $sources/smallfleet.cpp; do
+for source in standins/src/storeserver.cpp standins/src/workerserver.cpp \
+  $sources/smallfleet.cpp $sources/slowlink.cpp; do
   object=$out/$(basename "$source" .cpp).o
   g++ "${flags[@]}" -c "$source" -o "$object"
   objects+=("$object")
@@ -23,7 +24,7 @@
   target/cells/libcells.a target/decisions/libdecisions.a)
 for source in "$sources"/*.cpp; do
   name=$(basename "$source" .cpp)
-  [ "$name" = smallfleet ] && continue
+  case $name in smallfleet | slowlink) continue ;; esac
   g++ "${flags[@]}" "$source" "${objects[@]}" -Wl,--start-group "${libraries[@]}" -Wl,--end-group \
     -lyaml-cpp -lxxhash -lssl -lcrypto -lpthread -o "$out/$name"
 done
--- a/review/smallfleet/tests/smallfleet.cpp
+++ b/review/smallfleet/tests/smallfleet.cpp
@@ -43,23 +43,38 @@
   return "127.0.0.1:" + std::to_string(aPort);
 }
 
-// A port that the kernel gives away and nobody listens at.
 auto
-FreePort() -> int
+IsFree(int aPort) -> bool
 {
   const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
   auto address = sockaddr_in{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  auto size = socklen_t{ sizeof address };
-  auto* const generic = reinterpret_cast<sockaddr*>(&address);
-  const auto bound = ::bind(socket, generic, size) == 0 &&
-                     ::getsockname(socket, generic, &size) == 0;
+  address.sin_port = htons(static_cast<std::uint16_t>(aPort));
+  const auto bound = ::bind(socket,
+                            reinterpret_cast<const sockaddr*>(&address),
+                            sizeof address) == 0;
   ::close(socket);
-  if (!bound) {
-    throw std::runtime_error("no free port");
+  return bound;
+}
+
+// A port below those that the kernel gives to outgoing connections; each script
+// has a part of the range.
+auto
+FreePort() -> int
+{
+  constexpr int kFirst = 12000;
+  constexpr int kCount = 20000;
+  constexpr int kPart = 100;
+  static auto next = static_cast<int>(::getpid()) * kPart % kCount;
+  for (auto tries = 0; tries < kCount; ++tries) {
+    const auto port = kFirst + next;
+    next = (next + 1) % kCount;
+    if (IsFree(port)) {
+      return port;
+    }
   }
-  return ntohs(address.sin_port);
+  throw std::runtime_error("no free port");
 }
 
 auto
@@ -248,6 +263,18 @@
   this->record << time.data() << " s  " << aText << std::endl;
 }
 
+auto
+SmallFleet::RecordRequests(bool aOn) -> void
+{
+  this->recordsRequests = aOn;
+}
+
+auto
+SmallFleet::RecordEventsOf(const cells::JobId& aJob) -> void
+{
+  this->recordedJob = aJob;
+}
+
 auto
 SmallFleet::WaitUntilReady() -> bool
 {
@@ -276,8 +303,10 @@
                    { "Content-Type", "application/json" },
                    { "Deadline-Ms", std::to_string(kDeadline.count()) } },
                  aBody };
-  this->Record("a client sends " + instance.name + " " + aMethod + " " + aJob +
-               " " + aBody);
+  if (this->recordsRequests) {
+    this->Record("a client sends " + instance.name + " " + aMethod + " " +
+                 aJob + " " + aBody);
+  }
   instance.callers->Call(
     std::move(request),
     kDeadline,
@@ -286,10 +315,12 @@
       if (aReply.outcome == HttpOutcome::Answered) {
         answer = { aReply.status, aReply.body };
       }
-      this->Record("the client of " + aMethod + " " + aJob + " gets " +
-                   (answer.status == 0 ? std::string{ "no answer" }
-                                       : std::to_string(answer.status)) +
-                   " " + answer.body);
+      if (this->recordsRequests) {
+        this->Record("the client of " + aMethod + " " + aJob + " gets " +
+                     (answer.status == 0 ? std::string{ "no answer" }
+                                         : std::to_string(answer.status)) +
+                     " " + answer.body);
+      }
       done(answer);
     });
 }
@@ -557,6 +588,9 @@
     "is gone"
   };
   this->events.push_back(aEvent);
+  if (this->recordedJob && aEvent.task.job != *this->recordedJob) {
+    return;
+  }
   const auto isEnd = aEvent.kind == fakes::JobEventKind::End;
   this->Record(
     "worker " + aEvent.worker.text + " " +
--- a/review/smallfleet/tests/smallfleet.h
+++ b/review/smallfleet/tests/smallfleet.h
@@ -78,6 +78,11 @@
   auto UnixMillis() const -> std::int64_t;
   auto Record(const std::string& aText) -> void;
 
+  // Whether clients' requests are written to the record.
+  auto RecordRequests(bool aOn) -> void;
+  // Of what workers do from now on, only this job's events are written there.
+  auto RecordEventsOf(const cells::JobId& aJob) -> void;
+
   // Waits until some instance owns the cell and an instance accepts work; false
   // if that takes longer than 30 s.
   auto WaitUntilReady() -> bool;
@@ -150,6 +155,8 @@
   EventLoop loop;
   const Time startedAt;
   std::ofstream record;
+  bool recordsRequests = true;
+  std::optional<cells::JobId> recordedJob;
   std::string directory;
   std::mt19937_64 random;
   fakes::RowTable table;
