--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,7 +3,7 @@
 # rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0 leaves the
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-program=target/review-3/lostoccurrence
+program=target/review-3/latesubmission
 if [ ! -x "$program" ] || [ ! -x target/daemon/gooseberryd ]; then
   echo "run review/build-3.sh first" >&2
   exit 2
