Review case 14: an adviser that takes over 2 s holds a wide job for good

Cause: the owner asks about up to 100 workers at once and gives each call up after 2 s, whatever decideMs and eachMs of the configuration tell.

Change: a script with an adviser that answers after the time that is told.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the programs that the scripts of cases 11 to 13 start: the instances as
+# Builds the programs that the scripts of cases 11 to 14 start: the instances as
 # the deploy file does, and the stand-ins with their clients in one program for
 # each script. Output in target/; needs no package beyond the deploy file's.
 set -euo pipefail
--- a/review/smallfleet/tests/smallfleet.cpp
+++ b/review/smallfleet/tests/smallfleet.cpp
@@ -105,6 +105,7 @@
   policy.maxAttempts = this->options.maxAttempts;
   policy.slackFactor = this->options.slackFactor;
   policy.targetLatency = this->options.targetLatency;
+  this->StartAdviser();
   this->WriteConfig();
   for (auto worker = 0; worker < this->options.workers; ++worker) {
     auto machine = std::make_unique<Machine>();
@@ -176,7 +177,8 @@
     { "limits.memoryMb", "260" },
     { "limits.maxFds", "4100" },
     { "cloud.address", Loopback(FreePort()) },
-    { "advice", "" },
+    { "advice",
+      this->adviser ? Loopback(this->adviser->Port()) : std::string{} },
     { "platform.address",
       Loopback(aInstance.link ? aInstance.link->Port()
                               : aInstance.store->Port()) },
@@ -511,7 +513,15 @@
 SmallFleet::WriteConfig() -> void
 {
   constexpr std::size_t kShown = 1200;
-  const auto bytes = wire::SerializeSiteConfig(this->config);
+  auto bytes = wire::SerializeSiteConfig(this->config);
+  if (this->options.advice) {
+    auto json = nlohmann::json::parse(bytes);
+    json.at("routes").at(
+      0)["advice"] = { { "decideMs", this->options.advice->decide.count() },
+                       { "eachMs", this->options.advice->each.count() },
+                       { "validMs", this->options.advice->valid.count() } };
+    bytes = json.dump();
+  }
   this->Record("the operator writes version " +
                std::to_string(this->config.version) +
                " of the configuration, " + std::to_string(bytes.size()) +
@@ -523,6 +533,55 @@
     bytes);
 }
 
+auto
+SmallFleet::StartAdviser() -> void
+{
+  if (!this->options.advice) {
+    return;
+  }
+  this->config.queues.at(0).policy.requiresAdvice = true;
+  this->adviser = std::make_shared<HttpServer>(
+    this->loop,
+    HttpServerLimits{},
+    [this](const std::shared_ptr<HttpExchange>& aExchange) {
+      this->Advise(aExchange);
+    });
+  auto reason = std::string{};
+  if (!this->adviser->Listen({ boost::asio::ip::address_v4::loopback(), 0 },
+                             reason)) {
+    throw std::runtime_error("the adviser can't listen: " + reason);
+  }
+}
+
+auto
+SmallFleet::Advise(const std::shared_ptr<HttpExchange>& aExchange) -> void
+{
+  constexpr int kOk = 200;
+  const auto& advice = *this->options.advice;
+  const auto json = nlohmann::json::parse(aExchange->Request().body);
+  const auto& named = json.at("workers");
+  auto good = nlohmann::json::array();
+  for (const auto& worker : named) {
+    good.push_back({ worker, "ticket-" + worker.get<std::string>() });
+  }
+  const auto now = this->loop.Now();
+  const auto takes = advice.decide + advice.each * named.size();
+  this->adviserFree = std::max(this->adviserFree, now) + takes;
+  this->Record("the adviser is asked about " + std::to_string(named.size()) +
+               " workers for " + json.at("step").get<std::string>() +
+               ", which takes " + std::to_string(takes.count()) + " ms");
+  this->After(
+    ToMillis(this->adviserFree - now),
+    [this, aExchange, good, valid = advice.valid] {
+      this->Record(aExchange->IsClosed() ? "the adviser's answer finds nobody"
+                                         : "the adviser answers");
+      aExchange->Respond(
+        kOk,
+        nlohmann::json{ { "good", good }, { "validMs", valid.count() } }.dump(),
+        {});
+    });
+}
+
 auto
 SmallFleet::GrowConfig(int aRoutes) -> void
 {
--- a/review/smallfleet/tests/smallfleet.h
+++ b/review/smallfleet/tests/smallfleet.h
@@ -23,12 +23,21 @@
 #include "eventloop.h"
 #include "faultyfleet.h"
 #include "httpclient.h"
+#include "httpserver.h"
 #include "rowtable.h"
 #include "site.h"
 #include "slowlink.h"
 
 namespace gooseberry::review {
 
+// A queue's adviser, as the configuration tells of it; it allows every worker.
+struct Advice
+{
+  Millis decide{ 0 };
+  Millis each{ 0 };
+  Millis valid{ 3000 };
+};
+
 struct SmallFleetOptions
 {
   int instances = 3;
@@ -39,6 +48,7 @@
   std::uint32_t maxAttempts = 2;
   double slackFactor = 1.5;
   Millis targetLatency{ 250 };
+  std::optional<Advice> advice;
   // Of each instance's link to the store; 0: as fast as loopback is.
   double linkMegabits = 0.0;
   // The deployment's bounds.
@@ -143,6 +153,9 @@
 
   auto WriteSettings(const Instance& aInstance, int aNumber) const -> void;
   auto WriteConfig() -> void;
+  auto StartAdviser() -> void;
+  // Answers one question after the other, each after its time.
+  auto Advise(const std::shared_ptr<HttpExchange>& aExchange) -> void;
   auto PutRow(const cells::RowKey& aKey, std::optional<std::string> aValue)
     -> void;
   auto NewProcess(int aWorker) -> std::unique_ptr<fakes::JobWorker>;
@@ -161,6 +174,9 @@
   std::mt19937_64 random;
   fakes::RowTable table;
   cells::SiteConfig config;
+  std::shared_ptr<HttpServer> adviser;
+  // When the adviser is done with all questions so far.
+  Time adviserFree{};
   Plan plan;
   std::vector<std::unique_ptr<Instance>> instances;
   std::vector<std::unique_ptr<Machine>> machines;
