Fleet: a job that is cancelled before it is stored is never stored

Cause: the 410 was drawn from the absence of a row, while a write of the submission without an answer could still be performed by the store: its condition, no row of this id, was still true then.

Change: a cancellation that finds no submission stores a withdrawal under the condition that there is none, and a submission is written under the condition that there is no withdrawal. Both rows are in one part, so one of the two transactions comes first. The 410 is answered once the withdrawal is stored; what survives is the row, not the instance. A withdrawal holds for the account that cancelled and for jobs without an account. Submissions that come later get 410, reason "withdrawn". The owner of the first cell removes withdrawals after keep_ended, 30 s at least.

Ruled out: a row in the table of cancellations (ends the job of whoever submits the id, and takeovers read it); waiting for the late write (nobody knows how long); 503 while a write may be under way (a killed instance knows of none).

CellManager::Start was called by nobody and is gone.

--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -95,6 +95,8 @@
   auto Submit(cells::JobSpec aSpec, fakes::WorkPlan aPlan)
     -> cells::JobId override;
   auto Cancel(const cells::JobId& aJob) -> void override;
+  // Cancels an id that nobody has submitted.
+  auto CancelUnknown(const cells::JobId& aJob) -> void;
   // Takes the id of a job that is done and was forgotten for one like it.
   auto SubmitAgain(const cells::JobId& aJob) -> void;
 
@@ -182,6 +184,7 @@
   auto PutWorkerRow(const std::string& aKey, const std::string& aValue) -> void;
   // Submits a job and lets time pass; whether it is done then.
   auto RunsNewJobs() -> bool;
+  auto RowsOf(const std::string& aTable) const -> std::size_t;
   // Rows of jobs in the store, whatever they tell of them.
   auto JobRows() -> std::size_t;
   // The status of an answer to a question for the job's state; 0 without one.
--- a/cells/src/recorder.cpp
+++ b/cells/src/recorder.cpp
@@ -11,6 +11,7 @@
 const std::string kPartPrefix = "in-";
 constexpr const char* kLearnedStateKey = "learnt";
 constexpr char kContinuationMark = '/';
+const std::string kAccountMark = "@";
 
 auto
 OrEmptyIfTooLarge(std::string aBytes) -> std::string
@@ -96,6 +97,16 @@
   return { kCancellationTable, PartOfJob(aJob), aJob.Text() };
 }
 
+auto
+CellRows::Withdrawal(const JobId& aJob, const AccountId& aAccount) -> RowKey
+{
+  // A name of an account may alone be as long as a key.
+  const auto suffix =
+    aAccount.Empty() ? std::string{}
+                     : kAccountMark + std::to_string(StableHash(aAccount.text));
+  return { kWithdrawalTable, PartOfJob(aJob), aJob.Text() + suffix };
+}
+
 auto
 CellRows::SubmissionParts() -> std::vector<std::string>
 {
--- a/cells/src/recorder.h
+++ b/cells/src/recorder.h
@@ -36,8 +36,12 @@
   // all cells.
   static auto Submission(const JobId& aJob) -> RowKey;
   static auto Cancellation(const JobId& aJob) -> RowKey;
-  // The parts that the tables of submissions and of cancellations are split
-  // into.
+  // The row that keeps a job from being stored: an account cancelled it while
+  // the store had no submission of this id. Empty account: any caller may have.
+  static auto Withdrawal(const JobId& aJob, const AccountId& aAccount)
+    -> RowKey;
+  // The parts that the tables of submissions, cancellations and withdrawals are
+  // split into; all rows of an id are in the same one.
   static auto SubmissionParts() -> std::vector<std::string>;
 
   // The store runs the transactions of one part one after the other. Slowed
@@ -48,6 +52,7 @@
   static constexpr const char* kRecordTable = "record";
   static constexpr const char* kSubmissionTable = "job";
   static constexpr const char* kCancellationTable = "cancel";
+  static constexpr const char* kWithdrawalTable = "withdrawn";
 
   // Rows by which the cells of a group run tasks for each other.
   auto DelegationRow(const std::string& aTable, const std::string& aKey) const
--- a/fleet/src/callerapi.cpp
+++ b/fleet/src/callerapi.cpp
@@ -1,6 +1,9 @@
 #include "callerapi.h"
 
+#include <algorithm>
+
 #include "tunables_fleet.h"
+#include "withdrawalsweeper.h"
 
 namespace gooseberry::fleet {
 
@@ -58,6 +61,18 @@
   return { { "Retry-After", std::to_string(aSeconds) } };
 }
 
+// Null if the row does not exist.
+auto
+FindRow(const std::vector<cells::StoredRow>& aRows, const cells::RowKey& aKey)
+  -> const cells::StoredRow*
+{
+  const auto found =
+    std::find_if(aRows.begin(), aRows.end(), [&](const cells::StoredRow& aRow) {
+      return aRow.key == aKey && aRow.version != 0;
+    });
+  return found == aRows.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 // A job that a caller submits, until it is answered and no write is in flight.
@@ -88,6 +103,8 @@
   bool isCancellation = false;
   // The job's submission row was read, so the job exists.
   bool submissionRead = false;
+  // The store's steady clock when it answered last; 0: unknown.
+  std::int64_t storeClockMs = 0;
 };
 
 // A question for the number of pending jobs in a queue.
@@ -455,9 +472,14 @@
   this->recentSubmissions.Add(aSubmission->row.id);
   ++aSubmission->attempts;
   ++aSubmission->writesInFlight;
-  const auto key = cells::CellRows::Submission(aSubmission->row.id);
+  const auto& row = aSubmission->row;
+  const auto key = cells::CellRows::Submission(row.id);
+  // The store may carry this out long after the caller has cancelled the job.
+  const auto withdrawal = cells::CellRows::Withdrawal(row.id, row.account);
   this->tables.Commit(
-    { { { key, 0 } }, { { key, aSubmission->encodedRow } }, {} },
+    { { { key, 0 }, { withdrawal, 0 } },
+      { { key, aSubmission->encodedRow } },
+      {} },
     ToMillis(aSubmission->giveUpAt - this->loop.Now()),
     [this, aSubmission](const cells::TableCommitResult& aOutcome) {
       --aSubmission->writesInFlight;
@@ -493,8 +515,11 @@
       this->cellManager.OnJobAccepted(aSubmission->row);
       return;
     case cells::TableStatus::Conflict:
-      this->OnSubmissionExists(aSubmission, aOutcome);
-      return;
+      if (this->OnSubmissionConflict(aSubmission, aOutcome)) {
+        return;
+      }
+      aSubmission->mayBeStored = true;
+      break;
     case cells::TableStatus::Unknown:
       aSubmission->mayBeStored = true;
       break;
@@ -526,31 +551,49 @@
   this->FailSubmission(*aSubmission);
 }
 
-// An earlier attempt to submit the job wrote the row, or another account has
-// submitted a job of the same id. The store's answer contains the row.
+// An earlier attempt to submit the job wrote the row, another account has
+// submitted a job of the same id, or the caller has cancelled the job before it
+// was stored. Returns false if the store's answer does not tell which.
 auto
-CallerApi::OnSubmissionExists(const std::shared_ptr<Submission>& aSubmission,
-                              const cells::TableCommitResult& aOutcome) -> void
+CallerApi::OnSubmissionConflict(const std::shared_ptr<Submission>& aSubmission,
+                                const cells::TableCommitResult& aOutcome)
+  -> bool
 {
   const auto& job = aSubmission->row.id;
+  const auto stored =
+    FindRow(aOutcome.current, cells::CellRows::Submission(job));
+  if (stored == nullptr) {
+    const auto withdrawal =
+      cells::CellRows::Withdrawal(job, aSubmission->row.account);
+    if (FindRow(aOutcome.current, withdrawal) == nullptr) {
+      return false;
+    }
+    const auto reason = std::string{ "cancelled before it was stored" };
+    this->log.Write("job_refused",
+                    { { "job", job.Text() }, { "reason", reason } });
+    this->AnswerSubmission(*aSubmission,
+                           kGone,
+                           "withdrawn",
+                           wire::ErrorBody("the job was " + reason),
+                           {});
+    return true;
+  }
   const auto config = this->siteWatcher.Config();
-  const auto hasRow = !aOutcome.current.empty() &&
-                      aOutcome.current.front().version != 0 && config &&
-                      !config->accounts.empty();
   auto reason = std::string{};
-  const auto stored =
-    hasRow ? cells::DecodeJobRow(aOutcome.current.front().value, reason)
-           : std::nullopt;
-  if (stored && !this->AdmitToJob(*aSubmission->exchange,
-                                  kSubmitVerb,
-                                  aSubmission->row.account,
-                                  stored->account)) {
+  const auto row = config && !config->accounts.empty()
+                     ? cells::DecodeJobRow(stored->value, reason)
+                     : std::nullopt;
+  if (row && !this->AdmitToJob(*aSubmission->exchange,
+                               kSubmitVerb,
+                               aSubmission->row.account,
+                               row->account)) {
     aSubmission->answered = true;
     aSubmission->timer.reset();
-    return;
+    return true;
   }
   this->log.Write("job_known", { { "job", job.Text() } });
   this->AnswerSubmission(*aSubmission, kOk, "known", "{}", {});
+  return true;
 }
 
 auto
@@ -622,42 +665,50 @@
                {});
 }
 
+auto
+CallerApi::AnswerGone(JobRequest& aJobRequest) -> void
+{
+  this->Answer(*aJobRequest.exchange,
+               aJobRequest.isCancellation ? kCancelVerb : kStateVerb,
+               kGone,
+               "no_job",
+               wire::ErrorBody("no such job"),
+               {});
+}
+
 // The submission row holds the job's cell.
 auto
 CallerApi::ReadSubmission(const std::shared_ptr<JobRequest>& aJobRequest)
   -> void
 {
-  this->ReadRow(
-    cells::CellRows::Submission(aJobRequest->job),
-    aJobRequest,
-    &CallerApi::ReadSubmission,
-    [this, aJobRequest](const std::string* aRow) {
-      auto reason = std::string{};
-      if (aRow == nullptr) {
-        this->Answer(*aJobRequest->exchange,
-                     aJobRequest->isCancellation ? kCancelVerb : kStateVerb,
-                     kGone,
-                     "no_job",
-                     wire::ErrorBody("no such job"),
-                     {});
-      } else if (const auto row = cells::DecodeJobRow(*aRow, reason)) {
-        aJobRequest->submissionRead = true;
-        this->CacheJob(*row);
-        if (!this->AdmitToJob(*aJobRequest, row->account)) {
-          return;
-        }
-        if (aJobRequest->isCancellation) {
-          this->WriteCancellation(aJobRequest);
-        } else {
-          this->ReadRecord(aJobRequest);
-        }
-      } else {
-        this->log.Write(
-          "job_unreadable",
-          { { "job", aJobRequest->job.Text() }, { "reason", reason } });
-        this->AnswerState(*aJobRequest, cells::JobState::Queued);
-      }
-    });
+  this->ReadRow(cells::CellRows::Submission(aJobRequest->job),
+                aJobRequest,
+                &CallerApi::ReadSubmission,
+                [this, aJobRequest](const std::string* aRow) {
+                  auto reason = std::string{};
+                  if (aRow == nullptr && aJobRequest->isCancellation) {
+                    this->WriteWithdrawal(aJobRequest);
+                  } else if (aRow == nullptr) {
+                    this->AnswerGone(*aJobRequest);
+                  } else if (const auto row =
+                               cells::DecodeJobRow(*aRow, reason)) {
+                    aJobRequest->submissionRead = true;
+                    this->CacheJob(*row);
+                    if (!this->AdmitToJob(*aJobRequest, row->account)) {
+                      return;
+                    }
+                    if (aJobRequest->isCancellation) {
+                      this->WriteCancellation(aJobRequest);
+                    } else {
+                      this->ReadRecord(aJobRequest);
+                    }
+                  } else {
+                    this->log.Write("job_unreadable",
+                                    { { "job", aJobRequest->job.Text() },
+                                      { "reason", reason } });
+                    this->AnswerState(*aJobRequest, cells::JobState::Queued);
+                  }
+                });
 }
 
 auto
@@ -703,6 +754,7 @@
       if (aOutcome.status != cells::TableStatus::Done) {
         this->RetryJobRequest(aJobRequest, aRetry);
       } else {
+        aJobRequest->storeClockMs = aOutcome.storeClockMs;
         onValue(aOutcome.rows.empty() ? nullptr : &aOutcome.rows.front().value);
       }
     });
@@ -768,6 +820,39 @@
   }
 }
 
+// A write of the submission may still be on its way to the store. The row makes
+// its condition false, so that the answer holds whenever it arrives.
+auto
+CallerApi::WriteWithdrawal(const std::shared_ptr<JobRequest>& aJobRequest)
+  -> void
+{
+  const auto& job = aJobRequest->job;
+  const auto value = EncodeWithdrawal(aJobRequest->storeClockMs);
+  auto commit = cells::TableTransaction{};
+  commit.conditions.push_back({ cells::CellRows::Submission(job), 0 });
+  // Jobs without an account are accessible to every caller.
+  commit.puts.push_back({ cells::CellRows::Withdrawal(job, {}), value });
+  if (!aJobRequest->account.Empty()) {
+    commit.puts.push_back(
+      { cells::CellRows::Withdrawal(job, aJobRequest->account), value });
+  }
+  this->tables.Commit(
+    commit,
+    kStoreCallTimeout,
+    [this, aJobRequest](const cells::TableCommitResult& aOutcome) {
+      if (aOutcome.status == cells::TableStatus::Conflict) {
+        this->ReadSubmission(aJobRequest);
+        return;
+      }
+      if (aOutcome.status != cells::TableStatus::Done) {
+        this->RetryJobRequest(aJobRequest, &CallerApi::ReadSubmission);
+        return;
+      }
+      this->log.Write("job_withdrawn", { { "job", aJobRequest->job.Text() } });
+      this->AnswerGone(*aJobRequest);
+    });
+}
+
 auto
 CallerApi::WriteCancellation(const std::shared_ptr<JobRequest>& aJobRequest)
   -> void
--- a/fleet/src/callerapi.h
+++ b/fleet/src/callerapi.h
@@ -89,9 +89,10 @@
   auto WriteSubmission(const std::shared_ptr<Submission>& aSubmission) -> void;
   auto OnSubmissionWritten(const std::shared_ptr<Submission>& aSubmission,
                            const cells::TableCommitResult& aOutcome) -> void;
-  // The store has a row of this id.
-  auto OnSubmissionExists(const std::shared_ptr<Submission>& aSubmission,
-                          const cells::TableCommitResult& aOutcome) -> void;
+  // The store has a submission of this id, or a withdrawal. Returns false if
+  // its answer tells neither.
+  auto OnSubmissionConflict(const std::shared_ptr<Submission>& aSubmission,
+                            const cells::TableCommitResult& aOutcome) -> bool;
   auto FailSubmission(Submission& aSubmission) -> void;
   auto AnswerSubmission(Submission& aSubmission,
                         int aStatus,
@@ -100,6 +101,8 @@
                         HttpFields aFields) -> void;
   auto HandleStateQuery(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
   auto AnswerState(JobRequest& aJobRequest, cells::JobState aState) -> void;
+  // There is no such job.
+  auto AnswerGone(JobRequest& aJobRequest) -> void;
   auto ReadRow(const cells::RowKey& aKey,
                const std::shared_ptr<JobRequest>& aJobRequest,
                void (CallerApi::*aRetry)(const std::shared_ptr<JobRequest>&),
@@ -110,6 +113,7 @@
     const std::shared_ptr<JobRequest>& aJobRequest,
     void (CallerApi::*aRetry)(const std::shared_ptr<JobRequest>&)) -> void;
   auto HandleCancel(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
+  auto WriteWithdrawal(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
   auto WriteCancellation(const std::shared_ptr<JobRequest>& aJobRequest)
     -> void;
   auto HandleCountPending(std::shared_ptr<HttpExchange> aExchange,
--- a/fleet/src/cellmanager.cpp
+++ b/fleet/src/cellmanager.cpp
@@ -36,12 +36,6 @@
 {
 }
 
-auto
-CellManager::Start() -> void
-{
-  this->OnViewChanged();
-}
-
 auto
 CellManager::OnViewChanged() -> void
 {
@@ -54,6 +48,7 @@
     this->planTimer.reset();
     this->ports.siteWatcher.FollowWorkers(false);
   }
+  this->SweepWithdrawals();
   for (const auto& cell : layout->cells) {
     if (this->releasing || this->controllers.contains(cell)) {
       continue;
@@ -170,17 +165,23 @@
     });
 }
 
+auto
+CellManager::OwnsFirstCell() const -> bool
+{
+  const auto& layout = this->ports.fleetView.Layout();
+  return layout && !layout->cells.empty() &&
+         this->FindOwnedCell(layout->cells.front()) != nullptr;
+}
+
 // Assigns new racks to cells. Only the owner of the first cell does this, so
 // that one instance plans; it follows the table of workers anyway.
 auto
 CellManager::ExtendLayout() -> void
 {
-  const auto& layout = this->ports.fleetView.Layout();
-  if (!layout || layout->cells.empty() ||
-      this->FindOwnedCell(layout->cells.front()) == nullptr ||
-      !this->ports.siteWatcher.AreWorkersKnown()) {
+  if (!this->OwnsFirstCell() || !this->ports.siteWatcher.AreWorkersKnown()) {
     return;
   }
+  const auto& layout = this->ports.fleetView.Layout();
   const auto next = cells::PlanLayout(
     *layout, this->ports.siteWatcher.Workers(), this->settings.cellWorkers);
   if (next != *layout) {
@@ -188,6 +189,23 @@
   }
 }
 
+auto
+CellManager::SweepWithdrawals() -> void
+{
+  if (this->withdrawalSweeper) {
+    return;
+  }
+  this->withdrawalSweeper = std::make_shared<WithdrawalSweeper>(
+    this->ports.loop,
+    this->ports.tables,
+    WithdrawalAge(this->settings.bounds.keepEnded),
+    [weak = this->weak_from_this()] {
+      const auto manager = weak.lock();
+      return manager && manager->OwnsFirstCell();
+    });
+  this->withdrawalSweeper->Start();
+}
+
 auto
 CellManager::OnSiteChanged() -> void
 {
--- a/fleet/src/cellmanager.h
+++ b/fleet/src/cellmanager.h
@@ -3,8 +3,8 @@
 
 // Runs a controller for each cell of the layout, which assigns racks to cells,
 // and gives access to the cells that this instance owns. Plans the first layout
-// if this instance ranks first, and extends the layout while this instance owns
-// the first cell. Runs on the event loop.
+// if this instance ranks first. While this instance owns the first cell,
+// extends the layout and sweeps withdrawals. Runs on the event loop.
 
 #include <functional>
 #include <map>
@@ -13,6 +13,7 @@
 
 #include "cellcontroller.h"
 #include "fleetview.h"
+#include "withdrawalsweeper.h"
 
 namespace gooseberry::fleet {
 
@@ -21,7 +22,6 @@
 public:
   CellManager(const FleetSettings& aSettings, CellControllerPorts aPorts);
 
-  auto Start() -> void;
   // Announces that this instance is leaving and releases all owned cells, for a
   // planned shutdown. Calls aDone once the release of each is recorded or the
   // cell is lost.
@@ -52,6 +52,10 @@
   auto PlanFirstLayout() -> void;
   auto PlanOnceWorkersSettle() -> void;
   auto ExtendLayout() -> void;
+  // Starts the sweeper of withdrawals, unless it was started before.
+  auto SweepWithdrawals() -> void;
+  // Whether this instance does what one instance of the fleet has to do.
+  auto OwnsFirstCell() const -> bool;
   // How many cells this instance owns or takes over.
   auto HeldCells() const -> std::size_t;
   // Closes connections to workers that no owned cell has any more.
@@ -64,6 +68,7 @@
   const FleetSettings& settings;
   CellControllerPorts ports;
   std::map<std::string, std::shared_ptr<CellController>> controllers;
+  std::shared_ptr<WithdrawalSweeper> withdrawalSweeper;
   bool releasing = false;
   // This instance is planning the first layout.
   bool planningFirstLayout = false;
--- a/fleet/src/tunables_fleet.h
+++ b/fleet/src/tunables_fleet.h
@@ -56,6 +56,11 @@
 inline constexpr Millis kSweepRetryDelay{ 1000 };
 // The same after the store rejected the removal of a job's rows.
 inline constexpr Millis kSweepRejectedDelay{ 30000 };
+// Withdrawals are kept at least this long: the store may carry a submission out
+// seconds after its caller has given up, and callers repeat theirs as late.
+inline constexpr Millis kMinWithdrawalAge{ 30000 };
+// Interval at which one part of the withdrawals is read.
+inline constexpr Millis kWithdrawalSweepInterval{ 5000 };
 // How long the store may hold a feed call on the job tables open while it waits
 // for a change.
 inline constexpr Millis kJobFeedWait{ 1000 };
--- a/soak/src/realfleet.cpp
+++ b/soak/src/realfleet.cpp
@@ -870,7 +870,8 @@
                     if (aAnswer.status == kOk) {
                       this->judge.OnAccepted(this->loop.Now(), aJob);
                     } else if (aTries + 1 < kMostTries &&
-                               aAnswer.status != kUnauthorized) {
+                               aAnswer.status != kUnauthorized &&
+                               aAnswer.status != kGone) {
                       this->After(kAgain, [this, aJob, aTries, rejected] {
                         this->TryToSubmit(aJob, aTries + 1, rejected);
                       });
@@ -896,10 +897,9 @@
                   aJob,
                   "",
                   [this, aJob, aTries](const CallerAnswer& aAnswer) {
-                    if (aAnswer.status == kOk) {
+                    if (aAnswer.status == kOk || aAnswer.status == kGone) {
                       this->judge.OnCancelled(this->loop.Now(), aJob);
-                    } else if (aAnswer.status != kGone &&
-                               aTries + 1 < kMostTries) {
+                    } else if (aTries + 1 < kMostTries) {
                       this->After(kAgain, [this, aJob, aTries] {
                         this->TryToCancel(aJob, aTries + 1);
                       });
