Fleet: a cancellation meets the job that was known, or none

Callers would see: an account cancels a job of its own that was removed, is answered 200, and the job of another account that has taken the id ends.

Cause: the cancellation of a job whose cell is cached was written without a condition. Where the job was gone, the row stayed for good and ended the next job of this id.

Change: the version of the submission is cached with the cell, and is the condition of the cancellation; after a conflict the submission is read again.

Ruled out: reading the submission before each cancellation (a call more, and the row may be removed between the two).

--- a/fleet/src/callerapi.cpp
+++ b/fleet/src/callerapi.cpp
@@ -511,7 +511,7 @@
                         { "row", std::to_string(aOutcome.version) },
                         { "tries", std::to_string(aSubmission->attempts) } });
       this->AnswerSubmission(*aSubmission, kOk, "accepted", "{}", {});
-      this->CacheJob(aSubmission->row);
+      this->CacheJob(aSubmission->row, aOutcome.version);
       this->cellManager.OnJobAccepted(aSubmission->row);
       return;
     case cells::TableStatus::Conflict:
@@ -684,16 +684,16 @@
   this->ReadRow(cells::CellRows::Submission(aJobRequest->job),
                 aJobRequest,
                 &CallerApi::ReadSubmission,
-                [this, aJobRequest](const std::string* aRow) {
+                [this, aJobRequest](const cells::StoredRow* aRow) {
                   auto reason = std::string{};
                   if (aRow == nullptr && aJobRequest->isCancellation) {
                     this->WriteWithdrawal(aJobRequest);
                   } else if (aRow == nullptr) {
                     this->AnswerGone(*aJobRequest);
                   } else if (const auto row =
-                               cells::DecodeJobRow(*aRow, reason)) {
+                               cells::DecodeJobRow(aRow->value, reason)) {
                     aJobRequest->submissionRead = true;
-                    this->CacheJob(*row);
+                    this->CacheJob(*row, aRow->version);
                     if (!this->AdmitToJob(*aJobRequest, row->account)) {
                       return;
                     }
@@ -721,7 +721,7 @@
     rows.Record(aJobRequest->job),
     aJobRequest,
     &CallerApi::ReadRecord,
-    [this, aJobRequest](const std::string* aRow) {
+    [this, aJobRequest](const cells::StoredRow* aRow) {
       auto reason = std::string{};
       if (aRow == nullptr && !aJobRequest->submissionRead) {
         // No task was started yet, or the job ended long ago and its rows were
@@ -729,42 +729,45 @@
         this->ReadSubmission(aJobRequest);
         return;
       }
-      const auto record =
-        aRow == nullptr ? std::nullopt : cells::DecodeJobRecord(*aRow, reason);
+      const auto record = aRow == nullptr
+                            ? std::nullopt
+                            : cells::DecodeJobRecord(aRow->value, reason);
       this->AnswerState(*aJobRequest,
                         record ? record->state : cells::JobState::Queued);
     });
 }
 
-// Calls aOnValue with the row's value, null if there is no row. If the read
-// fails, aRetry is called after a delay, or the request is answered with an
-// error if its deadline is too close.
+// Calls aOnRow with the row, null if there is none. If the read fails, aRetry
+// is called after a delay, or the request is answered with an error if its
+// deadline is too close.
 auto
 CallerApi::ReadRow(
   const cells::RowKey& aKey,
   const std::shared_ptr<JobRequest>& aJobRequest,
   void (CallerApi::*aRetry)(const std::shared_ptr<JobRequest>&),
-  std::function<void(const std::string*)> aOnValue) -> void
+  std::function<void(const cells::StoredRow*)> aOnRow) -> void
 {
-  this->tables.Read(
-    cells::SingleRowRange(aKey),
-    kStoreCallTimeout,
-    [this, aJobRequest, aRetry, onValue = std::move(aOnValue)](
-      const cells::TableReadResult& aOutcome) {
-      if (aOutcome.status != cells::TableStatus::Done) {
-        this->RetryJobRequest(aJobRequest, aRetry);
-      } else {
-        aJobRequest->storeClockMs = aOutcome.storeClockMs;
-        onValue(aOutcome.rows.empty() ? nullptr : &aOutcome.rows.front().value);
-      }
-    });
+  this->tables.Read(cells::SingleRowRange(aKey),
+                    kStoreCallTimeout,
+                    [this, aJobRequest, aRetry, onRow = std::move(aOnRow)](
+                      const cells::TableReadResult& aOutcome) {
+                      if (aOutcome.status != cells::TableStatus::Done) {
+                        this->RetryJobRequest(aJobRequest, aRetry);
+                      } else {
+                        aJobRequest->storeClockMs = aOutcome.storeClockMs;
+                        onRow(aOutcome.rows.empty() ? nullptr
+                                                    : &aOutcome.rows.front());
+                      }
+                    });
 }
 
 auto
-CallerApi::CacheJob(const cells::JobRow& aRow) -> void
+CallerApi::CacheJob(const cells::JobRow& aRow, std::uint64_t aRowVersion)
+  -> void
 {
   if (!this->cachedJobs
-         .insert_or_assign(aRow.id, CachedJob{ aRow.cell, aRow.account })
+         .insert_or_assign(aRow.id,
+                           CachedJob{ aRow.cell, aRow.account, aRowVersion })
          .second) {
     return;
   }
@@ -857,13 +860,23 @@
 CallerApi::WriteCancellation(const std::shared_ptr<JobRequest>& aJobRequest)
   -> void
 {
-  const auto key = cells::CellRows::Cancellation(aJobRequest->job);
   const auto* const cached = this->FindCachedJob(aJobRequest->job);
-  const auto cell = cached == nullptr ? std::string{} : cached->cell;
+  if (cached == nullptr) {
+    this->ReadSubmission(aJobRequest);
+    return;
+  }
+  const auto cell = cached->cell;
+  // The job that is cached may be gone, and its id that of another one.
   this->tables.Commit(
-    { {}, { { key, cell } }, {} },
+    { { { cells::CellRows::Submission(aJobRequest->job), cached->rowVersion } },
+      { { cells::CellRows::Cancellation(aJobRequest->job), cell } },
+      {} },
     kStoreCallTimeout,
     [this, aJobRequest, cell](const cells::TableCommitResult& aOutcome) {
+      if (aOutcome.status == cells::TableStatus::Conflict) {
+        this->ReadSubmission(aJobRequest);
+        return;
+      }
       if (aOutcome.status != cells::TableStatus::Done) {
         this->RetryJobRequest(aJobRequest, &CallerApi::WriteCancellation);
         return;
--- a/fleet/src/callerapi.h
+++ b/fleet/src/callerapi.h
@@ -40,11 +40,13 @@
   struct JobRequest;
   struct CountRequest;
 
-  // Where a job is and whose it is, as its row tells.
+  // Where a job is and whose it is, as this version of its row tells. The row
+  // is never changed, but removed some time after the job's end.
   struct CachedJob
   {
     std::string cell;
     AccountId account;
+    std::uint64_t rowVersion = 0;
   };
 
   // Answers, and counts the answer by aVerb, aStatus and aReason.
@@ -106,7 +108,7 @@
   auto ReadRow(const cells::RowKey& aKey,
                const std::shared_ptr<JobRequest>& aJobRequest,
                void (CallerApi::*aRetry)(const std::shared_ptr<JobRequest>&),
-               std::function<void(const std::string*)> aOnValue) -> void;
+               std::function<void(const cells::StoredRow*)> aOnRow) -> void;
   auto ReadRecord(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
   auto ReadSubmission(const std::shared_ptr<JobRequest>& aJobRequest) -> void;
   auto RetryJobRequest(
@@ -131,7 +133,7 @@
                      std::set<std::string>& aUncounted) const
     -> std::optional<std::size_t>;
   // Cache of the jobs that callers asked for most recently.
-  auto CacheJob(const cells::JobRow& aRow) -> void;
+  auto CacheJob(const cells::JobRow& aRow, std::uint64_t aRowVersion) -> void;
   // Null if the job is not cached.
   auto FindCachedJob(const cells::JobId& aJob) const -> const CachedJob*;
   // Whether the job is cached and the caller may access it. Otherwise its row
--- a/fleet/tests/heldstore.h
+++ b/fleet/tests/heldstore.h
@@ -64,6 +64,10 @@
     return this->table.Commit({ {}, { { aKey, std::move(aValue) } }, {} })
       .version;
   }
+  auto Remove(const cells::RowKey& aKey) -> void
+  {
+    this->table.Commit({ {}, {}, { aKey } });
+  }
   auto Find(const cells::RowKey& aKey) const -> std::string
   {
     auto more = false;
--- a/fleet/tests/withdrawal_test.cpp
+++ b/fleet/tests/withdrawal_test.cpp
@@ -141,3 +141,26 @@
   // Both can be in one transaction.
   cr_expect_eq(first.partition, cells::CellRows::Submission(id).partition);
 }
+
+// Guards against: an instance that knows a job from earlier cancels whatever
+// has its id now: another account's job, or the next one under this id.
+Test(withdrawal, a_removed_job_is_not_cancelled_by_memory)
+{
+  const auto id = *cells::JobId::Parse("00000000000000aa");
+  auto entry = Entry{ ConfigWith(1, kTwoAccounts) };
+  cr_expect_eq(entry.Request("POST", kJob, "key-a1"), 200);
+  entry.store.Remove(cells::CellRows::Submission(id));
+  cr_expect_eq(entry.Request("DELETE", kJob, "key-a1"), 410);
+  cr_expect_eq(entry.store.Find(cells::CellRows::Cancellation(id)), "");
+
+  auto other = Entry{ ConfigWith(1, kTwoAccounts) };
+  cr_expect_eq(other.Request("POST", kJob, "key-b"), 200);
+  const auto row = other.store.Find(cells::CellRows::Submission(id));
+  auto third = Entry{ ConfigWith(1, kTwoAccounts) };
+  cr_expect_eq(third.Request("POST", kJob, "key-a1"), 200);
+  third.store.Remove(cells::CellRows::Submission(id));
+  third.store.Put(cells::CellRows::Submission(id), row);
+  cr_expect_eq(third.Request("DELETE", kJob, "key-a1"), 403);
+  cr_expect_eq(third.store.Find(cells::CellRows::Cancellation(id)), "");
+  cr_expect_eq(third.Request("DELETE", kJob, "key-b"), 200);
+}
