Cells: the adviser is waited for as long as the question takes

Cause: each question was given up after 2 s, whatever the adviser needs for the workers it names, and the same question was sent again. The adviser had decided the first one meanwhile; its answer found nobody.

A question is waited for as long as the adviser takes by them, after those that this instance sent before (fleet/advicequeue), and 2 s more. One that is given up leaves something behind: the next names half as many workers; where it can't, as it is for a gang, it is waited for twice as long. Both are taken back once answers come in half of the time. A question takes the adviser 1.5 s at most, if it need not name more, so that those of other steps do not wait for long behind it.

Ruled out: a longer constant (a question may take any time; a lost answer would cost it each time); asking about few workers always (each question costs decideMs again).

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -1,6 +1,7 @@
 #include "fleetworld.h"
 
 #include <cstdio>
+#include <deque>
 
 #include "callermessages.h"
 #include "httptableclient.h"
@@ -24,8 +25,6 @@
 // From the end of a process until it runs again.
 constexpr Millis kRestartTakes{ 800 };
 constexpr std::size_t kPage = 500;
-// Tickets of the adviser are valid for so long.
-constexpr Millis kTicketTime{ 3000 };
 
 } // namespace
 
@@ -416,36 +415,56 @@
   auto Send(const cells::AdviceRequest& aQuestion,
             std::function<void(cells::AdviceResponse)> aDone) -> void override
   {
-    constexpr Millis kDecides{ 30 };
-    constexpr Millis kEach{ 2 };
     const auto now = this->world.queue.Now();
-    this->busyUntil =
-      std::max(this->busyUntil, now) + kDecides +
-      kEach * static_cast<Millis::rep>(aQuestion.workers.size());
+    const auto& model = this->world.adviser;
+    ++this->world.adviceRequests;
     auto answer = cells::AdviceResponse{ aQuestion.number };
-    const auto served =
-      this->world.adviserServes && this->busyUntil < now + aQuestion.timeout;
-    if (served) {
-      answer.status = cells::AdviceStatus::Answered;
-      answer.validFor = kTicketTime;
-      for (const auto& worker : aQuestion.workers) {
-        if (this->world.MayRun(aQuestion.step, worker)) {
-          answer.allowed.emplace_back(
-            worker, this->world.NewTicket(aQuestion.step, worker));
-        }
+    const auto reply = [this, done = std::move(aDone)](
+                         Micros aDelay, const cells::AdviceResponse& aAnswer) {
+      this->world.queue.After(ToMillis(aDelay), [this, aAnswer, done] {
+        this->loop.Post([aAnswer, done] { done(aAnswer); });
+      });
+    };
+    std::erase_if(this->ends, [now](Time aEnd) { return aEnd <= now; });
+    if (this->ends.size() > model.maxWaiting) {
+      ++this->world.overloadedRequests;
+      answer.status = cells::AdviceStatus::Overloaded;
+      reply(kHop, answer);
+      return;
+    }
+    // A request that its caller has given up is decided all the same.
+    const auto takes = std::chrono::duration_cast<Millis>(
+      std::chrono::duration<double, std::milli>(
+        model.times.TimeFor(aQuestion.workers.size())) *
+      model.slowness);
+    const auto end =
+      std::max(this->ends.empty() ? now : this->ends.back(), now) + takes;
+    this->ends.push_back(end);
+    if (!this->world.adviserServes || end >= now + aQuestion.timeout) {
+      reply(aQuestion.timeout, answer);
+      return;
+    }
+    answer.status = cells::AdviceStatus::Answered;
+    answer.validFor = model.times.valid;
+    for (const auto& worker : aQuestion.workers) {
+      if (this->world.MayRun(aQuestion.step, worker)) {
+        answer.allowed.emplace_back(
+          worker,
+          this->world.NewTicket(aQuestion.step,
+                                worker,
+                                (model.issuesLate ? end : now) +
+                                  model.times.valid));
       }
     }
-    this->world.queue.After(served ? this->busyUntil - now : aQuestion.timeout,
-                            [this, answer, done = std::move(aDone)] {
-                              this->loop.Post([answer, done] { done(answer); });
-                            });
+    reply(end - now, answer);
   }
 
 private:
   FleetWorld& world;
   // Of the process that uses this; it outlives the process.
   VirtualLoop& loop;
-  Time busyUntil{};
+  // When the requests under way will have been decided.
+  std::deque<Time> ends;
 };
 
 class FleetWorld::FakeExchange : public HttpExchange
@@ -1069,23 +1088,43 @@
   this->adviserServes = aServes;
 }
 
-// Two workers of five may run a step.
 auto
-FleetWorld::MayRun(const cells::StepName& aStep, const WorkerId& aWorker)
+FleetWorld::SetAdviserModel(const AdviserModel& aModel) -> void
+{
+  this->adviser = aModel;
+  auto& policy = this->config.queues[0].policy;
+  policy.adviceTimes = aModel.told ? aModel.times : cells::AdviceTimes{};
+  this->SetAdvised(true);
+}
+
+auto
+FleetWorld::AdviceRequests() const -> std::size_t
+{
+  return this->adviceRequests;
+}
+
+auto
+FleetWorld::OverloadedRequests() const -> std::size_t
+{
+  return this->overloadedRequests;
+}
+
+auto
+FleetWorld::MayRun(const cells::StepName& aStep, const WorkerId& aWorker) const
   -> bool
 {
   constexpr std::uint64_t kParts = 5;
-  constexpr std::uint64_t kAllowed = 2;
-  return StableHash(ToText(aStep) + "@" + aWorker.text) % kParts < kAllowed;
+  return StableHash(ToText(aStep) + "@" + aWorker.text) % kParts <
+         this->adviser.allowedOfFive;
 }
 
 auto
-FleetWorld::NewTicket(const cells::StepName& aStep, const WorkerId& aWorker)
-  -> std::string
+FleetWorld::NewTicket(const cells::StepName& aStep,
+                      const WorkerId& aWorker,
+                      Time aUntil) -> std::string
 {
   auto text = "t" + std::to_string(++this->lastTicket);
-  this->tickets.emplace(
-    text, Ticket{ aStep, aWorker, this->queue.Now() + kTicketTime });
+  this->tickets.emplace(text, Ticket{ aStep, aWorker, aUntil });
   return text;
 }
 
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -76,6 +76,22 @@
 
 using fakes::StoreTreatment;
 
+// An adviser, which handles one request after the other for each instance.
+struct AdviserModel
+{
+  cells::AdviceTimes times{ Millis{ 30 }, Millis{ 2 }, Millis{ 3000 } };
+  // The configuration tells the times; an adviser that is slower takes so many
+  // times as long.
+  bool told = false;
+  double slowness = 1.0;
+  // Tickets are issued with the response, not when the request arrives.
+  bool issuesLate = false;
+  // The part of the workers that may run a step, of 5.
+  std::uint64_t allowedOfFive = 2;
+  // Requests beyond this number that wait get no decision.
+  std::size_t maxWaiting = 32;
+};
+
 class FleetWorld final : public fakes::FaultyFleet
 {
 public:
@@ -111,6 +127,11 @@
 
   // The adviser.
   auto SetAdviser(bool aServes) -> void;
+  // Also whether the queue's steps need an adviser.
+  auto SetAdviserModel(const AdviserModel& aModel) -> void;
+  // Requests to the adviser so far, and those of them that were too many.
+  auto AdviceRequests() const -> std::size_t;
+  auto OverloadedRequests() const -> std::size_t;
   // Starts that a worker refused for want of a valid ticket.
   auto RefusedTickets() const -> std::size_t;
   // Submissions that were refused for overload.
@@ -231,13 +252,14 @@
     Time until{};
   };
 
-  static auto MayRun(const cells::StepName& aStep, const WorkerId& aWorker)
+  auto MayRun(const cells::StepName& aStep, const WorkerId& aWorker) const
     -> bool;
   // Of the account that the job belongs to, and its key as a field of requests.
   auto AccountOf(const cells::JobId& aJob) const -> AccountId;
   auto FieldsFor(const cells::JobId& aJob) const -> HttpFields;
-  auto NewTicket(const cells::StepName& aStep, const WorkerId& aWorker)
-    -> std::string;
+  auto NewTicket(const cells::StepName& aStep,
+                 const WorkerId& aWorker,
+                 Time aUntil) -> std::string;
   auto TakesTicket(const WorkerBox& aBox, const cells::WorkerCall& aCall)
     -> bool;
   auto PlanOf(const cells::TaskName& aTask, std::uint32_t aRun)
@@ -275,6 +297,9 @@
   std::size_t refusedTickets = 0;
   std::size_t refusedSubmissions = 0;
   bool adviserServes = true;
+  AdviserModel adviser;
+  std::size_t adviceRequests = 0;
+  std::size_t overloadedRequests = 0;
   std::size_t storeCalls = 0;
   std::optional<cells::JobId> refusedRecord;
   std::size_t rejectedCommits = 0;
--- a/bench/tests/advice_test.cpp
+++ b/bench/tests/advice_test.cpp
@@ -79,3 +79,163 @@
   world->RunFor(30s);
   ExpectKept(*world);
 }
+
+namespace {
+
+struct SlowAdviser
+{
+  AdviserModel model;
+  int tasks = 36;
+  bool gang = false;
+  // From the submission on.
+  Millis within{ 20000 };
+  std::uint64_t seed = 1;
+};
+
+// Enough workers for any step, of which each takes one task.
+auto
+LargeWorld(std::uint64_t aSeed) -> std::unique_ptr<FleetWorld>
+{
+  auto options = FleetWorldOptions{};
+  options.workers = 100;
+  options.seed = aSeed;
+  auto world = std::make_unique<FleetWorld>(options);
+  world->RunFor(8s);
+  return world;
+}
+
+auto
+SubmitWide(FleetWorld& aWorld, int aTasks, bool aGang) -> cells::JobId
+{
+  auto spec = cells::JobSpec{ "payload" };
+  spec.steps = {
+    { static_cast<std::uint32_t>(aTasks), { 10000, 2000, 0 }, 400ms }
+  };
+  spec.steps[0].gang = aGang;
+  return aWorld.Submit(spec, { 400ms });
+}
+
+// Whether a job for which the adviser is asked gets done in time.
+auto
+IsDoneInTime(const SlowAdviser& aCase) -> bool
+{
+  const auto world = LargeWorld(aCase.seed);
+  world->SetAdviserModel(aCase.model);
+  world->RunFor(2s);
+  SubmitWide(*world, aCase.tasks, aCase.gang);
+  world->RunFor(aCase.within);
+  if (aCase.gang) {
+    // The model's members of a gang end one by one, which the judge of whole
+    // jobs does not expect.
+    return world->Judge().Starts() >= static_cast<std::size_t>(aCase.tasks);
+  }
+  ExpectKept(*world);
+  return world->Judge().Done() == static_cast<std::size_t>(aCase.tasks);
+}
+
+} // namespace
+
+// Guards against: a question that takes the adviser longer than its answer is
+// waited for is asked again as it is, and the job never starts.
+Test(advised, wide_steps_start_though_the_adviser_needs_long)
+{
+  for (const auto each : { 10ms, 25ms, 60ms }) {
+    for (const auto tasks : { 4, 36, 57, 80 }) {
+      auto example = SlowAdviser{};
+      example.model.told = true;
+      example.model.times = { 500ms, each, 3000ms };
+      example.model.allowedOfFive = 5;
+      example.model.issuesLate = true;
+      example.tasks = tasks;
+      example.within = 8s + Millis{ each * tasks * 3 };
+      cr_expect(IsDoneInTime(example),
+                "%d tasks, %d ms for each worker",
+                tasks,
+                static_cast<int>(each.count()));
+    }
+  }
+}
+
+// The same if the configuration tells nothing, or less than the adviser takes.
+Test(advised, wide_steps_start_though_the_adviser_is_slower_than_told)
+{
+  for (const auto slowness : { 1.5, 3.0, 6.0 }) {
+    for (const auto told : { false, true }) {
+      auto example = SlowAdviser{};
+      example.model.told = told;
+      example.model.times = { 500ms, 25ms, 6000ms };
+      example.model.slowness = slowness;
+      example.model.allowedOfFive = 5;
+      example.model.issuesLate = true;
+      example.within = 100s;
+      cr_expect(IsDoneInTime(example),
+                "%.1f times as slow, told: %d",
+                slowness,
+                static_cast<int>(told));
+    }
+  }
+}
+
+// Guards against: a gang, which needs all tickets at once, is asked about in
+// parts only.
+Test(advised, gangs_start_though_the_adviser_needs_long)
+{
+  for (const auto slowness : { 1.0, 3.0 }) {
+    auto example = SlowAdviser{};
+    example.model.told = true;
+    example.model.times = { 500ms, 25ms, 30s };
+    example.model.slowness = slowness;
+    example.model.issuesLate = true;
+    example.model.allowedOfFive = 4;
+    example.tasks = 40;
+    example.gang = true;
+    example.within = 60s;
+    cr_expect(IsDoneInTime(example), "%.1f times as slow", slowness);
+  }
+}
+
+// Guards against: one wide job with a slow adviser holds up all others.
+Test(advised, narrow_jobs_do_not_wait_behind_wide_ones)
+{
+  const auto world = LargeWorld(3);
+  auto model = AdviserModel{};
+  model.told = true;
+  model.times = { 200ms, 25ms, 3000ms };
+  model.issuesLate = true;
+  world->SetAdviserModel(model);
+  world->RunFor(2s);
+  for (auto job = 0; job < 3; ++job) {
+    SubmitWide(*world, 90, false);
+  }
+  world->RunFor(1s);
+  const auto narrow = SubmitWide(*world, 2, false);
+  world->RunFor(12s);
+  cr_expect_eq(world->AskState(narrow), 200);
+  for (const auto& missing : world->Judge().Missing()) {
+    cr_expect_eq(
+      missing.find(narrow.Text()), std::string::npos, "%s", missing.c_str());
+  }
+  world->RunFor(60s);
+  ExpectKept(*world);
+}
+
+// Guards against: the next owner meets the same adviser with nothing learned.
+Test(advised, wide_steps_start_at_a_new_owner)
+{
+  const auto world = LargeWorld(4);
+  auto model = AdviserModel{};
+  model.told = true;
+  model.times = { 500ms, 25ms, 10s };
+  model.slowness = 2.0;
+  model.issuesLate = true;
+  model.allowedOfFive = 5;
+  world->SetAdviserModel(model);
+  world->RunFor(2s);
+  SubmitWide(*world, 60, false);
+  world->RunFor(2500ms);
+  const auto owner = world->Owner();
+  cr_assert_geq(owner, 0);
+  world->Kill(owner);
+  world->RunFor(40s);
+  ExpectKept(*world);
+}
--- a/cells/src/advice.h
+++ b/cells/src/advice.h
@@ -19,7 +19,9 @@
   std::uint64_t number = 0;
   StepName step;
   std::vector<WorkerId> workers;
-  // How long to wait for the response.
+  // How long the adviser takes by its own word, without those before it.
+  Millis expected{ 0 };
+  // How long to wait for the response once the adviser handles the request.
   Millis timeout{ 0 };
 
   auto operator==(const AdviceRequest&) const -> bool = default;
--- a/cells/src/adviser.cpp
+++ b/cells/src/adviser.cpp
@@ -65,32 +65,74 @@
 }
 
 auto
-AdviceCache::RequestSize(std::size_t aWanted) const -> std::size_t
+AdviceCache::RequestSize(std::size_t aWanted,
+                         const AdviceTimes& aTimes,
+                         bool aTogether) const -> std::size_t
 {
-  const auto count =
+  const auto count = static_cast<std::size_t>(
     std::ceil(static_cast<double>(aWanted) /
-              std::max(this->allowedFraction, kMinAllowedFraction));
-  return std::clamp(
-    static_cast<std::size_t>(count), kMinAdviceWorkers, kMaxAdviceWorkers);
+              std::max(this->allowedFraction, kMinAllowedFraction)));
+  const auto wanted = std::clamp(count, kMinAdviceWorkers, kMaxAdviceWorkers);
+  if (aTogether) {
+    return wanted;
+  }
+  auto most = this->maxWorkers;
+  if (aTimes.each.count() > 0) {
+    // At least as long as the part that each request costs again.
+    const auto time = std::max(kMaxAdviceTime - aTimes.decide, aTimes.decide);
+    most = std::min(most,
+                    std::max(kMinAdviceWorkers,
+                             static_cast<std::size_t>(time / aTimes.each)));
+  }
+  return std::min(wanted, most);
 }
 
 auto
 AdviceCache::MakeRequest(Time aNow,
                          const StepName& aStep,
-                         const std::vector<WorkerIncarnation>& aWorkers)
-  -> AdviceRequest
+                         const std::vector<WorkerIncarnation>& aWorkers,
+                         const AdviceTimes& aTimes,
+                         bool aTogether) -> AdviceRequest
 {
   auto request = AdviceRequest{ ++this->lastRequestNumber, aStep };
-  request.timeout = kAdviceTimeout;
+  request.expected = aTimes.TimeFor(aWorkers.size());
+  request.timeout = (request.expected + kAdviceSlack) * this->patience;
   for (const auto& incarnation : aWorkers) {
     request.workers.push_back(incarnation.worker);
   }
   this->adviceByStep[aStep].pendingNumber = request.number;
-  this->pendingRequests.emplace(request.number,
-                                PendingRequest{ aStep, aWorkers, aNow });
+  this->pendingRequests.emplace(
+    request.number,
+    PendingRequest{
+      aStep, aWorkers, aNow, request.expected, request.timeout, aTogether });
   return request;
 }
 
+auto
+AdviceCache::LearnFromResponse(const PendingRequest& aRequest, Micros aTook)
+  -> void
+{
+  if (aTook * 2 > aRequest.timeout) {
+    return;
+  }
+  this->patience = std::max(this->patience / 2, 1);
+  this->maxWorkers = std::min(this->maxWorkers * 2, kMaxAdviceWorkers);
+}
+
+// The adviser may still be at work on the request, and its answer is lost. The
+// same request again would end likewise.
+auto
+AdviceCache::LearnFromTimeout(const PendingRequest& aRequest) -> void
+{
+  const auto asked = aRequest.workers.size();
+  if (!aRequest.together && asked > kMinAdviceWorkers) {
+    this->maxWorkers =
+      std::max(std::min(asked, this->maxWorkers) / 2, kMinAdviceWorkers);
+  } else {
+    this->patience = std::min(this->patience * 2, kMaxAdvicePatience);
+  }
+}
+
 auto
 AdviceCache::OnResponse(Time aNow, const AdviceResponse& aResponse)
   -> std::optional<StepName>
@@ -101,6 +143,13 @@
   }
   const auto request = std::move(found->second);
   this->pendingRequests.erase(found);
+  const auto took = aNow - request.sentAt;
+  if (aResponse.status == AdviceStatus::Answered) {
+    this->LearnFromResponse(request, took);
+  } else if (aResponse.status == AdviceStatus::NoResponse &&
+             took >= request.timeout) {
+    this->LearnFromTimeout(request);
+  }
   const auto advice = this->adviceByStep.find(request.step);
   if (advice == this->adviceByStep.end() ||
       advice->second.pendingNumber != aResponse.number) {
--- a/cells/src/adviser.h
+++ b/cells/src/adviser.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "advice.h"
+#include "jobspec.h"
+#include "tunables_cells.h"
 
 namespace gooseberry::cells {
 
@@ -43,12 +45,17 @@
   auto CanSendRequest(Time aNow, const StepName& aStep, Time& aRetryAt) const
     -> bool;
   // How many workers to name in a request so that about aWanted of them may run
-  // the step.
-  auto RequestSize(std::size_t aWanted) const -> std::size_t;
+  // the step, and others' requests do not wait for long behind it. aTogether:
+  // the step's tasks start together or not at all, so that one request has to
+  // bring all tickets.
+  auto RequestSize(std::size_t aWanted,
+                   const AdviceTimes& aTimes,
+                   bool aTogether) const -> std::size_t;
   auto MakeRequest(Time aNow,
                    const StepName& aStep,
-                   const std::vector<WorkerIncarnation>& aWorkers)
-    -> AdviceRequest;
+                   const std::vector<WorkerIncarnation>& aWorkers,
+                   const AdviceTimes& aTimes,
+                   bool aTogether) -> AdviceRequest;
   // The step that was requested; nothing if it is not known any more.
   auto OnResponse(Time aNow, const AdviceResponse& aResponse)
     -> std::optional<StepName>;
@@ -79,8 +86,17 @@
     StepName step;
     std::vector<WorkerIncarnation> workers;
     Time sentAt{};
+    Millis expected{ 0 };
+    Millis timeout{ 0 };
+    // Must not be split.
+    bool together = false;
   };
 
+  // A request was answered, or given up after its timeout: the next ones take
+  // longer, or name fewer workers.
+  auto LearnFromResponse(const PendingRequest& aRequest, Micros aTook) -> void;
+  auto LearnFromTimeout(const PendingRequest& aRequest) -> void;
+
   auto StoreResponse(StepAdvice& aAdvice,
                      const PendingRequest& aRequest,
                      const AdviceResponse& aResponse) -> void;
@@ -90,6 +106,10 @@
   std::uint64_t lastRequestNumber = 0;
   // Moving average of the fraction of named workers that may run a step.
   double allowedFraction = 0.5;
+  // What requests without a response have taught: how many workers one names,
+  // and how many times as long as the adviser tells to wait for it.
+  std::size_t maxWorkers = kMaxAdviceWorkers;
+  int patience = 1;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -686,6 +686,7 @@
   auto IsAllowedByAdviser(Time aNow,
                           const WorkerSlot& aSlot,
                           const PlacementQuery& aQuery) const -> bool;
+  auto AdviceTimesOf(const Job& aJob) const -> AdviceTimes;
   auto RequestAdvice(PlacementRound& aRound,
                      const PlacementQuery& aQuery,
                      std::size_t aTasks) -> void;
--- a/cells/src/celladvice.cpp
+++ b/cells/src/celladvice.cpp
@@ -55,8 +55,10 @@
       std::min(this->nextPlanAt, aRound.now + kAdviceRetryDelay);
     return;
   }
+  const auto times = this->AdviceTimesOf(*aQuery.job);
   const auto count =
-    std::min(candidates.size(), this->adviser.RequestSize(aTasks));
+    std::min(candidates.size(),
+             this->adviser.RequestSize(aTasks, times, aQuery.step->gang));
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
                     candidates.end(),
@@ -67,8 +69,17 @@
   for (auto index = std::size_t{ 0 }; index < count; ++index) {
     lives.push_back(IncarnationOf(*candidates[index].second));
   }
-  this->adviceRequests.push_back(
-    this->adviser.MakeRequest(aRound.now, aQuery.stepName, lives));
+  this->adviceRequests.push_back(this->adviser.MakeRequest(
+    aRound.now, aQuery.stepName, lives, times, aQuery.step->gang));
+}
+
+// Those of the configuration in force, which a job's row does not have.
+auto
+Cell::AdviceTimesOf(const Job& aJob) const -> AdviceTimes
+{
+  const auto* const queue =
+    this->config ? this->config->FindQueue(aJob.row.queue) : nullptr;
+  return queue == nullptr ? AdviceTimes{} : queue->policy.adviceTimes;
 }
 
 auto
--- a/cells/src/jobspec.cpp
+++ b/cells/src/jobspec.cpp
@@ -126,6 +126,12 @@
 
 } // namespace
 
+auto
+AdviceTimes::TimeFor(std::size_t aWorkers) const -> Millis
+{
+  return this->decide + this->each * static_cast<Millis::rep>(aWorkers);
+}
+
 auto
 JobSpec::IsTimed() const -> bool
 {
--- a/cells/src/jobspec.h
+++ b/cells/src/jobspec.h
@@ -83,6 +83,19 @@
 // a worker and its machine of up to 200 bytes.
 inline constexpr std::uint32_t kMaxSimultaneousTasks = 1000;
 
+// What the adviser of a queue needs and grants, as the configuration tells.
+struct AdviceTimes
+{
+  // Time of one request, and more of it for each worker that it names.
+  Millis decide{ 0 };
+  Millis each{ 0 };
+  // How long tickets are valid; 0: not told.
+  Millis valid{ 0 };
+
+  auto operator==(const AdviceTimes&) const -> bool = default;
+  auto TimeFor(std::size_t aWorkers) const -> Millis;
+};
+
 // How the job's queue treats it, as of its acceptance or later.
 struct QueuePolicy
 {
@@ -96,6 +109,8 @@
   Millis targetLatency{ 0 };
   // Only some workers may run a step; an adviser service decides which.
   bool requiresAdvice = false;
+  // Of the configuration only; not stored with a job.
+  AdviceTimes adviceTimes;
 
   auto operator==(const QueuePolicy&) const -> bool = default;
 };
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -289,7 +289,13 @@
 // Minimum remaining validity of a ticket. Covers recording a start, sending it
 // and, if the worker is slow, its acceptance.
 inline constexpr Millis kMinTicketValidity{ 500 };
-inline constexpr Millis kAdviceTimeout{ 2000 };
+// Time beyond the adviser's own: the network, and an adviser under load.
+inline constexpr Millis kAdviceSlack{ 2000 };
+// Most times as long as the adviser tells that a response is waited for.
+inline constexpr int kMaxAdvicePatience = 64;
+// A request takes the adviser about this long at most, unless it has to name
+// more workers: other steps' requests wait behind it.
+inline constexpr Millis kMaxAdviceTime{ 1500 };
 inline constexpr Millis kAdviceRetryDelay{ 200 };
 
 // Failures in a row, from at least two jobs, after which a worker is suspected.
--- a/cells/tests/advice_test.cpp
+++ b/cells/tests/advice_test.cpp
@@ -63,8 +63,8 @@
 Test(adviser, ticket_is_not_used_shortly_before_it_expires)
 {
   auto adviser = AdviceCache{};
-  const auto request =
-    adviser.MakeRequest(At(0), kStep, { Incarnation("a"), Incarnation("b") });
+  const auto request = adviser.MakeRequest(
+    At(0), kStep, { Incarnation("a"), Incarnation("b") }, {}, false);
   cr_expect_eq(request.workers.size(), 2);
   adviser.OnResponse(At(400), Answer(request, { "a" }));
   cr_assert_not_null(adviser.FindTicket(At(2400), kStep, Incarnation("a")));
@@ -82,8 +82,8 @@
 {
   auto adviser = AdviceCache{};
   cr_expect(adviser.MayGainTicket(At(0), kStep, Incarnation("b")));
-  const auto request =
-    adviser.MakeRequest(At(0), kStep, { Incarnation("a"), Incarnation("b") });
+  const auto request = adviser.MakeRequest(
+    At(0), kStep, { Incarnation("a"), Incarnation("b") }, {}, false);
   adviser.OnResponse(At(100), Answer(request, { "a" }));
   cr_expect_not(adviser.MayGainTicket(At(100), kStep, Incarnation("a")));
   cr_expect(adviser.MayGainTicket(At(2900), kStep, Incarnation("a")));
@@ -97,7 +97,8 @@
 Test(adviser, request_is_retried_after_a_delay)
 {
   auto adviser = AdviceCache{};
-  const auto request = adviser.MakeRequest(At(0), kStep, { Incarnation("a") });
+  const auto request =
+    adviser.MakeRequest(At(0), kStep, { Incarnation("a") }, {}, false);
   auto retryAt = Time::max();
   cr_expect_not(adviser.CanSendRequest(At(10), kStep, retryAt));
   cr_expect(adviser.OnResponse(
@@ -117,18 +118,19 @@
 Test(adviser, request_names_more_workers_if_few_are_allowed)
 {
   auto adviser = AdviceCache{};
-  const auto initial = adviser.RequestSize(10);
+  const auto initial = adviser.RequestSize(10, {}, false);
   for (auto index = 0; index < 20; ++index) {
     const auto step = StepName{ kStep.job, 0, static_cast<unsigned>(index) };
     auto incarnations = std::vector<WorkerIncarnation>{};
     for (auto worker = 0; worker < 10; ++worker) {
       incarnations.push_back({ { "w" + std::to_string(worker) }, 1 });
     }
-    const auto request = adviser.MakeRequest(At(index), step, incarnations);
+    const auto request =
+      adviser.MakeRequest(At(index), step, incarnations, {}, false);
     adviser.OnResponse(At(index), Answer(request, { "w3" }));
   }
-  cr_expect_geq(adviser.RequestSize(10), 3 * initial);
-  cr_expect_leq(adviser.RequestSize(1000), 100);
+  cr_expect_geq(adviser.RequestSize(10, {}, false), 3 * initial);
+  cr_expect_leq(adviser.RequestSize(1000, {}, false), 100);
 }
 
 Test(advice, tasks_start_only_on_allowed_workers)
--- a/ctl/src/configcheck.cpp
+++ b/ctl/src/configcheck.cpp
@@ -231,7 +231,11 @@
     [](const Queue& aQueue) { return MillisText(aQueue.timeout); } },
   { member::kAdvice,
     [](const Queue& aQueue) {
-      return std::string{ aQueue.policy.requiresAdvice ? "yes" : "no" };
+      const auto& times = aQueue.policy.adviceTimes;
+      return aQueue.policy.requiresAdvice
+               ? MillisText(times.decide) + " and " + MillisText(times.each) +
+                   " for each worker, valid for " + MillisText(times.valid)
+               : std::string{ "no" };
     } },
   { member::kPublic,
     [](const Queue& aQueue) {
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -42,14 +42,34 @@
 }
 
 auto
-SetSocketOptions(tcp::socket& aSocket, Millis aUserTimeout) -> void
+SetKeepAlive(tcp::socket& aSocket) -> void
+{
+  constexpr int kIdleSeconds = 3;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 3;
+  using asio::detail::socket_option::integer;
+  auto ignored = error_code{};
+  aSocket.set_option(tcp::socket::keep_alive{ true }, ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>{ kIdleSeconds },
+                     ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>{ kIntervalSeconds },
+                     ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>{ kProbes }, ignored);
+}
+
+auto
+SetSocketOptions(tcp::socket& aSocket, const HttpClientOptions& aOptions)
+  -> void
 {
   auto ignored = error_code{};
   aSocket.set_option(tcp::no_delay{ true }, ignored);
   using UserTimeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  aSocket.set_option(UserTimeout{ static_cast<int>(aUserTimeout.count()) },
-                     ignored);
+  aSocket.set_option(
+    UserTimeout{ static_cast<int>(aOptions.tcpUserTimeout.count()) }, ignored);
+  if (aOptions.keepAlive) {
+    SetKeepAlive(aSocket);
+  }
 }
 
 } // namespace
@@ -165,7 +185,7 @@
       this->CloseAndFailCall("connect: " + aError.message());
       return;
     }
-    SetSocketOptions(this->socket, client->options.tcpUserTimeout);
+    SetSocketOptions(this->socket, client->options);
     this->host = ToText(client->endpoint);
     this->Send();
   }
--- a/eventio/src/httpclient.h
+++ b/eventio/src/httpclient.h
@@ -24,6 +24,9 @@
   // TCP_USER_TIMEOUT: a connection with sent data that stays unacknowledged for
   // this long is closed.
   Millis tcpUserTimeout{ 3000 };
+  // Probes the peer's host while a response is awaited, for calls that take
+  // long: a connection whose host is gone is closed after some seconds.
+  bool keepAlive = false;
   // Most bytes that one turn of the event loop reads from a connection, which
   // keeps a buffer of this size.
   std::size_t readBytes = 4096;
--- a/fleet/src/cellmanager.cpp
+++ b/fleet/src/cellmanager.cpp
@@ -32,7 +32,10 @@
 CellManager::CellManager(const FleetSettings& aSettings,
                          CellControllerPorts aPorts)
   : settings(aSettings)
-  , ports(aPorts)
+  , adviceQueue(aPorts.loop, aPorts.advice)
+  , ports{ aPorts.loop,       aPorts.tables,      aPorts.workers,
+           this->adviceQueue, aPorts.siteWatcher, aPorts.fleetView,
+           aPorts.log,        aPorts.metrics }
 {
 }
 
--- a/fleet/src/cellmanager.h
+++ b/fleet/src/cellmanager.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "advicequeue.h"
 #include "cellcontroller.h"
 #include "fleetview.h"
 #include "withdrawalsweeper.h"
@@ -66,6 +67,7 @@
   auto HasFreeCandidate(const std::string& aCell) const -> bool;
 
   const FleetSettings& settings;
+  AdviceQueue adviceQueue;
   CellControllerPorts ports;
   std::map<std::string, std::shared_ptr<CellController>> controllers;
   std::shared_ptr<WithdrawalSweeper> withdrawalSweeper;
