Cells: tickets that are valid for less time than their question takes

Cause: validity was counted from the question, though the protocol's adviser issues tickets when it answers: those of a long question had expired on arrival. Tickets were left alone for their last 0.5 s, however short they are. They were then asked for again, as fast as the adviser answers.

Change: a ticket counts from the question and the adviser's own time, or from its arrival if it would be of no use otherwise. A worker that rejects such a ticket shows that the service counts from the question: from then on it counts so, and questions are small enough to leave time. The margin is half of the validity at most, and a ticket that expired before its start was sent is not sent. After three useless tickets in a row questions of the step are delayed, up to 5 s. A gang names again the workers whose tickets will have expired.

Ruled out: counting from the arrival always (starts are rejected where the service counts from the question).

--- a/bench/tests/advice_test.cpp
+++ b/bench/tests/advice_test.cpp
@@ -239,3 +239,67 @@
   world->RunFor(40s);
   ExpectKept(*world);
 }
+
+// Guards against: tickets that are valid for less time than the question takes
+// are thrown away, and asked for again for ever.
+Test(advised, wide_steps_start_though_tickets_are_short)
+{
+  for (const auto issuesLate : { true, false }) {
+    for (const auto valid : { 250ms, 700ms, 1500ms, 3000ms }) {
+      for (const auto slowness : { 1.0, 3.0 }) {
+        auto example = SlowAdviser{};
+        example.model.told = true;
+        // From the question on, a ticket is worth something only if it is valid
+        // for longer than the shortest question takes.
+        example.model.times = { issuesLate ? 500ms : 50ms,
+                                issuesLate ? 25ms : 5ms,
+                                valid };
+        example.model.slowness = issuesLate ? slowness : 1.0;
+        example.model.allowedOfFive = 5;
+        example.model.issuesLate = issuesLate;
+        example.within = 60s;
+        cr_expect(IsDoneInTime(example),
+                  "valid for %d ms, %.1f times as slow, issued late: %d",
+                  static_cast<int>(valid.count()),
+                  slowness,
+                  static_cast<int>(issuesLate));
+      }
+    }
+  }
+}
+
+// Guards against: tickets that can't be used in time are asked for as fast as
+// the adviser answers, and other jobs wait behind it.
+Test(advised, useless_tickets_cost_little)
+{
+  const auto world = LargeWorld(5);
+  auto model = AdviserModel{};
+  model.told = true;
+  model.times = { 100ms, 2ms, 50ms };
+  model.issuesLate = false;
+  world->SetAdviserModel(model);
+  world->RunFor(2s);
+  SubmitWide(*world, 36, false);
+  world->RunFor(60s);
+  cr_expect_leq(world->AdviceRequests(), 40);
+  cr_expect_leq(world->RefusedTickets(), 300);
+  // Once the tickets are of use the job is done.
+  model.times.valid = 3000ms;
+  world->SetAdviserModel(model);
+  world->RunFor(30s);
+  ExpectKept(*world);
+}
+
+// Guards against: a gang's tickets expire one question after the other.
+Test(advised, gangs_start_though_tickets_are_short)
+{
+  auto example = SlowAdviser{};
+  example.model.told = true;
+  example.model.times = { 500ms, 25ms, 2000ms };
+  example.model.issuesLate = true;
+  example.model.allowedOfFive = 3;
+  example.tasks = 50;
+  example.gang = true;
+  example.within = 60s;
+  cr_expect(IsDoneInTime(example));
+}
--- a/cells/src/adviser.cpp
+++ b/cells/src/adviser.cpp
@@ -8,6 +8,27 @@
 
 namespace gooseberry::cells {
 
+namespace {
+
+// Delay of a request after so many in a row were of no use.
+auto
+AdviceRetryDelay(int aFailures) -> Millis
+{
+  constexpr int kMaxDoublings = 10;
+  return std::min(kAdviceRetryDelay *
+                    (1 << std::clamp(aFailures - 1, 0, kMaxDoublings)),
+                  kMaxAdviceRetryDelay);
+}
+
+// How long before its end a ticket is not used any more to place tasks.
+auto
+MarginOf(Millis aValidFor) -> Millis
+{
+  return std::min(kMinTicketValidity, aValidFor / 2);
+}
+
+} // namespace
+
 auto
 ToText(AdviceStatus aStatus) -> const char*
 {
@@ -18,20 +39,39 @@
 }
 
 auto
-AdviceCache::FindTicket(Time aNow,
-                        const StepName& aStep,
-                        const WorkerIncarnation& aWorker) const
-  -> const std::string*
+AdviceCache::FindTicketOf(const StepName& aStep,
+                          const WorkerIncarnation& aWorker) const
+  -> const Ticket*
 {
   const auto advice = this->adviceByStep.find(aStep);
   if (advice == this->adviceByStep.end()) {
     return nullptr;
   }
   const auto ticket = advice->second.tickets.find(aWorker);
-  return ticket == advice->second.tickets.end() ||
-             aNow + kMinTicketValidity > ticket->second.validUntil
+  return ticket == advice->second.tickets.end() ? nullptr : &ticket->second;
+}
+
+auto
+AdviceCache::FindTicket(Time aNow,
+                        const StepName& aStep,
+                        const WorkerIncarnation& aWorker) const
+  -> const std::string*
+{
+  const auto* const ticket = this->FindTicketOf(aStep, aWorker);
+  return ticket == nullptr || aNow + ticket->margin > ticket->validUntil
            ? nullptr
-           : &ticket->second.text;
+           : &ticket->text;
+}
+
+auto
+AdviceCache::FindTicketForStart(Time aNow,
+                                const StepName& aStep,
+                                const WorkerIncarnation& aWorker) const
+  -> const std::string*
+{
+  const auto* const ticket = this->FindTicketOf(aStep, aWorker);
+  return ticket == nullptr || aNow >= ticket->validUntil ? nullptr
+                                                         : &ticket->text;
 }
 
 auto
@@ -45,6 +85,13 @@
           this->FindTicket(aNow, aStep, aWorker) == nullptr);
 }
 
+auto
+AdviceCache::WasAllowed(const StepName& aStep,
+                        const WorkerIncarnation& aWorker) const -> bool
+{
+  return this->FindTicketOf(aStep, aWorker) != nullptr;
+}
+
 auto
 AdviceCache::CanSendRequest(Time aNow,
                             const StepName& aStep,
@@ -77,7 +124,13 @@
     return wanted;
   }
   auto most = this->maxWorkers;
-  if (aTimes.each.count() > 0) {
+  if (this->validFromRequest && aTimes.each.count() > 0) {
+    // A quarter of the tickets' time is left to place tasks when they arrive.
+    const auto time =
+      std::max(aTimes.valid * 3 / 4 - MarginOf(aTimes.valid) - aTimes.decide,
+               aTimes.each);
+    most = std::min(most, static_cast<std::size_t>(time / aTimes.each));
+  } else if (aTimes.each.count() > 0) {
     // At least as long as the part that each request costs again.
     const auto time = std::max(kMaxAdviceTime - aTimes.decide, aTimes.decide);
     most = std::min(most,
@@ -157,22 +210,38 @@
   }
   advice->second.pendingNumber = 0;
   if (aResponse.status == AdviceStatus::Answered) {
-    this->StoreResponse(advice->second, request, aResponse);
+    this->StoreResponse(aNow, advice->second, request, aResponse);
   } else {
     advice->second.retryAt = aNow + kAdviceRetryDelay;
   }
   return request.step;
 }
 
-// Validity is counted from the request, because it is not known when the
-// response was made.
+// Tickets are valid from the response on, which was made some time before it
+// arrived: after the request, and if the adviser has taken its own time, after
+// that. If they would be of no use by this count they may still be by the
+// latest one; the workers tell.
 auto
-AdviceCache::StoreResponse(StepAdvice& aAdvice,
+AdviceCache::StoreResponse(Time aNow,
+                           StepAdvice& aAdvice,
                            const PendingRequest& aRequest,
                            const AdviceResponse& aResponse) -> void
 {
   auto tickets = std::map<WorkerId, std::string>{ aResponse.allowed.begin(),
                                                   aResponse.allowed.end() };
+  const auto margin = MarginOf(aResponse.validFor);
+  const auto validAtLeastUntil = aRequest.sentAt + aResponse.validFor;
+  auto validUntil = validAtLeastUntil;
+  if (!this->validFromRequest) {
+    if (aNow >= aRequest.sentAt + aRequest.expected) {
+      validUntil += aRequest.expected;
+    }
+    if (validUntil < aNow + margin) {
+      validUntil = aNow + aResponse.validFor;
+    }
+  } else if (validUntil < aNow + margin && !tickets.empty()) {
+    CountUselessTicket(aNow, aAdvice);
+  }
   auto allowedCount = 0;
   for (const auto& incarnation : aRequest.workers) {
     const auto ticket = tickets.find(incarnation.worker);
@@ -181,8 +250,9 @@
       continue;
     }
     ++allowedCount;
-    aAdvice.tickets[incarnation] = { ticket->second,
-                                     aRequest.sentAt + aResponse.validFor };
+    aAdvice.tickets[incarnation] = {
+      ticket->second, validUntil, validAtLeastUntil, margin
+    };
   }
   const auto fraction =
     static_cast<double>(allowedCount) /
@@ -192,12 +262,46 @@
 }
 
 auto
-AdviceCache::OnTicketRejected(const StepName& aStep,
+AdviceCache::CountUselessTicket(Time aNow, StepAdvice& aAdvice) -> void
+{
+  if (aNow > aAdvice.uselessAt + 2 * kMaxAdviceRetryDelay) {
+    aAdvice.uselessTickets = 0;
+  }
+  aAdvice.uselessAt = aNow;
+  ++aAdvice.uselessTickets;
+  // A few are rejected because their worker was restarted.
+  constexpr int kFree = 3;
+  if (aAdvice.uselessTickets > kFree) {
+    aAdvice.retryAt = std::max(
+      aAdvice.retryAt, aNow + AdviceRetryDelay(aAdvice.uselessTickets - kFree));
+  }
+}
+
+auto
+AdviceCache::OnTicketRejected(Time aNow,
+                              const StepName& aStep,
                               const WorkerIncarnation& aWorker) -> void
+{
+  const auto advice = this->adviceByStep.find(aStep);
+  if (advice == this->adviceByStep.end()) {
+    return;
+  }
+  if (const auto ticket = advice->second.tickets.find(aWorker);
+      ticket != advice->second.tickets.end()) {
+    this->validFromRequest =
+      this->validFromRequest || (aNow > ticket->second.validAtLeastUntil &&
+                                 aNow <= ticket->second.validUntil);
+    advice->second.tickets.erase(ticket);
+  }
+  CountUselessTicket(aNow, advice->second);
+}
+
+auto
+AdviceCache::OnTicketExpired(Time aNow, const StepName& aStep) -> void
 {
   if (const auto advice = this->adviceByStep.find(aStep);
       advice != this->adviceByStep.end()) {
-    advice->second.tickets.erase(aWorker);
+    CountUselessTicket(aNow, advice->second);
   }
 }
 
--- a/cells/src/adviser.h
+++ b/cells/src/adviser.h
@@ -30,16 +30,24 @@
 class AdviceCache
 {
 public:
-  // The ticket to send with starts of the step's tasks on the worker; null if
+  // The ticket by which the step's tasks may be placed on the worker; null if
   // there is none that stays valid until a start has arrived.
   auto FindTicket(Time aNow,
                   const StepName& aStep,
                   const WorkerIncarnation& aWorker) const -> const std::string*;
+  // The ticket to send with a start; null if there is none that is valid now.
+  auto FindTicketForStart(Time aNow,
+                          const StepName& aStep,
+                          const WorkerIncarnation& aWorker) const
+    -> const std::string*;
   // Whether a request for the worker may bring a ticket: it was not refused and
-  // has no usable ticket.
+  // has no ticket that is usable at aNow.
   auto MayGainTicket(Time aNow,
                      const StepName& aStep,
                      const WorkerIncarnation& aWorker) const -> bool;
+  // Whether the worker had a ticket, which may have expired.
+  auto WasAllowed(const StepName& aStep, const WorkerIncarnation& aWorker) const
+    -> bool;
   // Whether a request for the step can be sent now. If not and the time is
   // known, lowers aRetryAt to the time at which it can.
   auto CanSendRequest(Time aNow, const StepName& aStep, Time& aRetryAt) const
@@ -60,8 +68,11 @@
   auto OnResponse(Time aNow, const AdviceResponse& aResponse)
     -> std::optional<StepName>;
   // The worker rejected the ticket, which is discarded.
-  auto OnTicketRejected(const StepName& aStep, const WorkerIncarnation& aWorker)
-    -> void;
+  auto OnTicketRejected(Time aNow,
+                        const StepName& aStep,
+                        const WorkerIncarnation& aWorker) -> void;
+  // The ticket expired before a start could be sent with it.
+  auto OnTicketExpired(Time aNow, const StepName& aStep) -> void;
   // Forgets a job that has ended.
   auto ForgetJob(const JobId& aJob) -> void;
 
@@ -70,6 +81,10 @@
   {
     std::string text;
     Time validUntil{};
+    // The same if it was issued when the request was sent.
+    Time validAtLeastUntil{};
+    // How long before its end it is not used any more to place tasks.
+    Millis margin{ 0 };
   };
 
   struct StepAdvice
@@ -79,6 +94,10 @@
     // Number of the request in flight; 0: none.
     std::uint64_t pendingNumber = 0;
     Time retryAt{};
+    // Tickets in a row that were rejected or expired, and when the last one
+    // was.
+    int uselessTickets = 0;
+    Time uselessAt{};
   };
 
   struct PendingRequest
@@ -97,9 +116,15 @@
   auto LearnFromResponse(const PendingRequest& aRequest, Micros aTook) -> void;
   auto LearnFromTimeout(const PendingRequest& aRequest) -> void;
 
-  auto StoreResponse(StepAdvice& aAdvice,
+  auto StoreResponse(Time aNow,
+                     StepAdvice& aAdvice,
                      const PendingRequest& aRequest,
                      const AdviceResponse& aResponse) -> void;
+  auto FindTicketOf(const StepName& aStep,
+                    const WorkerIncarnation& aWorker) const -> const Ticket*;
+  // Delays the next request for the step if its tickets are of no use again and
+  // again.
+  static auto CountUselessTicket(Time aNow, StepAdvice& aAdvice) -> void;
 
   std::map<StepName, StepAdvice> adviceByStep;
   std::map<std::uint64_t, PendingRequest> pendingRequests;
@@ -110,6 +135,9 @@
   // and how many times as long as the adviser tells to wait for it.
   std::size_t maxWorkers = kMaxAdviceWorkers;
   int patience = 1;
+  // Workers have rejected tickets that were still valid if they count from the
+  // response.
+  bool validFromRequest = false;
 };
 
 } // namespace gooseberry::cells
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -690,10 +690,13 @@
   auto RequestAdvice(PlacementRound& aRound,
                      const PlacementQuery& aQuery,
                      std::size_t aTasks) -> void;
-  auto TicketOf(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot) const
-    -> std::string;
+  // Nothing if the ticket has expired since the task was placed.
+  auto TicketForStart(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot)
+    -> std::optional<std::string>;
   // The worker rejected the ticket.
-  auto OnTicketRefused(const TaskName& aTask, const WorkerSlot& aSlot) -> void;
+  auto OnTicketRefused(Time aNow,
+                       const TaskName& aTask,
+                       const WorkerSlot& aSlot) -> void;
 
   // Gangs: tasks that run only together (cellgang.cpp).
   auto PlanGang(Time aNow, PlacementRound& aRound, const ReadyStep& aReady)
--- a/cells/src/celladvice.cpp
+++ b/cells/src/celladvice.cpp
@@ -3,6 +3,7 @@
 // the workers on which tasks would start.
 
 #include <algorithm>
+#include <tuple>
 
 #include "cell.h"
 #include "tunables_cells.h"
@@ -40,14 +41,31 @@
         aRound.now, aQuery.stepName, this->nextPlanAt)) {
     return;
   }
-  auto candidates = std::vector<std::pair<double, const WorkerSlot*>>{};
+  const auto times = this->AdviceTimesOf(*aQuery.job);
+  const auto together = aQuery.step->gang;
+  const auto size = this->adviser.RequestSize(aTasks, times, together);
+  // The tickets of a gang have to be valid at the same time, so that those that
+  // expire before the response are requested again with it.
+  const auto neededAt =
+    together ? aRound.now + times.TimeFor(size) : aRound.now;
+  struct Candidate
+  {
+    bool wasAllowed = false;
+    double score = 0.0;
+    const WorkerSlot* slot = nullptr;
+  };
+  auto candidates = std::vector<Candidate>{};
   for (const auto* const slot : aRound.usableWorkers) {
     if (!this->adviser.MayGainTicket(
-          aRound.now, aQuery.stepName, IncarnationOf(*slot))) {
+          neededAt, aQuery.stepName, IncarnationOf(*slot))) {
       continue;
     }
     if (const auto pace = this->FeasiblePace(aRound, *slot, aQuery)) {
-      candidates.emplace_back(this->ScoreWorker(*slot, aQuery, *pace), slot);
+      candidates.push_back(
+        { together &&
+            this->adviser.WasAllowed(aQuery.stepName, IncarnationOf(*slot)),
+          this->ScoreWorker(*slot, aQuery, *pace),
+          slot });
     }
   }
   if (candidates.empty()) {
@@ -55,22 +73,20 @@
       std::min(this->nextPlanAt, aRound.now + kAdviceRetryDelay);
     return;
   }
-  const auto times = this->AdviceTimesOf(*aQuery.job);
-  const auto count =
-    std::min(candidates.size(),
-             this->adviser.RequestSize(aTasks, times, aQuery.step->gang));
+  const auto count = std::min(candidates.size(), size);
   std::partial_sort(candidates.begin(),
                     candidates.begin() + static_cast<std::ptrdiff_t>(count),
                     candidates.end(),
-                    [](const auto& aLeft, const auto& aRight) {
-                      return aLeft.first > aRight.first;
+                    [](const Candidate& aLeft, const Candidate& aRight) {
+                      return std::tie(aLeft.wasAllowed, aLeft.score) >
+                             std::tie(aRight.wasAllowed, aRight.score);
                     });
   auto lives = std::vector<WorkerIncarnation>{};
   for (auto index = std::size_t{ 0 }; index < count; ++index) {
-    lives.push_back(IncarnationOf(*candidates[index].second));
+    lives.push_back(IncarnationOf(*candidates[index].slot));
   }
   this->adviceRequests.push_back(this->adviser.MakeRequest(
-    aRound.now, aQuery.stepName, lives, times, aQuery.step->gang));
+    aRound.now, aQuery.stepName, lives, times, together));
 }
 
 // Those of the configuration in force, which a job's row does not have.
@@ -108,18 +124,23 @@
 }
 
 auto
-Cell::TicketOf(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot) const
-  -> std::string
+Cell::TicketForStart(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot)
+  -> std::optional<std::string>
 {
   const auto* const ticket =
-    this->adviser.FindTicket(aNow, StepOf(aTask), IncarnationOf(aSlot));
-  return ticket == nullptr ? std::string{} : *ticket;
+    this->adviser.FindTicketForStart(aNow, StepOf(aTask), IncarnationOf(aSlot));
+  if (ticket == nullptr) {
+    this->adviser.OnTicketExpired(aNow, StepOf(aTask));
+    return std::nullopt;
+  }
+  return *ticket;
 }
 
 auto
-Cell::OnTicketRefused(const TaskName& aTask, const WorkerSlot& aSlot) -> void
+Cell::OnTicketRefused(Time aNow, const TaskName& aTask, const WorkerSlot& aSlot)
+  -> void
 {
-  this->adviser.OnTicketRejected(StepOf(aTask), IncarnationOf(aSlot));
+  this->adviser.OnTicketRejected(aNow, StepOf(aTask), IncarnationOf(aSlot));
 }
 
 } // namespace gooseberry::cells
--- a/cells/src/cellcalls.cpp
+++ b/cells/src/cellcalls.cpp
@@ -64,14 +64,20 @@
     this->DropRun(aNow, aRef, "conditions changed before the start was sent");
     return;
   }
+  auto ticket = std::optional{ std::string{} };
+  if (aContext.job->row.policy.requiresAdvice) {
+    ticket = this->TicketForStart(aNow, aRef.task, slot);
+  }
+  if (!ticket) {
+    this->DropRun(aNow, aRef, "its ticket expired before the start was sent");
+    return;
+  }
   auto call = this->NewCall(slot, CallKind::Start);
   call.task = aRef.task;
   call.runNumber = aRef.run;
+  call.ticket = std::move(*ticket);
   call.payload = aContext.job->Spec().payload;
   call.checkpoint = CheckpointHolder(aContext).checkpoint;
-  if (aContext.job->row.policy.requiresAdvice) {
-    call.ticket = this->TicketOf(aNow, aRef.task, slot);
-  }
   call.leaseEndMs = this->GrantLease(aNow, slot, kStartOrderLifetime);
   run->startLeaseEndMs = call.leaseEndMs;
   run->phase = RunPhase::Starting;
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -177,7 +177,7 @@
       slot.reportRequested =
         slot.reportRequested || aAnswer.outcome == CallOutcome::NoRoom;
       if (aAnswer.outcome == CallOutcome::InvalidTicket) {
-        this->OnTicketRefused(aRef.task, slot);
+        this->OnTicketRefused(aNow, aRef.task, slot);
       }
       run->neverBegan = true;
       this->DropRun(aNow, aRef, ToText(aAnswer.outcome));
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -286,8 +286,9 @@
 inline constexpr double kMinAllowedFraction = 0.1;
 // Weight of the newest response in the average fraction of workers allowed.
 inline constexpr double kAllowedFractionGain = 0.2;
-// Minimum remaining validity of a ticket. Covers recording a start, sending it
-// and, if the worker is slow, its acceptance.
+// Minimum remaining validity of a ticket, or half of its whole validity if that
+// is less. Covers recording a start, sending it and, if the worker is slow, its
+// acceptance.
 inline constexpr Millis kMinTicketValidity{ 500 };
 // Time beyond the adviser's own: the network, and an adviser under load.
 inline constexpr Millis kAdviceSlack{ 2000 };
@@ -297,6 +298,7 @@
 // more workers: other steps' requests wait behind it.
 inline constexpr Millis kMaxAdviceTime{ 1500 };
 inline constexpr Millis kAdviceRetryDelay{ 200 };
+inline constexpr Millis kMaxAdviceRetryDelay{ 5000 };
 
 // Failures in a row, from at least two jobs, after which a worker is suspected.
 // One run in twenty fails without the worker's fault.
--- a/cells/tests/advice_test.cpp
+++ b/cells/tests/advice_test.cpp
@@ -113,6 +113,86 @@
       .has_value());
 }
 
+// Guards against: tickets that are valid for less time than the adviser takes
+// look expired when they arrive, and are requested again for ever.
+Test(adviser, tickets_of_a_slow_adviser_are_used)
+{
+  const auto times = AdviceTimes{ Millis{ 500 }, Millis{ 25 }, Millis{ 1000 } };
+  auto adviser = AdviceCache{};
+  // Issued after 525 ms by the adviser's own times, or later.
+  auto request =
+    adviser.MakeRequest(At(0), kStep, { Incarnation("a") }, times, false);
+  adviser.OnResponse(At(600), Answer(request, { "a" }, times.valid));
+  cr_expect_not_null(adviser.FindTicket(At(1000), kStep, Incarnation("a")));
+  cr_expect_null(adviser.FindTicket(At(1100), kStep, Incarnation("a")));
+  // By these times it would have expired already.
+  request =
+    adviser.MakeRequest(At(2000), kStep, { Incarnation("a") }, times, false);
+  adviser.OnResponse(At(4000), Answer(request, { "a" }, times.valid));
+  cr_expect_not_null(adviser.FindTicket(At(4400), kStep, Incarnation("a")));
+  cr_expect_null(adviser.FindTicket(At(4600), kStep, Incarnation("a")));
+  cr_expect_not_null(
+    adviser.FindTicketForStart(At(4900), kStep, Incarnation("a")));
+  cr_expect_null(adviser.FindTicketForStart(At(5000), kStep, Incarnation("a")));
+}
+
+// Guards against: a ticket that is valid for less than a second is never used.
+Test(adviser, short_tickets_are_used)
+{
+  auto adviser = AdviceCache{};
+  const auto request =
+    adviser.MakeRequest(At(0), kStep, { Incarnation("a") }, {}, false);
+  adviser.OnResponse(At(10), Answer(request, { "a" }, Millis{ 200 }));
+  cr_expect_not_null(adviser.FindTicket(At(90), kStep, Incarnation("a")));
+  cr_expect_null(adviser.FindTicket(At(110), kStep, Incarnation("a")));
+}
+
+// Guards against: where tickets count from the request, those that have expired
+// are used again and again.
+Test(adviser, workers_teach_when_tickets_expire)
+{
+  const auto times = AdviceTimes{ Millis{ 200 }, Millis{ 25 }, Millis{ 2000 } };
+  auto adviser = AdviceCache{};
+  cr_expect_eq(adviser.RequestSize(100, times, false), 52);
+  auto request =
+    adviser.MakeRequest(At(0), kStep, { Incarnation("a") }, times, false);
+  adviser.OnResponse(At(225), Answer(request, { "a" }, times.valid));
+  cr_assert_not_null(
+    adviser.FindTicketForStart(At(2100), kStep, Incarnation("a")));
+  adviser.OnTicketRejected(At(2100), kStep, Incarnation("a"));
+  // Half of the time is left when the response arrives: 0.5 s to place tasks,
+  // and 0.5 s to start them.
+  cr_expect_eq(adviser.RequestSize(100, times, false), 32);
+  request =
+    adviser.MakeRequest(At(3000), kStep, { Incarnation("a") }, times, false);
+  adviser.OnResponse(At(3225), Answer(request, { "a" }, times.valid));
+  cr_expect_not_null(
+    adviser.FindTicketForStart(At(4900), kStep, Incarnation("a")));
+  cr_expect_null(adviser.FindTicketForStart(At(5100), kStep, Incarnation("a")));
+}
+
+// Guards against: tickets that no worker takes cost a question and a start
+// each, as fast as both can be sent.
+Test(adviser, useless_tickets_delay_the_next_request)
+{
+  auto adviser = AdviceCache{};
+  auto now = 0;
+  auto requests = 0;
+  for (; now < 20000; now += 20) {
+    auto retryAt = Time::max();
+    if (!adviser.CanSendRequest(At(now), kStep, retryAt)) {
+      continue;
+    }
+    ++requests;
+    const auto request =
+      adviser.MakeRequest(At(now), kStep, { Incarnation("a") }, {}, false);
+    adviser.OnResponse(At(now), Answer(request, { "a" }));
+    adviser.OnTicketRejected(At(now), kStep, Incarnation("a"));
+  }
+  cr_expect_geq(requests, 8);
+  cr_expect_leq(requests, 14);
+}
+
 // One worker in ten may run a step. Requests must name more workers, or too
 // many of them are needed.
 Test(adviser, request_names_more_workers_if_few_are_allowed)
