Cells: a rejected ticket keeps no other job from the worker

Callers would see: jobs without an adviser start up to 0.3 s late, again and again, where another queue's tickets are rejected.

Cause: each refused start kept all starts from its worker for 0.3 s. A refusal because of a ticket says nothing of the worker.

--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -173,11 +173,13 @@
     default:
       // The call was not carried out, and will not be.
       this->CountEvent(CellEvent::StartRefused);
-      slot.noStartsUntil = aNow + kRefusalAvoidTime;
       slot.reportRequested =
         slot.reportRequested || aAnswer.outcome == CallOutcome::NoRoom;
       if (aAnswer.outcome == CallOutcome::InvalidTicket) {
+        // Says nothing of the worker.
         this->OnTicketRefused(aNow, aRef.task, slot);
+      } else {
+        slot.noStartsUntil = aNow + kRefusalAvoidTime;
       }
       run->neverBegan = true;
       this->DropRun(aNow, aRef, ToText(aAnswer.outcome));
--- a/cells/tests/advice_test.cpp
+++ b/cells/tests/advice_test.cpp
@@ -277,3 +277,27 @@
   harness.cell.OnAdvice(harness.now, Answer(requests[0], { "w1" }));
   cr_expect_eq(harness.StartAll().size(), 1);
 }
+
+// Guards against: other jobs keep away from a worker that rejected a ticket.
+Test(advice, rejected_ticket_does_not_delay_other_jobs)
+{
+  auto harness = CellHarness{};
+  harness.AddWorker("w1");
+  SubmitAdvised(harness, JobWithSteps({ 1 }));
+  harness.StartAll();
+  const auto requests = harness.cell.TakeAdviceRequests();
+  cr_assert_eq(requests.size(), 1);
+  harness.cell.OnAdvice(harness.now, Answer(requests[0], { "w1" }));
+  harness.Tick();
+  harness.RecordAll();
+  const auto starts = harness.TakeCallsOfKind(CallKind::Start);
+  cr_assert_eq(starts.size(), 1);
+  harness.Answer(starts[0], CallOutcome::InvalidTicket);
+  auto row = JobRow{ *JobId::Parse("00000000000000bb"), { "no adviser" } };
+  row.policy.service = { kServiceName };
+  row.spec = JobWithSteps({ 1 });
+  harness.cell.OnSubmission(harness.now, 0, row);
+  const auto others = harness.StartAll();
+  cr_assert_eq(others.size(), 1);
+  cr_expect(others[0].task.job == row.id);
+}
