Cells: an adviser that does not decide is asked rarely, and operators see it

Callers would see: jobs wait for an adviser that refuses or is overloaded, and nothing tells why; each step asks it again each 0.2 s.

Cause: each failed question was repeated after a fixed 0.2 s, as it was.

Change: the delay of a step doubles with each failure in a row, up to 5 s, and while the adviser is overloaded (429) the cell delays all its questions. A rejected question is halved, and in the end names one worker after the other. A step that has waited 5 s for a start on a ticket is reported with the cause (advice_stalled), one line a second at most.

Ruled out: ending the job as failed (the adviser may be mended, or the configuration corrected).

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -432,6 +432,11 @@
       reply(kHop, answer);
       return;
     }
+    if (model.answers != cells::AdviceStatus::Answered) {
+      answer.status = model.answers;
+      reply(kHop, answer);
+      return;
+    }
     // A request that its caller has given up is decided all the same.
     const auto takes = std::chrono::duration_cast<Millis>(
       std::chrono::duration<double, std::milli>(
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -90,6 +90,8 @@
   std::uint64_t allowedOfFive = 2;
   // Requests beyond this number that wait get no decision.
   std::size_t maxWaiting = 32;
+  // How it answers the others.
+  cells::AdviceStatus answers = cells::AdviceStatus::Answered;
 };
 
 class FleetWorld final : public fakes::FaultyFleet
--- a/bench/tests/advice_test.cpp
+++ b/bench/tests/advice_test.cpp
@@ -303,3 +303,45 @@
   example.within = 60s;
   cr_expect(IsDoneInTime(example));
 }
+
+// Guards against: an adviser that takes nothing, or answers nobody, is asked
+// again by each step as fast as it answers, and for ever the same.
+Test(advised, an_adviser_that_does_not_decide_is_asked_rarely)
+{
+  for (const auto answer : { cells::AdviceStatus::Overloaded,
+                             cells::AdviceStatus::Rejected,
+                             cells::AdviceStatus::NoResponse }) {
+    const auto world = LargeWorld(6);
+    auto model = AdviserModel{};
+    model.answers = answer;
+    world->SetAdviserModel(model);
+    world->RunFor(2s);
+    for (auto job = 0; job < 4; ++job) {
+      SubmitWide(*world, 6, false);
+    }
+    world->RunFor(30s);
+    cr_expect_leq(world->AdviceRequests(), 4U * 12U, "%s", ToText(answer));
+    cr_expect_geq(world->AdviceRequests(), 6U, "%s", ToText(answer));
+    model.answers = cells::AdviceStatus::Answered;
+    world->SetAdviserModel(model);
+    world->RunFor(15s);
+    ExpectKept(*world);
+  }
+}
+
+// The same for an adviser that takes one request at a time.
+Test(advised, jobs_are_done_beside_a_full_queue)
+{
+  const auto world = LargeWorld(7);
+  auto model = AdviserModel{};
+  model.maxWaiting = 0;
+  model.allowedOfFive = 5;
+  world->SetAdviserModel(model);
+  world->RunFor(2s);
+  for (auto job = 0; job < 8; ++job) {
+    SubmitWide(*world, 6, false);
+  }
+  world->RunFor(30s);
+  ExpectKept(*world);
+  cr_expect_leq(world->OverloadedRequests(), 16U);
+}
--- a/cells/src/adviser.cpp
+++ b/cells/src/adviser.cpp
@@ -101,14 +101,67 @@
     return false;
   }
   const auto advice = this->adviceByStep.find(aStep);
-  if (advice == this->adviceByStep.end()) {
-    return true;
-  }
-  if (advice->second.retryAt > aNow) {
-    aRetryAt = std::min(aRetryAt, advice->second.retryAt);
+  const auto retryAt =
+    advice == this->adviceByStep.end()
+      ? this->overloadedUntil
+      : std::max(this->overloadedUntil, advice->second.retryAt);
+  if (retryAt > aNow) {
+    aRetryAt = std::min(aRetryAt, retryAt);
     return false;
   }
-  return advice->second.pendingNumber == 0;
+  return advice == this->adviceByStep.end() ||
+         advice->second.pendingNumber == 0;
+}
+
+auto
+AdviceCache::BeginStep(Time aNow, const StepName& aStep)
+  -> std::optional<AdviceStall>
+{
+  auto& advice = this->adviceByStep[aStep];
+  // Not asked for in between: its tasks ran.
+  if (advice.pendingNumber == 0 &&
+      aNow > advice.neededAt + 2 * kMaxAdviceRetryDelay) {
+    advice.waitingSince = aNow;
+  }
+  advice.neededAt = aNow;
+  if (aNow < advice.waitingSince + kAdviceStallTime || aNow < advice.reportAt ||
+      aNow < this->nextReportAt) {
+    return std::nullopt;
+  }
+  advice.reportAt = aNow + kAdviceStallInterval;
+  this->nextReportAt = aNow + kAdviceReportPause;
+  auto stall = advice.last;
+  stall.cause = this->CauseOf(aNow, aStep, advice);
+  stall.waited = ToMillis(aNow - advice.waitingSince);
+  return stall;
+}
+
+auto
+AdviceCache::CauseOf(Time aNow,
+                     const StepName& aStep,
+                     const StepAdvice& aAdvice) const -> const char*
+{
+  if (!aAdvice.lastStatus) {
+    return aAdvice.pendingNumber != 0 ? "awaited" : "queued";
+  }
+  if (*aAdvice.lastStatus != AdviceStatus::Answered) {
+    return ToText(*aAdvice.lastStatus);
+  }
+  const auto& tickets = aAdvice.tickets;
+  if (std::any_of(tickets.begin(), tickets.end(), [&](const auto& aItem) {
+        return this->FindTicket(aNow, aStep, aItem.first) != nullptr;
+      })) {
+    return "no_room";
+  }
+  return tickets.empty() && aAdvice.uselessTickets == 0 ? "none_allowed"
+                                                        : "tickets_useless";
+}
+
+auto
+AdviceCache::Rejections(const StepName& aStep) const -> int
+{
+  const auto advice = this->adviceByStep.find(aStep);
+  return advice == this->adviceByStep.end() ? 0 : advice->second.rejections;
 }
 
 auto
@@ -197,6 +250,11 @@
   const auto request = std::move(found->second);
   this->pendingRequests.erase(found);
   const auto took = aNow - request.sentAt;
+  if (aResponse.status == AdviceStatus::Overloaded) {
+    this->overloadedUntil = aNow + AdviceRetryDelay(++this->overloads);
+  } else if (aResponse.status != AdviceStatus::NoResponse) {
+    this->overloads = 0;
+  }
   if (aResponse.status == AdviceStatus::Answered) {
     this->LearnFromResponse(request, took);
   } else if (aResponse.status == AdviceStatus::NoResponse &&
@@ -209,10 +267,23 @@
     return std::nullopt;
   }
   advice->second.pendingNumber = 0;
+  advice->second.neededAt = aNow;
+  advice->second.lastStatus = aResponse.status;
+  advice->second.last = { "",
+                          Millis{ 0 },
+                          request.workers.size(),
+                          aResponse.allowed.size(),
+                          ToMillis(took),
+                          request.timeout,
+                          aResponse.validFor };
   if (aResponse.status == AdviceStatus::Answered) {
+    advice->second.failures = 0;
+    advice->second.rejections = 0;
     this->StoreResponse(aNow, advice->second, request, aResponse);
   } else {
-    advice->second.retryAt = aNow + kAdviceRetryDelay;
+    advice->second.rejections +=
+      aResponse.status == AdviceStatus::Rejected ? 1 : 0;
+    advice->second.retryAt = aNow + AdviceRetryDelay(++advice->second.failures);
   }
   return request.step;
 }
@@ -296,6 +367,16 @@
   CountUselessTicket(aNow, advice->second);
 }
 
+auto
+AdviceCache::OnTicketAccepted(Time aNow, const StepName& aStep) -> void
+{
+  if (const auto advice = this->adviceByStep.find(aStep);
+      advice != this->adviceByStep.end()) {
+    advice->second.waitingSince = aNow;
+    advice->second.uselessTickets = 0;
+  }
+}
+
 auto
 AdviceCache::OnTicketExpired(Time aNow, const StepName& aStep) -> void
 {
--- a/cells/src/adviser.h
+++ b/cells/src/adviser.h
@@ -27,6 +27,23 @@
   auto operator<=>(const WorkerIncarnation&) const = default;
 };
 
+// Why a step has not started on any ticket for some time.
+struct AdviceStall
+{
+  // "awaited", "queued", "busy", "rejected", "unanswered", "none_allowed",
+  // "tickets_useless" or "no_room".
+  const char* cause = "";
+  Millis waited{ 0 };
+  // Of the last request: the workers that it named and those of them that may
+  // run the step, how long it took, how long it may take, and the validity of
+  // its tickets.
+  std::size_t asked = 0;
+  std::size_t allowed = 0;
+  Millis took{ 0 };
+  Millis timeout{ 0 };
+  Millis validFor{ 0 };
+};
+
 class AdviceCache
 {
 public:
@@ -52,6 +69,12 @@
   // known, lowers aRetryAt to the time at which it can.
   auto CanSendRequest(Time aNow, const StepName& aStep, Time& aRetryAt) const
     -> bool;
+  // The step needs advice. What stalls it, if it has not started for long; at
+  // most once a second for all steps, and every 10 s for each.
+  auto BeginStep(Time aNow, const StepName& aStep)
+    -> std::optional<AdviceStall>;
+  // How many requests in a row the adviser has rejected for the step.
+  auto Rejections(const StepName& aStep) const -> int;
   // How many workers to name in a request so that about aWanted of them may run
   // the step, and others' requests do not wait for long behind it. aTogether:
   // the step's tasks start together or not at all, so that one request has to
@@ -71,6 +94,7 @@
   auto OnTicketRejected(Time aNow,
                         const StepName& aStep,
                         const WorkerIncarnation& aWorker) -> void;
+  auto OnTicketAccepted(Time aNow, const StepName& aStep) -> void;
   // The ticket expired before a start could be sent with it.
   auto OnTicketExpired(Time aNow, const StepName& aStep) -> void;
   // Forgets a job that has ended.
@@ -98,6 +122,17 @@
     // was.
     int uselessTickets = 0;
     Time uselessAt{};
+    // Requests in a row that were not answered, and those of them that the
+    // adviser rejected.
+    int failures = 0;
+    int rejections = 0;
+    // Since when tasks of the step wait for a start on a ticket, when that was
+    // seen last, when it is reported next, and the last request.
+    Time waitingSince{};
+    Time neededAt{};
+    Time reportAt{};
+    std::optional<AdviceStatus> lastStatus;
+    AdviceStall last;
   };
 
   struct PendingRequest
@@ -122,6 +157,9 @@
                      const AdviceResponse& aResponse) -> void;
   auto FindTicketOf(const StepName& aStep,
                     const WorkerIncarnation& aWorker) const -> const Ticket*;
+  auto CauseOf(Time aNow,
+               const StepName& aStep,
+               const StepAdvice& aAdvice) const -> const char*;
   // Delays the next request for the step if its tickets are of no use again and
   // again.
   static auto CountUselessTicket(Time aNow, StepAdvice& aAdvice) -> void;
@@ -129,6 +167,12 @@
   std::map<StepName, StepAdvice> adviceByStep;
   std::map<std::uint64_t, PendingRequest> pendingRequests;
   std::uint64_t lastRequestNumber = 0;
+  // While the adviser is overloaded: requests in a row that it did not take,
+  // and when the next one is sent.
+  int overloads = 0;
+  Time overloadedUntil{};
+  // No stall is reported before this time.
+  Time nextReportAt{};
   // Moving average of the fraction of named workers that may run a step.
   double allowedFraction = 0.5;
   // What requests without a response have taught: how many workers one names,
--- a/cells/src/cell.cpp
+++ b/cells/src/cell.cpp
@@ -42,6 +42,7 @@
       "copied",
       "limited_start",
       "second_run_done",
+      "advice_stalled",
     };
   return kNames.at(static_cast<std::size_t>(aEvent));
 }
--- a/cells/src/cell.h
+++ b/cells/src/cell.h
@@ -112,6 +112,7 @@
   RunCopied,     // a second run was planned beside a late one
   LimitedStart,  // had been delayed by the account's limit
   SecondRunDone, // before the late run beside which it was planned
+  AdviceStalled, // a step that needs advice has not started for long
   CellEvent_NB
 };
 
@@ -686,6 +687,8 @@
   auto IsAllowedByAdviser(Time aNow,
                           const WorkerSlot& aSlot,
                           const PlacementQuery& aQuery) const -> bool;
+  auto ReportAdviceStall(const StepName& aStep, const AdviceStall& aStall)
+    -> void;
   auto AdviceTimesOf(const Job& aJob) const -> AdviceTimes;
   auto RequestAdvice(PlacementRound& aRound,
                      const PlacementQuery& aQuery,
--- a/cells/src/celladvice.cpp
+++ b/cells/src/celladvice.cpp
@@ -18,6 +18,14 @@
   return { aSlot.entry.id, aSlot.entry.startUnixMs };
 }
 
+// Each rejection halves the request.
+auto
+SizeAfterRejections(std::size_t aSize, int aRejections) -> std::size_t
+{
+  constexpr int kMaxHalvings = 7;
+  return std::max<std::size_t>(aSize >> std::min(aRejections, kMaxHalvings), 1);
+}
+
 } // namespace
 
 auto
@@ -37,13 +45,18 @@
                     const PlacementQuery& aQuery,
                     std::size_t aTasks) -> void
 {
+  if (const auto stall = this->adviser.BeginStep(aRound.now, aQuery.stepName)) {
+    this->ReportAdviceStall(aQuery.stepName, *stall);
+  }
   if (!this->adviser.CanSendRequest(
         aRound.now, aQuery.stepName, this->nextPlanAt)) {
     return;
   }
   const auto times = this->AdviceTimesOf(*aQuery.job);
   const auto together = aQuery.step->gang;
-  const auto size = this->adviser.RequestSize(aTasks, times, together);
+  const auto rejections = this->adviser.Rejections(aQuery.stepName);
+  const auto size = SizeAfterRejections(
+    this->adviser.RequestSize(aTasks, times, together), rejections);
   // The tickets of a gang have to be valid at the same time, so that those that
   // expire before the response are requested again with it.
   const auto neededAt =
@@ -74,21 +87,41 @@
     return;
   }
   const auto count = std::min(candidates.size(), size);
+  // The adviser may reject a request because of one worker that it names.
+  const auto first =
+    static_cast<std::size_t>(rejections) % (candidates.size() - count + 1);
   std::partial_sort(candidates.begin(),
-                    candidates.begin() + static_cast<std::ptrdiff_t>(count),
+                    candidates.begin() +
+                      static_cast<std::ptrdiff_t>(first + count),
                     candidates.end(),
                     [](const Candidate& aLeft, const Candidate& aRight) {
                       return std::tie(aLeft.wasAllowed, aLeft.score) >
                              std::tie(aRight.wasAllowed, aRight.score);
                     });
   auto lives = std::vector<WorkerIncarnation>{};
-  for (auto index = std::size_t{ 0 }; index < count; ++index) {
+  for (auto index = first; index < first + count; ++index) {
     lives.push_back(IncarnationOf(*candidates[index].slot));
   }
   this->adviceRequests.push_back(this->adviser.MakeRequest(
     aRound.now, aQuery.stepName, lives, times, together));
 }
 
+auto
+Cell::ReportAdviceStall(const StepName& aStep, const AdviceStall& aStall)
+  -> void
+{
+  this->CountEvent(CellEvent::AdviceStalled);
+  this->log.Write("advice_stalled",
+                  { { "step", ToText(aStep) },
+                    { "why", aStall.cause },
+                    { "waited_ms", std::to_string(aStall.waited.count()) },
+                    { "asked", std::to_string(aStall.asked) },
+                    { "allowed", std::to_string(aStall.allowed) },
+                    { "took_ms", std::to_string(aStall.took.count()) },
+                    { "limit_ms", std::to_string(aStall.timeout.count()) },
+                    { "valid_ms", std::to_string(aStall.validFor.count()) } });
+}
+
 // Those of the configuration in force, which a job's row does not have.
 auto
 Cell::AdviceTimesOf(const Job& aJob) const -> AdviceTimes
--- a/cells/src/cellruns.cpp
+++ b/cells/src/cellruns.cpp
@@ -143,6 +143,7 @@
   switch (aAnswer.outcome) {
     case CallOutcome::Done:
       this->MarkJobStarted(aNow, *context.job);
+      this->adviser.OnTicketAccepted(aNow, StepOf(aRef.task));
       run->phase = RunPhase::Running;
       run->phaseSince = aNow;
       run->startedAt = aNow;
--- a/cells/src/tunables_cells.h
+++ b/cells/src/tunables_cells.h
@@ -299,6 +299,11 @@
 inline constexpr Millis kMaxAdviceTime{ 1500 };
 inline constexpr Millis kAdviceRetryDelay{ 200 };
 inline constexpr Millis kMaxAdviceRetryDelay{ 5000 };
+// A step that has not started on a ticket for this long is reported, and again
+// at this interval, with this pause between the reports of two steps.
+inline constexpr Millis kAdviceStallTime{ 5000 };
+inline constexpr Millis kAdviceStallInterval{ 10000 };
+inline constexpr Millis kAdviceReportPause{ 1000 };
 
 // Failures in a row, from at least two jobs, after which a worker is suspected.
 // One run in twenty fails without the worker's fault.
--- a/cells/tests/advice_test.cpp
+++ b/cells/tests/advice_test.cpp
@@ -193,6 +193,59 @@
   cr_expect_leq(requests, 14);
 }
 
+// Guards against: a step waits for its adviser, and nothing tells why.
+Test(adviser, stalls_are_reported_with_their_cause)
+{
+  const auto causeAfter = [](const AdviceResponse& aResponse, bool aRejects) {
+    auto adviser = AdviceCache{};
+    cr_expect_not(adviser.BeginStep(At(0), kStep).has_value());
+    const auto request = adviser.MakeRequest(
+      At(0), kStep, { Incarnation("a"), Incarnation("b") }, {}, false);
+    auto response = aResponse;
+    response.number = request.number;
+    adviser.OnResponse(At(30), response);
+    if (aRejects) {
+      adviser.OnTicketRejected(At(40), kStep, Incarnation("a"));
+    }
+    cr_expect_not(adviser.BeginStep(At(4900), kStep).has_value());
+    const auto stall = adviser.BeginStep(At(5100), kStep);
+    cr_assert(stall.has_value());
+    cr_expect(stall->waited == Millis{ 5100 });
+    cr_expect_eq(stall->asked, 2);
+    cr_expect(stall->took == Millis{ 30 });
+    // Reported once each 10 s, and not while the step's tasks run.
+    cr_expect_not(adviser.BeginStep(At(14000), kStep).has_value());
+    cr_expect(adviser.BeginStep(At(15200), kStep).has_value());
+    adviser.OnTicketAccepted(At(15300), kStep);
+    cr_expect_not(adviser.BeginStep(At(60000), kStep).has_value());
+    return std::string{ stall->cause };
+  };
+  const auto of = [](AdviceStatus aStatus) {
+    return AdviceResponse{ 0, aStatus };
+  };
+  auto allowed = of(AdviceStatus::Answered);
+  allowed.allowed = { { WorkerId{ "a" }, "ticket" } };
+  allowed.validFor = Millis{ 3000 };
+  auto valid = allowed;
+  valid.validFor = Millis{ 60000 };
+  cr_expect(causeAfter(of(AdviceStatus::NoResponse), false) == "unanswered");
+  cr_expect(causeAfter(of(AdviceStatus::Overloaded), false) == "busy");
+  cr_expect(causeAfter(of(AdviceStatus::Rejected), false) == "rejected");
+  cr_expect(causeAfter(of(AdviceStatus::Answered), false) == "none_allowed");
+  cr_expect(causeAfter(allowed, false) == "tickets_useless");
+  cr_expect(causeAfter(allowed, true) == "tickets_useless");
+  cr_expect(causeAfter(valid, false) == "no_room");
+  // Steps share one line a second.
+  auto adviser = AdviceCache{};
+  const auto other = StepName{ kStep.job, 0, 2 };
+  adviser.BeginStep(At(0), kStep);
+  adviser.BeginStep(At(0), other);
+  cr_expect(adviser.BeginStep(At(6000), kStep)->cause ==
+            std::string{ "queued" });
+  cr_expect_not(adviser.BeginStep(At(6100), other).has_value());
+  cr_expect(adviser.BeginStep(At(7100), other).has_value());
+}
+
 // One worker in ten may run a step. Requests must name more workers, or too
 // many of them are needed.
 Test(adviser, request_names_more_workers_if_few_are_allowed)
@@ -301,3 +354,43 @@
   cr_assert_eq(others.size(), 1);
   cr_expect(others[0].task.job == row.id);
 }
+
+// Guards against: a request that the adviser rejects, because of a worker that
+// it names, is sent again as it was.
+Test(advice, rejected_requests_are_not_repeated)
+{
+  auto harness = CellHarness{};
+  for (auto worker = 1; worker <= 6; ++worker) {
+    harness.AddWorker("w" + std::to_string(worker));
+  }
+  SubmitAdvised(harness, JobWithSteps({ 3 }));
+  harness.StartAll();
+  auto named = std::set<std::vector<WorkerId>>{};
+  auto rejected = 0;
+  for (auto attempt = 0; attempt < 20; ++attempt) {
+    harness.Advance(Millis{ 5100 });
+    harness.Tick();
+    const auto requests = harness.cell.TakeAdviceRequests();
+    if (requests.empty()) {
+      continue;
+    }
+    const auto& workers = requests[0].workers;
+    named.insert(workers);
+    const auto isBad =
+      std::find(workers.begin(), workers.end(), WorkerId{ "w1" }) !=
+        workers.end() ||
+      workers.size() > 1;
+    if (isBad) {
+      ++rejected;
+      harness.cell.OnAdvice(harness.now,
+                            { requests[0].number, AdviceStatus::Rejected });
+      continue;
+    }
+    harness.cell.OnAdvice(harness.now,
+                          Answer(requests[0], { workers[0].text }));
+    break;
+  }
+  cr_expect_geq(rejected, 1);
+  cr_expect_eq(named.size(), static_cast<std::size_t>(rejected) + 1);
+  cr_expect_gt(harness.StartAll().size(), 0);
+}
