Store client: large answers are given up after silence only

Cause: the time-outs of reads and feeds bounded the whole answer. It was thrown away while it arrived, and the same call was sent again, for ever.

Change: for feeds and reads of many rows the time-out bounds the wait for the next bytes; a call in the queue waits as long as others receive something. Commits and reads of single rows keep their bound of the whole call.

Ruled out: the store and the parser, see docs/incidents/ grown-configurations.md; a longer time-out, which a larger row outgrows.

--- a/cells/src/tableport.h
+++ b/cells/src/tableport.h
@@ -97,6 +97,9 @@
   // The first key, and the first key after the range; empty for no bound.
   std::string from;
   std::string to;
+  // The rows may take a slow link seconds. The timeout of a read then bounds
+  // the wait for the next bytes, not for all of them.
+  bool isLarge = false;
 };
 
 // The range that contains only this row.
--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -77,7 +77,9 @@
 struct HttpClient::PendingCall
 {
   HttpRequest request;
-  Time deadline;
+  Micros timeout{ 0 };
+  // When the call was made or sent, or bytes of its response arrived last.
+  Time activeAt{};
   Done done;
   TimerHandle timer;
   std::weak_ptr<Connection> connection;
@@ -193,6 +195,9 @@
   auto Send() -> void
   {
     this->call->sent = true;
+    if (const auto client = this->owner.lock()) {
+      this->call->activeAt = client->loop.Now();
+    }
     this->message = BuildRequest(this->call->request, this->host);
     this->call->request = HttpRequest{};
     http::async_write(this->socket,
@@ -218,20 +223,35 @@
     if (const auto client = this->owner.lock()) {
       this->buffer.reserve(client->options.readBytes);
     }
-    http::async_read(this->socket,
-                     this->buffer,
-                     *this->parser,
-                     [self = this->shared_from_this()](const error_code& aError,
-                                                       std::size_t /*aBytes*/) {
-                       if (self->closed) {
-                         return;
-                       }
-                       if (aError) {
-                         self->CloseAndFailCall("read: " + aError.message());
-                         return;
-                       }
-                       self->DeliverResponse();
-                     });
+    this->parser->eager(true);
+    this->ReceiveSome();
+  }
+
+  auto ReceiveSome() -> void
+  {
+    http::async_read_some(
+      this->socket,
+      this->buffer,
+      *this->parser,
+      [self = this->shared_from_this()](const error_code& aError,
+                                        std::size_t /*aBytes*/) {
+        if (self->closed) {
+          return;
+        }
+        if (aError) {
+          self->CloseAndFailCall("read: " + aError.message());
+          return;
+        }
+        if (self->parser->is_done()) {
+          self->DeliverResponse();
+          return;
+        }
+        if (const auto client = self->owner.lock()) {
+          client->receivedAt = client->loop.Now();
+          self->call->activeAt = client->receivedAt;
+        }
+        self->ReceiveSome();
+      });
   }
 
   auto DeliverResponse() -> void
@@ -298,20 +318,28 @@
 {
   auto call = std::make_shared<PendingCall>();
   call->request = std::move(aRequest);
-  call->deadline = this->loop.Now() + aTimeout;
+  call->timeout = aTimeout;
+  call->activeAt = this->loop.Now();
   call->done = std::move(aDone);
-  call->timer = this->loop.After(aTimeout,
-                                 [self = this->weak_from_this(),
-                                  weakCall = std::weak_ptr<PendingCall>(call)] {
-                                   const auto client = self.lock();
-                                   const auto expiredCall = weakCall.lock();
-                                   if (client && expiredCall) {
-                                     client->OnCallTimeout(expiredCall);
-                                   }
-                                 });
+  this->StartTimer(call, aTimeout);
   return call;
 }
 
+auto
+HttpClient::StartTimer(const std::shared_ptr<PendingCall>& aCall, Micros aDelay)
+  -> void
+{
+  aCall->timer = this->loop.After(
+    aDelay,
+    [self = this->weak_from_this(), weak = std::weak_ptr<PendingCall>(aCall)] {
+      const auto client = self.lock();
+      const auto call = weak.lock();
+      if (client && call) {
+        client->OnCallTimeout(call);
+      }
+    });
+}
+
 auto
 HttpClient::CallOnConnection(std::uint64_t aConnection,
                              HttpRequest aRequest,
@@ -408,7 +436,16 @@
 auto
 HttpClient::OnCallTimeout(const std::shared_ptr<PendingCall>& aCall) -> void
 {
-  if (const auto connection = aCall->connection.lock()) {
+  const auto connection = aCall->connection.lock();
+  // A call in the queue waits for those that hold the connections.
+  const auto silentSince =
+    connection ? aCall->activeAt : std::max(aCall->activeAt, this->receivedAt);
+  const auto wait = silentSince + aCall->timeout - this->loop.Now();
+  if (this->options.timeoutBoundsSilence && wait > Micros{ 0 }) {
+    this->StartTimer(aCall, wait);
+    return;
+  }
+  if (connection) {
     connection->CloseAndFailCall("no answer in time");
     this->CloseIdleConnections();
     return;
--- a/eventio/src/httpclient.h
+++ b/eventio/src/httpclient.h
@@ -27,6 +27,11 @@
   // Probes the peer's host while a response is awaited, for calls that take
   // long: a connection whose host is gone is closed after some seconds.
   bool keepAlive = false;
+  // The timeout of a call bounds each wait: in the queue while no other call
+  // receives anything, for the first bytes of the response, then for the next
+  // ones. Otherwise it bounds the whole call, and a response that is too large
+  // for it is given up while it arrives.
+  bool timeoutBoundsSilence = false;
   // Most bytes that one turn of the event loop reads from a connection, which
   // keeps a buffer of this size.
   std::size_t readBytes = 4096;
@@ -46,7 +51,7 @@
 
   // Runs aDone exactly once, and never before this function returns. Calls that
   // find no free connection are queued; aTimeout includes the time in the
-  // queue.
+  // queue unless it bounds silence.
   auto Call(HttpRequest aRequest, Micros aTimeout, Done aDone) -> void;
   // The same, but only on the connection with this number, which leads to one
   // process for its whole life. If it is not idle the request is not sent.
@@ -73,6 +78,8 @@
   // Closes the idle connections after a call timed out: they may be just as
   // unresponsive as the connection of that call.
   auto CloseIdleConnections() -> void;
+  auto StartTimer(const std::shared_ptr<PendingCall>& aCall, Micros aDelay)
+    -> void;
   auto OnCallTimeout(const std::shared_ptr<PendingCall>& aCall) -> void;
 
   EventLoop& loop;
@@ -81,6 +88,8 @@
   std::deque<std::shared_ptr<PendingCall>> pendingCalls;
   std::set<std::shared_ptr<Connection>> connections;
   std::vector<std::shared_ptr<Connection>> idleConnections;
+  // When bytes of any response arrived last.
+  Time receivedAt{};
   std::uint64_t openedConnections = 0;
 };
 
--- a/eventio/tests/eventio_test.cpp
+++ b/eventio/tests/eventio_test.cpp
@@ -1,6 +1,7 @@
 // Tests the event-driven HTTP client and server against each other over
 // loopback, and the client against peers that violate the protocol.
 
+#include <array>
 #include <thread>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -401,6 +402,104 @@
   cr_expect_eq(pair.Call({ "GET", "/", {}, "" }).status, kInternalError);
 }
 
+namespace {
+
+constexpr Millis kPause{ 100 };
+constexpr std::size_t kParts = 10;
+constexpr std::size_t kPartBytes = 1000;
+
+// Responds to one request with kParts parts, a pause before each; with fewer,
+// the rest never comes.
+auto
+RespondSlowly(tcp::socket& aSocket, std::size_t aParts) -> void
+{
+  ReadHeader(aSocket);
+  auto ignored = boost::system::error_code{};
+  boost::asio::write(aSocket,
+                     boost::asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                         std::to_string(kParts * kPartBytes) +
+                                         "\r\n\r\n"),
+                     ignored);
+  for (auto part = std::size_t{ 0 }; part < aParts; ++part) {
+    std::this_thread::sleep_for(kPause);
+    boost::asio::write(
+      aSocket, boost::asio::buffer(std::string(kPartBytes, 'a')), ignored);
+  }
+}
+
+// Replies to as many calls at once over one connection.
+auto
+CallSlowPeer(EventLoop& aLoop,
+             std::uint16_t aPort,
+             bool aTimeoutBoundsSilence,
+             std::size_t aCalls) -> std::vector<HttpReply>
+{
+  auto options = HttpClientOptions{ 1 };
+  options.timeoutBoundsSilence = aTimeoutBoundsSilence;
+  auto client =
+    std::make_shared<HttpClient>(aLoop, LoopbackEndpoint(aPort), options);
+  auto replies = std::vector<HttpReply>{};
+  for (auto call = std::size_t{ 0 }; call < aCalls; ++call) {
+    client->Call({ "GET", "/", {}, "" }, kPause * 5, [&](HttpReply aReply) {
+      replies.push_back(std::move(aReply));
+      if (replies.size() == aCalls) {
+        aLoop.Stop();
+      }
+    });
+  }
+  aLoop.Run();
+  return replies;
+}
+
+} // namespace
+
+// Guards against: a response that a slow link needs longer for than the timeout
+// is given up while it arrives, and the same call is made again for ever; also
+// for a call that waits behind it for the connection.
+Test(http, timeout_may_bound_silence_instead_of_the_whole_response)
+{
+  for (const auto calls : { std::size_t{ 1 }, std::size_t{ 2 } }) {
+    auto loop = EventLoop{};
+    auto peer = RawPeer{ [&](tcp::socket& aSocket) {
+      for (auto call = std::size_t{ 0 }; call < calls; ++call) {
+        RespondSlowly(aSocket, kParts);
+      }
+    } };
+    const auto replies = CallSlowPeer(loop, peer.Port(), true, calls);
+    cr_assert_eq(replies.size(), calls);
+    for (const auto& reply : replies) {
+      cr_expect(reply.outcome == HttpOutcome::Answered);
+      cr_expect_eq(reply.body.size(), kParts * kPartBytes);
+    }
+  }
+  auto loop = EventLoop{};
+  auto peer =
+    RawPeer{ [](tcp::socket& aSocket) { RespondSlowly(aSocket, kParts); } };
+  const auto replies = CallSlowPeer(loop, peer.Port(), false, 1);
+  cr_expect(replies.front().outcome == HttpOutcome::Unknown);
+}
+
+// Guards against: a response whose rest never comes is waited for for ever.
+Test(http, silence_in_a_response_ends_the_call)
+{
+  for (const auto parts : { std::size_t{ 0 }, std::size_t{ 7 } }) {
+    auto loop = EventLoop{};
+    auto peer = RawPeer{ [parts](tcp::socket& aSocket) {
+      RespondSlowly(aSocket, parts);
+      // Until the client closes the connection.
+      auto ignored = boost::system::error_code{};
+      auto rest = std::array<char, 1>{};
+      boost::asio::read(aSocket, boost::asio::buffer(rest), ignored);
+    } };
+    const auto begin = loop.Now();
+    const auto replies = CallSlowPeer(loop, peer.Port(), true, 1);
+    cr_expect(replies.front().outcome == HttpOutcome::Unknown);
+    const auto took = ToMillis(loop.Now() - begin);
+    cr_expect_geq(took.count(), (kPause * (parts + 5)).count() - 10);
+    cr_expect_leq(took.count(), (kPause * (parts + 10)).count());
+  }
+}
+
 // A page of the store's feed, read by an owner whose other work fills each turn
 // of the loop: the page has to arrive before its call times out. The server
 // shares the loop, so no turn is spent waiting for another thread.
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -232,8 +232,10 @@
                           std::vector<cells::StoredRow> TakeoverRows::*aTarget)
   -> void
 {
+  auto range = aRange;
+  range.isLarge = true;
   this->ports.tables.Read(
-    aRange,
+    range,
     kStoreTimeout,
     [weak = this->weak_from_this(),
      weakRows = std::weak_ptr<TakeoverRows>(this->takeoverRows),
--- a/fleet/src/tablefollower.cpp
+++ b/fleet/src/tablefollower.cpp
@@ -82,7 +82,7 @@
   snapshot->sentAt = this->loop.Now();
   snapshot->pendingReads = this->options.parts.size();
   for (const auto& part : this->options.parts) {
-    this->tables.Read({ this->options.table, part, "", "" },
+    this->tables.Read({ this->options.table, part, "", "", true },
                       kReadTimeout,
                       [self = this->shared_from_this(),
                        snapshot](const cells::TableReadResult& aOutcome) {
