Fleet: a new owner beats while it reads the cell

Cause: the owner's row changed once at the takeover, then not before all rows were read. Candidates took the cell from each other, each while it read.

Change: the new owner writes heartbeats while it reads, with what the replaced row told of leases. If no range could be read for 15 s it gives the cell up and leaves it to others for as long.

Ruled out: longer waits of the candidates (lengthen each takeover); reading before the row is written (the earlier owner may record what was read).

The model's links have a width for them.

--- a/bench/src/fleetworld.cpp
+++ b/bench/src/fleetworld.cpp
@@ -144,7 +144,8 @@
         all.storeClockMs = SteadyMillis(this->world.queue.Now());
         return all;
       },
-      false);
+      false,
+      aRange.isLarge);
   }
 
   auto Feed(const std::string& aTable,
@@ -217,7 +218,8 @@
   auto Call(Millis aTimeout,
             std::function<void(Outcome)> aDone,
             Effect aEffect,
-            bool aWrite) -> void
+            bool aWrite,
+            bool aLarge = false) -> void
   {
     ++this->world.storeCalls;
     const auto& treatment = this->instance.treatment;
@@ -248,16 +250,43 @@
       this->Deliver<Outcome>(aTimeout, aDone, outcome);
       return;
     }
-    this->world.queue.After(takes, [this, aEffect, aDone] {
-      this->Deliver<Outcome>(kHop, aDone, aEffect());
+    this->world.queue.After(takes, [this, aEffect, aDone, aLarge] {
+      const auto outcome = aEffect();
+      const auto arrives = aLarge ? this->TransferTime(outcome) : Millis{ 0 };
+      this->Deliver<Outcome>(kHop + arrives, aDone, outcome);
     });
   }
 
+  // Until the answer has passed the instance's link, behind those before it.
+  template<class Outcome>
+  auto TransferTime(const Outcome& aOutcome) -> Millis
+  {
+    constexpr std::size_t kMillisPerSecond = 1000;
+    const auto width = this->world.options.linkBytesPerSecond;
+    if constexpr (std::is_same_v<Outcome, cells::TableReadResult>) {
+      if (width > 0) {
+        // Values are sent in base64, with some bytes of names and numbers.
+        constexpr std::size_t kBytesBeside = 120;
+        auto bytes = std::size_t{ 0 };
+        for (const auto& row : aOutcome.rows) {
+          bytes += row.value.size() * 4 / 3 + kBytesBeside;
+        }
+        const auto now = this->world.queue.Now();
+        this->linkFreeAt =
+          std::max(this->linkFreeAt, now) +
+          Millis{ static_cast<Millis::rep>(bytes * kMillisPerSecond / width) };
+        return ToMillis(this->linkFreeAt - now);
+      }
+    }
+    return Millis{ 0 };
+  }
+
   FleetWorld& world;
   Instance& instance;
   // Of the process that uses this; it outlives the process.
   VirtualLoop& loop;
   std::vector<PendingFeed> feeds;
+  Time linkFreeAt{};
 };
 
 // Workers as one instance reaches them.
--- a/bench/src/fleetworld.h
+++ b/bench/src/fleetworld.h
@@ -67,6 +67,10 @@
   int accounts = 0;
   // What each of the others may use in all cells together.
   Resources accountLimit;
+  // Bytes per second that an instance can receive from the store; 0: any
+  // number. Answers arrive one after the other then. Counts for reads of many
+  // rows only.
+  std::size_t linkBytesPerSecond = 0;
   // Jobs may be refused under overload.
   bool admission = true;
   // Run times are learned, and late tasks get second runs.
--- a/bench/tests/takeover_test.cpp
+++ b/bench/tests/takeover_test.cpp
@@ -109,3 +109,61 @@
     ExpectKept(*world, seed);
   }
 }
+
+namespace {
+
+// A fleet on links of 10 Mbit/s whose store holds as many jobs of 1,200 bytes.
+auto
+CrowdedWorld(int aJobs, std::uint64_t aSeed) -> std::unique_ptr<FleetWorld>
+{
+  auto options = FleetWorldOptions{};
+  options.linkBytesPerSecond = 1'250'000;
+  options.seed = aSeed;
+  auto world = std::make_unique<FleetWorld>(options);
+  world->RunFor(8s);
+  auto spec = cells::JobSpec{ std::string(1200, 'x') };
+  spec.steps = { { 1, { 500, 500, 0 }, 200ms } };
+  constexpr auto kPerSecond = 50;
+  for (auto job = 0; job < aJobs; ++job) {
+    world->Submit(spec, { 200ms });
+    if (job % kPerSecond == 0) {
+      world->RunFor(1s);
+    }
+  }
+  return world;
+}
+
+} // namespace
+
+// Guards against: candidates take a cell from each other while each of them
+// still reads its rows, and nobody ever starts anything.
+Test(takeover, ends_though_the_rows_take_a_slow_link_long)
+{
+  for (const auto jobs : { 1000, 2000, 4000 }) {
+    const auto world = CrowdedWorld(jobs, static_cast<std::uint64_t>(jobs));
+    const auto owner = world->Owner();
+    cr_assert_geq(owner, 0);
+    world->Kill(owner);
+    world->After(3500ms, [&world, owner] { world->Start(owner); });
+    // 1 s to notice, 2 s for each 1,000 jobs, and as much again.
+    world->RunFor(4s + 4s * jobs / 1000);
+    cr_expect_geq(world->Owner(), 0, "%d jobs", jobs);
+    cr_expect(world->RunsNewJobs(), "%d jobs", jobs);
+  }
+}
+
+// The same if each new owner is killed while it reads.
+Test(takeover, ends_after_owners_were_killed_while_they_read)
+{
+  const auto world = CrowdedWorld(2000, 5);
+  for (auto round = 0; round < 3; ++round) {
+    const auto owner = world->Owner();
+    const auto victim = owner >= 0 ? owner : round;
+    world->Kill(victim);
+    world->After(1500ms, [&world, victim] { world->Start(victim); });
+    world->RunFor(2500ms);
+  }
+  world->RunFor(14s);
+  cr_expect_geq(world->Owner(), 0);
+  cr_expect(world->RunsNewJobs());
+}
--- a/fleet/src/cellcontroller.cpp
+++ b/fleet/src/cellcontroller.cpp
@@ -392,12 +392,14 @@
      sentAt = this->lastCommitAt,
      aReleases](const cells::TableCommitResult& aOutcome) {
       const auto self = weak.lock();
-      if (!self || !self->cell || self->ownershipEpoch != epoch) {
+      if (!self || !self->recorder || self->ownershipEpoch != epoch) {
         return;
       }
       self->UpdateStoreClock(aOutcome.storeClockMs, sentAt);
       if (aOutcome.status == cells::TableStatus::Done) {
-        self->cell->OnOwnershipConfirmed(sentAt);
+        if (self->cell) {
+          self->cell->OnOwnershipConfirmed(sentAt);
+        }
         self->lastConfirmedAt = sentAt;
         self->batchRejected = false;
         // A release with an unknown outcome can't take effect any more.
@@ -405,7 +407,9 @@
       } else if (aOutcome.status == cells::TableStatus::Unknown && aReleases) {
         self->mayBeReleased = true;
       }
-      self->cell->SetReleasing(self->mayBeReleased);
+      if (self->cell) {
+        self->cell->SetReleasing(self->mayBeReleased);
+      }
       self->LogRecordingState(aOutcome);
       self->ApplyRecorderResult(self->recorder->OnOutcome(aOutcome));
       if (self->cell && aOutcome.status == cells::TableStatus::Done) {
@@ -454,7 +458,7 @@
     [weak = this->weak_from_this(),
      epoch = this->ownershipEpoch](const cells::TableReadResult& aOutcome) {
       const auto self = weak.lock();
-      if (!self || !self->cell || self->ownershipEpoch != epoch) {
+      if (!self || !self->recorder || self->ownershipEpoch != epoch) {
         return;
       }
       self->ownerReadInFlight = false;
@@ -475,6 +479,10 @@
     this->EndOwnership("another instance owns the cell");
     return;
   }
+  if (!this->cell) {
+    // Only heartbeats are written before the rows are read.
+    return;
+  }
   if (aResult.recorded) {
     this->cell->OnBatchRecorded(now, *aResult.recorded);
   }
--- a/fleet/src/cellcontroller.h
+++ b/fleet/src/cellcontroller.h
@@ -128,6 +128,9 @@
   auto RunDecisionRounds() -> void;
   auto SendWorkerCalls() -> void;
   auto SendAdviceRequests() -> void;
+  // While the rows are read after a takeover: shows the other candidates that
+  // this instance is at work, and gives the cell up if the reads keep failing.
+  auto BeatWhileReading() -> void;
   auto CommitNext() -> void;
   // aReleases: the transaction releases the cell.
   auto Commit(const cells::TableTransaction& aCommit, bool aReleases) -> void;
@@ -178,6 +181,9 @@
   Time ownerRowUnchangedSince{};
   std::size_t takeoverRank = 0;
   bool takeoverInFlight = false;
+  // After the cell was given up because its rows could not be read: another
+  // candidate may read them.
+  Time noTakeoverUntil{};
   TimerHandle ownerPollTimer;
 
   // Ownership.
--- a/fleet/src/celltakeover.cpp
+++ b/fleet/src/celltakeover.cpp
@@ -26,6 +26,9 @@
   int pendingReads = 0;
   // The lowest version at which a range was read; changes are followed from it.
   std::uint64_t readVersion = 0;
+  // When a range was read last, and whether a read has failed since.
+  Time progressAt{};
+  bool failing = false;
   std::vector<TimerHandle> retryTimers;
 };
 
@@ -68,7 +71,7 @@
                      : kSecondaryPollInterval,
                    &CellController::PollOwner);
   if (aOutcome.status != cells::TableStatus::Done ||
-      !this->ports.siteWatcher.Config()) {
+      !this->ports.siteWatcher.Config() || now < this->noTakeoverUntil) {
     return;
   }
   if (aOutcome.rows.empty()) {
@@ -207,6 +210,7 @@
   this->ports.siteWatcher.FollowWorkers(true);
   this->takeoverRows = std::make_shared<TakeoverRows>();
   this->takeoverRows->readAt = this->ports.loop.Now();
+  this->takeoverRows->progressAt = this->takeoverRows->readAt;
   const auto parts = cells::CellRows::SubmissionParts();
   this->takeoverRows->neighbours = this->NeighbourCells();
   const auto& neighbours = this->takeoverRows->neighbours;
@@ -225,6 +229,32 @@
     this->ReadRange({ cells::CellRows::kCancellationTable, part, "", "" },
                     &TakeoverRows::cancellations);
   }
+  this->BeatWhileReading();
+}
+
+auto
+CellController::BeatWhileReading() -> void
+{
+  if (!this->takeoverRows || !this->recorder) {
+    return;
+  }
+  const auto now = this->ports.loop.Now();
+  if (this->takeoverRows->failing &&
+      now > this->takeoverRows->progressAt + kTakeoverReadLimit) {
+    this->noTakeoverUntil = now + kTakeoverReadLimit;
+    this->EndOwnership("the cell's rows can't be read");
+    return;
+  }
+  if (!this->recorder->IsCommitInFlight() && !this->ownerReadInFlight) {
+    if (this->recorder->MustReadOwner()) {
+      this->ReadOwnerRow();
+    } else if (now >= this->lastCommitAt + kHeartbeatInterval) {
+      this->Commit(this->recorder->HeartbeatCommit(false), false);
+    }
+  }
+  this->StartTimer(this->decisionTimer,
+                   kHeartbeatInterval / 2,
+                   &CellController::BeatWhileReading);
 }
 
 auto
@@ -256,7 +286,8 @@
   std::vector<cells::StoredRow> TakeoverRows::*aTarget,
   const cells::TableReadResult& aOutcome) -> void
 {
-  if (aOutcome.status != cells::TableStatus::Done) {
+  aRows.failing = aOutcome.status != cells::TableStatus::Done;
+  if (aRows.failing) {
     aRows.retryTimers.push_back(this->ports.loop.After(
       kReadRetryDelay,
       [weak = this->weak_from_this(),
@@ -271,6 +302,7 @@
       }));
     return;
   }
+  aRows.progressAt = this->ports.loop.Now();
   auto& rows = aRows.*aTarget;
   rows.insert(rows.end(), aOutcome.rows.begin(), aOutcome.rows.end());
   aRows.readVersion = aRows.readVersion == 0
@@ -299,7 +331,7 @@
   takeover.nowUnixMs = this->ports.loop.UnixMillis();
   takeover.previousLease = Millis{ this->recorder->Owner().leaseMs };
   takeover.previousConfirmedBy = this->previousConfirmedBy;
-  takeover.confirmedAt = this->takeoverSentAt;
+  takeover.confirmedAt = this->lastConfirmedAt;
   if (this->previousOwner) {
     takeover.previousReleased = this->previousOwner->released;
     takeover.leaseEnds = this->LeaseExpiries(*this->previousOwner);
--- a/fleet/src/tunables_fleet.h
+++ b/fleet/src/tunables_fleet.h
@@ -46,6 +46,9 @@
 inline constexpr Millis kMaxDecisionInterval{ 25 };
 // Timeout of one call to the store.
 inline constexpr Millis kStoreTimeout{ 1000 };
+// A new owner gives the cell up if for this long no range of its rows could be
+// read, and does not take it again for as long.
+inline constexpr Millis kTakeoverReadLimit{ 15000 };
 // Delay before a failed read is retried.
 inline constexpr Millis kReadRetryDelay{ 150 };
 // Pause between removing the rows of one ended job and the next. 20 jobs a
