Fleet: failed calls to the adviser lengthen no later time-out

Callers would see: after the adviser could not be reached for a while, an answer that is lost is waited for as long as all failed questions would have taken.

Cause: each question added its time to the estimate of when the adviser is free, also if its connection failed at once.

A call that leaves the client's queue now has its whole time-out for the connection as well.

--- a/eventio/src/httpclient.cpp
+++ b/eventio/src/httpclient.cpp
@@ -120,6 +120,7 @@
   {
     const auto client = this->owner.lock();
     aCall->connection = this->weak_from_this();
+    aCall->activeAt = client->loop.Now();
     this->call = aCall;
     this->connectTimer = client->loop.After(
       client->options.connectTimeout, [self = this->weak_from_this()] {
--- a/fleet/src/advicequeue.h
+++ b/fleet/src/advicequeue.h
@@ -25,14 +25,19 @@
   // Shared with the callbacks, which may outlive the queue.
   struct State
   {
+    explicit State(Loop& aLoop)
+      : loop(aLoop)
+    {
+    }
+
+    Loop& loop;
     std::size_t inFlight = 0;
     // When the adviser should be done with all of them.
     Time busyUntil{};
   };
 
-  Loop& loop;
   cells::AdviceClient& client;
-  const std::shared_ptr<State> state = std::make_shared<State>();
+  const std::shared_ptr<State> state;
 };
 
 } // namespace gooseberry::fleet
