Fleet: an unreadable job is not said to be cancelled

Callers would see: a cancellation is answered 200 with the state "queued", and the job runs once an instance can read its row.

Cause: the answer for an unreadable row was that of a state query, for cancellations too; nothing was stored.

Change: 503, reason "unreadable", at once: the cell that the cancellation has to name is not known.

--- a/fleet/src/callerapi.cpp
+++ b/fleet/src/callerapi.cpp
@@ -681,34 +681,43 @@
 CallerApi::ReadSubmission(const std::shared_ptr<JobRequest>& aJobRequest)
   -> void
 {
-  this->ReadRow(cells::CellRows::Submission(aJobRequest->job),
-                aJobRequest,
-                &CallerApi::ReadSubmission,
-                [this, aJobRequest](const cells::StoredRow* aRow) {
-                  auto reason = std::string{};
-                  if (aRow == nullptr && aJobRequest->isCancellation) {
-                    this->WriteWithdrawal(aJobRequest);
-                  } else if (aRow == nullptr) {
-                    this->AnswerGone(*aJobRequest);
-                  } else if (const auto row =
-                               cells::DecodeJobRow(aRow->value, reason)) {
-                    aJobRequest->submissionRead = true;
-                    this->CacheJob(*row, aRow->version);
-                    if (!this->AdmitToJob(*aJobRequest, row->account)) {
-                      return;
-                    }
-                    if (aJobRequest->isCancellation) {
-                      this->WriteCancellation(aJobRequest);
-                    } else {
-                      this->ReadRecord(aJobRequest);
-                    }
-                  } else {
-                    this->log.Write("job_unreadable",
-                                    { { "job", aJobRequest->job.Text() },
-                                      { "reason", reason } });
-                    this->AnswerState(*aJobRequest, cells::JobState::Queued);
-                  }
-                });
+  this->ReadRow(
+    cells::CellRows::Submission(aJobRequest->job),
+    aJobRequest,
+    &CallerApi::ReadSubmission,
+    [this, aJobRequest](const cells::StoredRow* aRow) {
+      auto reason = std::string{};
+      if (aRow == nullptr && aJobRequest->isCancellation) {
+        this->WriteWithdrawal(aJobRequest);
+      } else if (aRow == nullptr) {
+        this->AnswerGone(*aJobRequest);
+      } else if (const auto row = cells::DecodeJobRow(aRow->value, reason)) {
+        aJobRequest->submissionRead = true;
+        this->CacheJob(*row, aRow->version);
+        if (!this->AdmitToJob(*aJobRequest, row->account)) {
+          return;
+        }
+        if (aJobRequest->isCancellation) {
+          this->WriteCancellation(aJobRequest);
+        } else {
+          this->ReadRecord(aJobRequest);
+        }
+      } else {
+        this->log.Write(
+          "job_unreadable",
+          { { "job", aJobRequest->job.Text() }, { "reason", reason } });
+        if (aJobRequest->isCancellation) {
+          this->Answer(*aJobRequest->exchange,
+                       kCancelVerb,
+                       kUnavailable,
+                       "unreadable",
+                       wire::ErrorBody("the job can't be read: " + reason),
+                       RetryAfterHeader(1));
+        } else {
+          this->AnswerState(*aJobRequest, cells::JobState::Queued);
+        }
+      }
+    });
 }
 
 auto
--- a/fleet/tests/withdrawal_test.cpp
+++ b/fleet/tests/withdrawal_test.cpp
@@ -164,3 +164,17 @@
   cr_expect_eq(third.store.Find(cells::CellRows::Cancellation(id)), "");
   cr_expect_eq(third.Request("DELETE", kJob, "key-b"), 200);
 }
+
+// Guards against: a cancellation is acknowledged although the job's row can't
+// be read, and nothing is stored.
+Test(withdrawal, an_unreadable_job_is_not_said_to_be_cancelled)
+{
+  const auto id = *cells::JobId::Parse("00000000000000aa");
+  auto entry = Entry{ ConfigWith(1, {}) };
+  entry.store.Put(cells::CellRows::Submission(id), "no job");
+  const auto status = entry.Send("DELETE", kJob, "");
+  entry.store.Answer();
+  entry.Advance(Millis{ 3000 });
+  cr_expect_eq(*status, 503);
+  cr_expect_eq(entry.Request("GET", kJob, ""), 200);
+}
